--- /dev/null
+++ b/cucumber.mjs
@@ -0,0 +1,14 @@
+/** Cucumber profiles. Step files are compiled beside the code that they test. */
+const common = { failFast: false, strict: true, format: ['progress'] };
+
+export default {
+  ...common,
+  paths: ['packages/!(e2e)/src/**/*.feature'],
+  import: ['packages/!(e2e)/dist/**/*.steps.js'],
+};
+
+export const e2e = {
+  ...common,
+  paths: ['packages/e2e/src/**/*.feature'],
+  import: ['packages/e2e/dist/**/*.steps.js'],
+};
--- /dev/null
+++ b/packages/guard/src/index.ts
@@ -0,0 +1,2 @@
+/** Public surface of @zincspan/guard. */
+export {};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Public surface of @zincspan/platform. */
+export {};
