Read files with comments against a schema

Every wrong field is refused with its line, path, what was expected and the remedy; a field given twice is refused too, as its first value would be lost silently. FindingsError is a ProblemError, so a refusal travels as one.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,3 +24,5 @@
 export * from './timeline/timeline.js';
 export * from './process/metrics.js';
 export * from './process/context.js';
+export * from './settings/finding.js';
+export * from './settings/parse.js';
