Publish the entry's part convention, HTTP server and upstream directory

The parts of an entry are written by several hands at once and need a place to plug in. EntryApp and EntryDeps name it; createHttpServer gives bounds, problem answers (RFC 9457) and token authentication; UpstreamDirectory keeps what guards announce.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,10 @@
 /** Public surface of @zincspan/entry. */
-export {};
+export * from './app.js';
+export * from './bundle-source.js';
+export * from './http/account-directory.js';
+export * from './http/auth.js';
+export * from './http/http-server.js';
+export * from './http/problem-response.js';
+export * from './membership/upstream-directory.js';
+export * from './membership/upstream-member.js';
+export * from './mesh/entry-mesh.js';
--- /dev/null
+++ b/packages/entry/src/membership/upstream-directory.ts
@@ -0,0 +1,184 @@
+/** The upstreams that have announced themselves, with the links to their guards. */
+import {
+  ProblemError,
+  problem,
+  type Announcement,
+  type Peer,
+  type ProcessContext,
+  type Runner,
+  type Worker,
+} from '@zincspan/core';
+import { GuardLinks } from './guard-links.js';
+import { toMember, type MembershipChange, type UpstreamMember } from './upstream-member.js';
+
+/**
+ * Upstreams by announcement. Of one guard only the newest incarnation counts, and within it the highest sequence.
+ * A lost link changes nothing here: an upstream leaves by withdrawal or by silence past its announced time.
+ */
+export class UpstreamDirectory {
+  readonly #ctx: ProcessContext;
+
+  readonly #links = new GuardLinks();
+
+  readonly #members = new Map<string, UpstreamMember>();
+
+  readonly #listeners = new Set<(change: MembershipChange) => void>();
+
+  readonly #runnersByKind = new Map<string, UpstreamMember<Runner>[]>();
+
+  constructor({ ctx }: { ctx: ProcessContext }) {
+    this.#ctx = ctx;
+  }
+
+  /** Takes a new link to a guard. */
+  linkUp(peer: Peer): void {
+    const { id, incarnation } = peer.process;
+    if (!this.#links.add(peer)) return;
+    this.#tell({ type: 'linked', guard: id, incarnation });
+  }
+
+  /** Takes an announcement that came over `peer`. Throws ProblemError `conflict` for an old incarnation's. */
+  announce(announcement: Announcement, peer: Peer): void {
+    const { guard, incarnation } = announcement;
+    checkSpeaker(announcement, peer);
+    if (this.#links.isPast(guard, incarnation)) throw replacedIncarnation(guard);
+    if (this.#links.incarnation(guard) !== incarnation) this.linkUp(peer);
+    this.accept(announcement);
+  }
+
+  /** Takes an announcement whose sender was checked. Older sequences change nothing. */
+  accept(announcement: Announcement): void {
+    const { upstream, guard, incarnation, sequence, state } = announcement;
+    const before = this.#members.get(upstream.id);
+    const sameLife = before?.guard === guard && before.incarnation === incarnation;
+    if (sameLife && sequence < before.sequence) return;
+    if (state === 'withdrawn') {
+      if (before?.guard === guard) this.#remove(before, 'withdrawn');
+      return;
+    }
+    const member = toMember(announcement, this.#ctx.clock.now());
+    this.#members.set(upstream.id, member);
+    if (before === undefined) this.#joined(member);
+    else if (!sameLife || sequence !== before.sequence) this.#changed(member, before);
+  }
+
+  /** Drops upstreams that were silent past their announced time. */
+  expire(): void {
+    const now = this.#ctx.clock.now();
+    [...this.#members.values()]
+      .filter((member) => member.expiresAt <= now)
+      .forEach((member) => this.#remove(member, 'expired'));
+    const guards = new Set([...this.#members.values()].map(({ guard }) => guard));
+    this.#links.prune((guard) => guards.has(guard));
+  }
+
+  /** Runners that take new requests of this kind, linked or not. */
+  runners(kind: string): readonly UpstreamMember<Runner>[] {
+    const known = this.#runnersByKind.get(kind);
+    if (known !== undefined) return known;
+    const runners = [...this.#members.values()].filter(isRunner).filter((member) => {
+      const { kinds } = member.upstream;
+      return member.state === 'ready' && (kinds.length === 0 || kinds.includes(kind));
+    });
+    this.#runnersByKind.set(kind, runners);
+    return runners;
+  }
+
+  /** All workers of a failure domain, draining ones included. */
+  workers(failureDomain: string): UpstreamMember<Worker>[] {
+    return [...this.#members.values()]
+      .filter(isWorker)
+      .filter((member) => member.failureDomain === failureDomain);
+  }
+
+  /** Every upstream known. */
+  all(): UpstreamMember[] {
+    return [...this.#members.values()];
+  }
+
+  /** One upstream by its id. */
+  get(upstreamId: string): UpstreamMember | undefined {
+    return this.#members.get(upstreamId);
+  }
+
+  /** The live link to a guard; without one it gets no new work. */
+  guardPeer(guardId: string): Peer | undefined {
+    return this.#links.peer(guardId);
+  }
+
+  /** The newest incarnation of a guard that was linked, live or not. */
+  guardIncarnation(guardId: string): string | undefined {
+    return this.#links.incarnation(guardId);
+  }
+
+  /** The guard's live link, awaited until `signal` aborts; undefined then. */
+  whenLinked(guardId: string, signal: AbortSignal): Promise<Peer | undefined> {
+    return this.#links.whenLinked(guardId, signal);
+  }
+
+  /** Calls `fn` after each change; the answer ends the subscription. */
+  onChange(fn: (change: MembershipChange) => void): () => void {
+    this.#listeners.add(fn);
+    return () => this.#listeners.delete(fn);
+  }
+
+  #joined(member: UpstreamMember): void {
+    this.#note('upstream.joined', member);
+    this.#tell({ type: 'joined', member });
+  }
+
+  #changed(member: UpstreamMember, before: UpstreamMember): void {
+    if (member.state !== before.state) this.#note(`upstream.${member.state}`, member);
+    if (member.incarnation !== before.incarnation) this.#note('upstream.guard-restarted', member);
+    this.#tell({ type: 'changed', member, before });
+  }
+
+  #remove(member: UpstreamMember, how: 'withdrawn' | 'expired'): void {
+    this.#members.delete(member.upstream.id);
+    this.#note('upstream.left', member, how);
+    this.#tell({ type: 'left', member, how });
+  }
+
+  #note(event: string, { upstream, guard }: UpstreamMember, how?: string): void {
+    const { timeline, metrics, log } = this.#ctx;
+    const detail = { guard, ...(how === undefined ? {} : { how }) };
+    timeline.record(event, upstream.id, detail);
+    metrics.count(event);
+    log.info({ upstream: upstream.id, ...detail }, event);
+  }
+
+  #tell(change: MembershipChange): void {
+    this.#runnersByKind.clear();
+    this.#listeners.forEach((fn) => fn(change));
+  }
+}
+
+function isRunner(member: UpstreamMember): member is UpstreamMember<Runner> {
+  return member.upstream.type === 'runner';
+}
+
+function isWorker(member: UpstreamMember): member is UpstreamMember<Worker> {
+  return member.upstream.type === 'worker';
+}
+
+/** A guard speaks for itself only. */
+function checkSpeaker({ guard, incarnation }: Announcement, { process }: Peer): void {
+  if (process.role === 'guard' && process.id === guard && process.incarnation === incarnation) {
+    return;
+  }
+  throw new ProblemError(
+    problem('not-allowed', {
+      detail: `${process.id} announced an upstream in the name of guard ${guard}.`,
+      remedy: 'Announce over the link of the guard that is named.',
+    }),
+  );
+}
+
+function replacedIncarnation(guard: string): ProblemError {
+  return new ProblemError(
+    problem('conflict', {
+      detail: `A later incarnation of guard ${guard} has announced itself.`,
+      remedy: 'Stop this process, or give it an id of its own in its settings.',
+    }),
+  );
+}
