Add table and object store clients

HttpTable and HttpObjectStore with bounded attempts, time and concurrency; writes are settled by their write id before they reject. MemoryTable and MemoryObjectStore with switchable faults.

--- /dev/null
+++ b/packages/platform/src/http/backoff.ts
@@ -0,0 +1,20 @@
+/** Pauses between attempts, with full jitter so that clients don't return in step. */
+
+/** Pause in ms before attempt `attempt` (the second is 1): uniform from 0 to the doubled bound. */
+export function fullJitterMs(
+  attempt: number,
+  {
+    backoffMs,
+    maxBackoffMs,
+    random,
+  }: { backoffMs: number; maxBackoffMs: number; random: () => number },
+): number {
+  return random() * Math.min(maxBackoffMs, backoffMs * 2 ** (attempt - 1));
+}
+
+/** Resolves after `ms`. */
+export async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/platform/src/http/store-options.ts
@@ -0,0 +1,49 @@
+/** Options that the table and object store clients share. */
+import { SystemClock, type Clock, type Metrics } from '@zincspan/core';
+
+/** How a client reaches the platform. All times in ms. */
+export interface StoreOptions {
+  /** `IP:port` of the service. */
+  address: string;
+  /** Bound on one attempt, from dialling to the last byte of the answer. */
+  timeoutMs?: number;
+  /** Bound on a whole call: waiting, attempts, pauses and settling. */
+  totalMs?: number;
+  /** Attempts of one call. */
+  attempts?: number;
+  /** Longest pause before the second attempt; it doubles with each further one, up to `maxBackoffMs`. */
+  backoffMs?: number;
+  maxBackoffMs?: number;
+  /** Calls at once; further ones wait, up to `waiting` of them, and the rest are refused. */
+  concurrency?: number;
+  waiting?: number;
+  /** Failed attempts in a row that open the circuit breaker, and how long it stays open. */
+  failuresToOpen?: number;
+  openMs?: number;
+  clock?: Clock;
+  /** 0 to 1; for the jitter of pauses. */
+  random?: () => number;
+  metrics?: Metrics;
+}
+
+const NO_METRICS: Metrics = { count() {}, gauge() {}, timing() {} };
+
+/** The options with every default filled in. The total allows for all attempts unless it is given. */
+export function withDefaults(options: StoreOptions): Required<StoreOptions> {
+  const timeoutMs = options.timeoutMs ?? 1000;
+  return {
+    timeoutMs,
+    totalMs: 3 * timeoutMs,
+    attempts: 3,
+    backoffMs: 50,
+    maxBackoffMs: 1000,
+    concurrency: 32,
+    waiting: 512,
+    failuresToOpen: 8,
+    openMs: 1000,
+    clock: new SystemClock(),
+    random: Math.random,
+    metrics: NO_METRICS,
+    ...options,
+  };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,8 @@
-/** Public surface of @zincspan/platform. */
-export {};
+/** Clients of the platform's table service and object store, and in-memory ones for tests. */
+export * from './memory/row-store.js';
+export * from './memory/memory-faults.js';
+export * from './memory/memory-table.js';
+export * from './memory/memory-object-store.js';
+export * from './http/store-options.js';
+export * from './http/http-table.js';
+export * from './http/http-object-store.js';
--- /dev/null
+++ b/packages/platform/src/memory/memory-object-store.ts
@@ -0,0 +1,25 @@
+/** An object store in memory, for tests and benches. */
+import type { ObjectStore } from '@zincspan/core';
+import { MemoryFaults } from './memory-faults.js';
+
+/** Objects in memory with switchable faults. */
+export class MemoryObjectStore implements ObjectStore {
+  readonly faults = new MemoryFaults();
+
+  readonly #objects = new Map<string, Uint8Array>();
+
+  get size(): number {
+    return this.#objects.size;
+  }
+
+  async get(key: string): Promise<Uint8Array | undefined> {
+    await this.faults.pass();
+    return this.#objects.get(key)?.slice();
+  }
+
+  async put(key: string, body: Uint8Array): Promise<void> {
+    await this.faults.write(() => {
+      this.#objects.set(key, body.slice());
+    });
+  }
+}
