--- /dev/null
+++ b/packages/core/src/scheduler/fair-share.ts
@@ -0,0 +1,154 @@
+/**
+ * Weighted dominant-share fairness among client accounts: an account's share is its largest share of any one
+ * resource, remembered with exponential decay and divided by its weight in the bundle. Lower goes first.
+ */
+import type { ClientAccount } from '../client-account/client-account.js';
+import type { Shape } from '../gang/shape.js';
+
+/** Amounts of each resource; also the capacity that shares are taken of. */
+export interface Resources {
+  accelerators: number;
+  cores: number;
+  memoryMb: number;
+}
+
+/** Work to charge. Inside a guarantee it doesn't count against the quota. */
+export interface Charge {
+  key: string;
+  account: string;
+  shape: Shape;
+  withinGuarantee?: boolean;
+}
+
+interface Usage {
+  weight: number;
+  quota: number;
+  /** Accelerators in use that count against the quota. */
+  counted: number;
+  running: Resources;
+  /** Decayed mean of the dominant share, and when it was taken. */
+  mean: number;
+  at: number;
+}
+
+/** Fairness among the accounts of one failure domain. Times in ms. */
+export class FairShare {
+  readonly #halfLifeMs: number;
+
+  #capacity: Resources;
+
+  readonly #usages = new Map<string, Usage>();
+
+  readonly #charges = new Map<string, Charge>();
+
+  constructor({
+    halfLifeMs = 3_600_000,
+    capacity = { accelerators: 1, cores: 1, memoryMb: 1 },
+  }: { halfLifeMs?: number; capacity?: Resources } = {}) {
+    this.#halfLifeMs = halfLifeMs;
+    this.#capacity = capacity;
+  }
+
+  /** What the failure domain has in all. */
+  setCapacity(capacity: Resources): void {
+    this.#capacity = capacity;
+  }
+
+  /** Weights and quotas from the bundle in force. Accounts that left keep what they still run. */
+  setAccounts(accounts: ClientAccount[]): void {
+    accounts.forEach(({ name, share, quota }) => {
+      const usage = this.#usage(name);
+      usage.weight = share;
+      usage.quota = quota.accelerators;
+    });
+  }
+
+  /** The part of an account's quota that was allotted to this failure domain. */
+  setAllotment(account: string, accelerators: number): void {
+    this.#usage(account).quota = accelerators;
+  }
+
+  /** Does the account's quota leave room for this shape beyond its guarantees? */
+  mayStart(account: string, shape: Shape, { withinGuarantee = false } = {}): boolean {
+    if (withinGuarantee) return true;
+    const usage = this.#usage(account);
+    return usage.counted + shape.tasks * shape.acceleratorsPerTask <= usage.quota;
+  }
+
+  /** Accelerators that count against the account's quota now. */
+  counted(account: string): number {
+    return this.#usages.get(account)?.counted ?? 0;
+  }
+
+  /** Weighted share used of late; the lower goes first. Half of it is what runs now, half is memory. */
+  priority(account: string, now: number): number {
+    const usage = this.#usage(account);
+    this.#settle(usage, now);
+    return (usage.mean + this.#dominantShare(usage)) / 2 / usage.weight;
+  }
+
+  /** How far the account is above its due part among `competing` accounts: 1 is exactly its part. */
+  overuse(account: string, competing: Iterable<string>): number {
+    const names = new Set([...competing, account]);
+    const weights = [...names].reduce((total, name) => total + this.#usage(name).weight, 0);
+    const usage = this.#usage(account);
+    return this.#dominantShare(usage) / (usage.weight / weights);
+  }
+
+  /** Charges an account for work that starts. Charging a key again changes nothing. */
+  start(charge: Charge, now: number): void {
+    if (this.#charges.has(charge.key)) return;
+    this.#charges.set(charge.key, charge);
+    this.#change(charge, 1, now);
+  }
+
+  /** Ends a charge; unknown keys are ignored. */
+  end(key: string, now: number): void {
+    const charge = this.#charges.get(key);
+    if (charge === undefined) return;
+    this.#charges.delete(key);
+    this.#change(charge, -1, now);
+  }
+
+  #change({ account, shape, withinGuarantee = false }: Charge, sign: number, now: number): void {
+    const usage = this.#usage(account);
+    this.#settle(usage, now);
+    const accelerators = shape.tasks * shape.acceleratorsPerTask;
+    usage.running.accelerators += sign * accelerators;
+    usage.running.cores += sign * shape.tasks * shape.coresPerTask;
+    usage.running.memoryMb += sign * shape.tasks * shape.memoryMbPerTask;
+    if (!withinGuarantee) usage.counted += sign * accelerators;
+  }
+
+  #dominantShare({ running }: Usage): number {
+    return Math.max(
+      running.accelerators / Math.max(1, this.#capacity.accelerators),
+      running.cores / Math.max(1, this.#capacity.cores),
+      running.memoryMb / Math.max(1, this.#capacity.memoryMb),
+    );
+  }
+
+  /** Brings the decayed mean up to `now`, the dominant share having been constant since the last change. */
+  #settle(usage: Usage, now: number): void {
+    const kept = 0.5 ** (Math.max(0, now - usage.at) / this.#halfLifeMs);
+    Object.assign(usage, {
+      mean: usage.mean * kept + this.#dominantShare(usage) * (1 - kept),
+      at: Math.max(now, usage.at),
+    });
+  }
+
+  #usage(account: string): Usage {
+    const known = this.#usages.get(account);
+    if (known) return known;
+    const usage: Usage = {
+      weight: 1,
+      quota: Number.POSITIVE_INFINITY,
+      counted: 0,
+      running: { accelerators: 0, cores: 0, memoryMb: 0 },
+      mean: 0,
+      at: 0,
+    };
+    this.#usages.set(account, usage);
+    return usage;
+  }
+}
