--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -8,3 +8,5 @@
 export * from './membership/upstream-directory.js';
 export * from './membership/upstream-member.js';
 export * from './mesh/entry-mesh.js';
+export * from './entry.js';
+export * from './mesh/entry-links.js';
--- /dev/null
+++ b/packages/entry/src/membership/app.ts
@@ -0,0 +1,30 @@
+/** Membership as a part of an entry: announcements of guards, and expiry of silent upstreams. */
+import type { EntryApp, EntryDeps } from '../app.js';
+
+const EXPIRE_EVERY_MS = 500;
+
+/** Makes the membership part. */
+export function membershipApp({ upstreams, bundles }: EntryDeps): EntryApp {
+  let timer: NodeJS.Timeout | undefined;
+  return {
+    name: 'membership',
+    handlers: {
+      'upstream.announce': (announcement, peer) => {
+        upstreams.announce(announcement, peer);
+        return { bundleVersion: bundles.current?.head.version ?? 0 };
+      },
+    },
+    start: () => {
+      timer = setInterval(() => upstreams.expire(), EXPIRE_EVERY_MS);
+    },
+    stop: () => clearInterval(timer),
+    status: () => {
+      const members = upstreams.all();
+      return {
+        runners: members.filter(({ upstream }) => upstream.type === 'runner').length,
+        workers: members.filter(({ upstream }) => upstream.type === 'worker').length,
+        draining: members.filter(({ state }) => state === 'draining').length,
+      };
+    },
+  };
+}
--- a/packages/entry/src/membership/guard-links.ts
+++ b/packages/entry/src/membership/guard-links.ts
@@ -10,7 +10,7 @@
 
   readonly #past = new Map<string, string[]>();
 
-  readonly #waiting = new Map<string, Set<(peer: Peer) => void>>();
+  readonly #waiting = new Map<string, Set<(peer?: Peer) => void>>();
 
   /** Takes a new link. False if an incarnation that a later one has replaced is at its other end. */
   add(peer: Peer): boolean {
@@ -62,6 +62,11 @@
     });
   }
 
+  /** Ends all waits for a link to a guard that has left. */
+  giveUp(guard: string): void {
+    [...(this.#waiting.get(guard) ?? [])].forEach((done) => done());
+  }
+
   /** Forgets guards without a live link that `isNeeded` doesn't ask for. */
   prune(isNeeded: (guard: string) => boolean): void {
     [...this.#peers]
--- a/packages/entry/src/membership/upstream-directory.ts
+++ b/packages/entry/src/membership/upstream-directory.ts
@@ -22,6 +22,9 @@
 
   readonly #members = new Map<string, UpstreamMember>();
 
+  /** Upstream ids by the guards that announced them. */
+  readonly #byGuard = new Map<string, string>();
+
   readonly #listeners = new Set<(change: MembershipChange) => void>();
 
   readonly #runnersByKind = new Map<string, UpstreamMember<Runner>[]>();
@@ -58,6 +61,7 @@
     }
     const member = toMember(announcement, this.#ctx.clock.now());
     this.#members.set(upstream.id, member);
+    this.#byGuard.set(guard, upstream.id);
     if (before === undefined) this.#joined(member);
     else if (!sameLife || sequence !== before.sequence) this.#changed(member, before);
   }
@@ -68,8 +72,7 @@
     [...this.#members.values()]
       .filter((member) => member.expiresAt <= now)
       .forEach((member) => this.#remove(member, 'expired'));
-    const guards = new Set([...this.#members.values()].map(({ guard }) => guard));
-    this.#links.prune((guard) => guards.has(guard));
+    this.#links.prune((guard) => this.#byGuard.has(guard));
   }
 
   /** Runners that take new requests of this kind, linked or not. */
@@ -111,8 +114,14 @@
     return this.#links.incarnation(guardId);
   }
 
-  /** The guard's live link, awaited until `signal` aborts; undefined then. */
+  /** True while a guard is linked or an upstream of its own is known. */
+  hasGuard(guardId: string): boolean {
+    return this.guardPeer(guardId) !== undefined || this.#byGuard.has(guardId);
+  }
+
+  /** The guard's live link, awaited until `signal` aborts or the guard has left; undefined then. */
   whenLinked(guardId: string, signal: AbortSignal): Promise<Peer | undefined> {
+    if (!this.hasGuard(guardId)) return Promise.resolve(undefined);
     return this.#links.whenLinked(guardId, signal);
   }
 
@@ -135,6 +144,8 @@
 
   #remove(member: UpstreamMember, how: 'withdrawn' | 'expired'): void {
     this.#members.delete(member.upstream.id);
+    this.#byGuard.delete(member.guard);
+    if (this.guardPeer(member.guard) === undefined) this.#links.giveUp(member.guard);
     this.#note('upstream.left', member, how);
     this.#tell({ type: 'left', member, how });
   }
