--- /dev/null
+++ b/packages/core/src/request/latency-tracker.ts
@@ -0,0 +1,81 @@
+/** Observed latency of requests: quantiles per kind, and how slow each runner is beside its peers. */
+import { DecayedHistogram } from '../statistics/decayed-histogram.js';
+
+/** Weight of one new latency in a runner's mean. */
+const ALPHA = 0.1;
+/** Bounds what one odd request says of its runner. */
+const LARGEST_RATIO = 50;
+const MAX_KINDS = 2000;
+
+interface RunnerLatency {
+  /** Mean of latency over the kind's median: 1 is like everyone else. */
+  slowness: number;
+  samples: number;
+}
+
+/** Latencies as one entry sees them, in ms. */
+export class LatencyTracker {
+  readonly #kinds = new Map<string, DecayedHistogram>();
+
+  readonly #runners = new Map<string, RunnerLatency>();
+
+  readonly #assumedMs: number;
+
+  /** `assumedMs` stands in for kinds that nothing is known of. */
+  constructor({ assumedMs = 100 }: { assumedMs?: number } = {}) {
+    this.#assumedMs = assumedMs;
+  }
+
+  /** Notes an answer. `ms` should be service time where the guard tells it, so that queueing isn't blamed. */
+  observe({ runner, kind, ms }: { runner: string; kind: string; ms: number }): void {
+    const seen = this.#runners.get(runner) ?? { slowness: 1, samples: 0 };
+    const ratio = Math.min(LARGEST_RATIO, ms / this.typicalMs(kind));
+    // The first few count for more, so that a new runner's mean doesn't start from a guess.
+    const alpha = Math.max(ALPHA, 1 / (seen.samples + 2));
+    seen.slowness += alpha * (ratio - seen.slowness);
+    seen.samples += 1;
+    this.#runners.set(runner, seen);
+    this.#histogram(kind).add(Math.max(0.01, ms));
+  }
+
+  /** Median of the kind. */
+  typicalMs(kind: string): number {
+    return this.quantile(kind, 0.5) ?? this.#assumedMs;
+  }
+
+  /** A quantile of the kind over all runners; undefined while nothing is known. */
+  quantile(kind: string, q: number): number | undefined {
+    return this.#kinds.get(kind)?.quantile(q);
+  }
+
+  /** Answers behind the kind's quantiles, recent ones counting most. */
+  weight(kind: string): number {
+    return this.#kinds.get(kind)?.weight ?? 0;
+  }
+
+  /** How slow a runner is: 1 is like its peers. */
+  slowness(runner: string): number {
+    return this.#runners.get(runner)?.slowness ?? 1;
+  }
+
+  samples(runner: string): number {
+    return this.#runners.get(runner)?.samples ?? 0;
+  }
+
+  /** Starts a runner's record afresh: it left, or comes back on trial. */
+  forget(runner: string): void {
+    this.#runners.delete(runner);
+  }
+
+  #histogram(kind: string): DecayedHistogram {
+    const known = this.#kinds.get(kind);
+    if (known) return known;
+    if (this.#kinds.size >= MAX_KINDS) {
+      const [oldest] = this.#kinds.keys();
+      if (oldest !== undefined) this.#kinds.delete(oldest);
+    }
+    const made = new DecayedHistogram({ decay: 0.998 });
+    this.#kinds.set(kind, made);
+    return made;
+  }
+}
--- /dev/null
+++ b/packages/core/src/request/runner-chooser.ts
@@ -0,0 +1,223 @@
+/**
+ * Chooses the runner for a request: among those announced for its kind, by expected time to the answer from
+ * load and observed latency. When none has room the request is refused at once with when to come back.
+ */
+import { problem, type Problem } from '../error/problem.js';
+import type { RunnerLoad } from '../message/message.js';
+import { SampledChoice, type Candidate, type ChoicePolicy, type Random } from './choice-policy.js';
+import type { Ejector } from './ejector.js';
+import type { LatencyTracker } from './latency-tracker.js';
+import { RetryPacer } from './retry-pacer.js';
+import { RunnerOccupancy } from './runner-load.js';
+
+/** A runner that can be chosen. `kinds` empty means every request kind. */
+export interface ChoosableRunner {
+  id: string;
+  failureDomain: string;
+  slots: number;
+  kinds: string[];
+}
+
+/** What is asked. `exclude`: runners that were tried already. */
+export interface ChoiceQuery {
+  kind: string;
+  idempotent: boolean;
+  timeLeftMs?: number;
+  exclude?: ReadonlySet<string>;
+}
+
+export type Choice = { type: 'chosen'; runner: string } | { type: 'refused'; problem: Problem };
+
+/** How a request ended. `ms` is service time where told, else the whole time; absent if unknown. */
+export interface RequestEnd {
+  kind: string;
+  how: 'answered' | 'failed' | 'abandoned';
+  ms?: number | undefined;
+  load?: RunnerLoad | undefined;
+}
+
+interface Known {
+  runner: ChoosableRunner;
+  draining: boolean;
+  occupancy: RunnerOccupancy;
+}
+
+/** Runners as one entry sees them. Times in ms. */
+export class RunnerChooser {
+  readonly #random: Random;
+
+  readonly #failureDomain: string;
+
+  readonly #entries: () => number;
+
+  readonly #latency: LatencyTracker;
+
+  readonly #ejector: Ejector;
+
+  readonly #policy: ChoicePolicy;
+
+  readonly #queuePerSlot: number;
+
+  readonly #domainCostMs: number;
+
+  readonly #known = new Map<string, Known>();
+
+  readonly #pacer = new RetryPacer();
+
+  constructor({
+    random,
+    failureDomain,
+    entries,
+    latency,
+    ejector,
+    policy = new SampledChoice(),
+    queuePerSlot = 0.5,
+    domainCostMs = 2,
+  }: {
+    random: Random;
+    /** Where this entry is. */
+    failureDomain: string;
+    /** Entries that share the runners, this one included. */
+    entries: () => number;
+    latency: LatencyTracker;
+    ejector: Ejector;
+    policy?: ChoicePolicy;
+    /** Requests that may wait at a runner, as a share of its slots, over all entries. */
+    queuePerSlot?: number;
+    /** Round trip to another failure domain. */
+    domainCostMs?: number;
+  }) {
+    this.#random = random;
+    this.#failureDomain = failureDomain;
+    this.#entries = entries;
+    this.#latency = latency;
+    this.#ejector = ejector;
+    this.#policy = policy;
+    this.#queuePerSlot = queuePerSlot;
+    this.#domainCostMs = domainCostMs;
+  }
+
+  /** A runner is there, or has changed. Draining ones get nothing new. */
+  announce(runner: ChoosableRunner, { draining = false } = {}): void {
+    const occupancy = this.#known.get(runner.id)?.occupancy ?? new RunnerOccupancy();
+    this.#known.set(runner.id, { runner, draining, occupancy });
+    this.#ejector.add(runner.id);
+  }
+
+  /** A runner is gone. */
+  withdraw(id: string): void {
+    this.#known.delete(id);
+    this.#ejector.remove(id);
+  }
+
+  /** Picks a runner, or refuses at once. Follow a choice with `started`. */
+  choose(query: ChoiceQuery, now: number): Choice {
+    const serving = this.#serving(query);
+    if (serving.length === 0) return { type: 'refused', problem: noRunner(query.kind) };
+    const usable = serving.filter((known) => this.#ejector.mayUse(known.runner.id, now));
+    const open = usable.filter((known) => this.#hasRoom(known, now));
+    if (open.length === 0) return { type: 'refused', problem: this.#full(query, serving, now) };
+    const probe = this.#probe(open, query, now);
+    if (probe) return { type: 'chosen', runner: probe.runner.id };
+    const candidates = open.map((known) => this.#candidate(known, query.kind, now));
+    return { type: 'chosen', runner: this.#policy.pick(candidates, this.#random).id };
+  }
+
+  /** A request goes to a runner. */
+  started(id: string, now: number): void {
+    const known = this.#known.get(id);
+    if (known) known.occupancy.inFlight += 1;
+    this.#ejector.started(id, now);
+  }
+
+  /** That request has ended. */
+  ended(id: string, { kind, how, ms, load }: RequestEnd, now: number): void {
+    const occupancy = this.#known.get(id)?.occupancy;
+    if (occupancy === undefined) return;
+    occupancy.inFlight = Math.max(0, occupancy.inFlight - 1);
+    if (load) occupancy.report(load, now);
+    if (how === 'answered' && ms !== undefined) this.#latency.observe({ runner: id, kind, ms });
+    this.#ejector.ended(id, how, now);
+  }
+
+  /** Requests that may be in flight from this entry over all usable runners of a kind. */
+  capacity(kind: string, now: number): number {
+    return this.#serving({ kind })
+      .filter(({ runner }) => this.#ejector.health(runner.id, now) === 'closed')
+      .reduce((total, known) => total + this.#bound(known, now), 0);
+  }
+
+  /** Share of the slots for a kind in use, as far as known; may exceed 1. */
+  utilisation(kind: string, now: number): number {
+    const serving = this.#serving({ kind });
+    const slots = serving.reduce((total, { runner }) => total + runner.slots, 0);
+    const used = serving.reduce((total, { occupancy }) => total + occupancy.total(now), 0);
+    return slots === 0 ? 1 : used / slots;
+  }
+
+  inFlight(id: string): number {
+    return this.#known.get(id)?.occupancy.inFlight ?? 0;
+  }
+
+  #serving({ kind, exclude }: { kind: string; exclude?: ReadonlySet<string> }): Known[] {
+    return [...this.#known.values()].filter(
+      ({ runner, draining }) =>
+        !draining &&
+        !exclude?.has(runner.id) &&
+        (runner.kinds.length === 0 || runner.kinds.includes(kind)),
+    );
+  }
+
+  /** This entry's part of the slots, or what the others leave, and its part of the queue. */
+  #bound({ runner, occupancy }: Known, now: number): number {
+    const entries = Math.max(1, this.#entries());
+    const part = Math.ceil(runner.slots / entries);
+    const left = Math.floor(runner.slots - occupancy.others(now));
+    const queue = Math.ceil((runner.slots * this.#queuePerSlot) / entries);
+    return Math.max(part, left) + queue;
+  }
+
+  #hasRoom(known: Known, now: number): boolean {
+    return known.occupancy.inFlight < this.#bound(known, now);
+  }
+
+  /** Half-open runners get a request that may be repeated elsewhere, if it should be slow or lost. */
+  #probe(open: Known[], { idempotent }: ChoiceQuery, now: number): Known | undefined {
+    if (!idempotent) return undefined;
+    return open.find(({ runner }) => this.#ejector.health(runner.id, now) === 'half-open');
+  }
+
+  #candidate(known: Known, kind: string, now: number): Candidate {
+    return { id: known.runner.id, cost: () => this.#cost(known, kind, now) };
+  }
+
+  /** Expected ms to the answer: service, waiting for a slot, and the way there. */
+  #cost({ runner, occupancy }: Known, kind: string, now: number): number {
+    const serviceMs = this.#latency.typicalMs(kind) * this.#latency.slowness(runner.id);
+    const load = occupancy.total(now) / runner.slots;
+    const excess = Math.max(0, load + 1 / runner.slots - 1);
+    const farMs = runner.failureDomain === this.#failureDomain ? 0 : this.#domainCostMs;
+    return serviceMs * (1 + excess + 0.2 * load) + farMs;
+  }
+
+  #full({ kind }: ChoiceQuery, serving: Known[], now: number): Problem {
+    const slots = serving.reduce((total, { runner }) => total + runner.slots, 0);
+    const perMs = slots / Math.max(1, this.#entries()) / this.#latency.typicalMs(kind);
+    return problem('overloaded', {
+      detail: `All ${serving.length} runners for ${kind} are full.`,
+      remedy: 'Send the request again after retryAfterMs.',
+      retryAfterMs: this.#pacer.next(now, perMs),
+      facts: { runners: serving.length, slots },
+    });
+  }
+}
+
+function noRunner(kind: string): Problem {
+  return problem('no-upstream', {
+    detail: `No runner for ${kind} has announced itself.`,
+    remedy:
+      'Send the request again after retryAfterMs; operators: check the guards of these runners.',
+    retryAfterMs: 1000,
+    facts: { kind },
+  });
+}
