Add links, the reservation book, the request ledger and the slot queue

Cause: guards and entries need typed calls over one multiplexed link, and the guard needs pure rules for who holds what and what ran. Ruled out: ordering incarnations by calendar alone (a wrong clock would shut a process out for good), so a live older link only delays it; keeping every request id (unbounded), so a floor per id series answers "forgotten", never "never-seen".

--- /dev/null
+++ b/packages/core/src/request/slot-queue.ts
@@ -0,0 +1,189 @@
+/**
+ * Which requests a runner gets next: at most `slots` at once, the rest in a bounded queue.
+ *
+ * Urgent requests come first; then the account with the fewest running; within an account the earliest deadline.
+ * When the queue is full a newcomer takes the place of the last request of the account that holds most places, if
+ * its own account holds fewer, so that one account's burst can't fill the queue.
+ */
+import { ProblemError, problem } from '../error/problem.js';
+
+/** A request as the queue sees it. `deadlineAt` in monotonic ms. */
+export interface QueuedRequest {
+  id: string;
+  account: string;
+  kind: string;
+  urgent: boolean;
+  deadlineAt: number;
+}
+
+/** What to do at once: `start` may run now, `drop` lost its place or can't meet its deadline any more. */
+export interface SlotChange {
+  start: string[];
+  drop: { id: string; problem: ProblemError['problem'] }[];
+}
+
+const SMOOTHING = 0.2;
+const MIN_RISE = 1.05;
+const FIRST_GUESS_MS = 50;
+
+/** Slots and queue of one runner. Times are monotonic ms, passed in. */
+export class SlotQueue {
+  readonly slots: number;
+
+  readonly #bound: number;
+
+  readonly #running = new Map<string, QueuedRequest & { startedAt: number }>();
+
+  #queue: QueuedRequest[] = [];
+
+  #meanServiceMs = FIRST_GUESS_MS;
+
+  /** Shortest recent service per kind, which rises slowly so that an old lucky one fades. */
+  readonly #shortestMs = new Map<string, number>();
+
+  constructor({ slots, bound = 64 }: { slots: number; bound?: number }) {
+    this.slots = slots;
+    this.#bound = bound;
+  }
+
+  /** Load as told to entries. */
+  get load(): { inUse: number; queued: number; slots: number } {
+    return { inUse: this.#running.size, queued: this.#queue.length, slots: this.slots };
+  }
+
+  /** Takes a request in. Throws ProblemError `deadline-passed` or `overloaded`, both not run. */
+  offer(req: QueuedRequest, now: number): SlotChange {
+    if (!this.#canMeet(req, now)) throw new ProblemError(this.#tooLate(req, now));
+    if (this.#running.size < this.slots && this.#queue.length === 0) {
+      this.#start(req, now);
+      return { start: [req.id], drop: [] };
+    }
+    const displaced = this.#queue.length < this.#bound ? undefined : this.#displace(req);
+    this.#queue.push(req);
+    const change = this.advance(now);
+    if (displaced) change.drop.push({ id: displaced.id, problem: this.#overloaded() });
+    return change;
+  }
+
+  /** A running request ended. */
+  release(id: string, now: number): SlotChange {
+    const ended = this.#running.get(id);
+    if (ended) {
+      this.#running.delete(id);
+      this.#observe(ended.kind, now - ended.startedAt);
+    }
+    return this.advance(now);
+  }
+
+  /** Takes a request out of the queue; false if it isn't queued (any more). */
+  remove(id: string): boolean {
+    const before = this.#queue.length;
+    this.#queue = this.#queue.filter((req) => req.id !== id);
+    return this.#queue.length < before;
+  }
+
+  /** Drops what can't meet its deadline any more and fills free slots. */
+  advance(now: number): SlotChange {
+    const change: SlotChange = { start: [], drop: [] };
+    this.#queue = this.#queue.filter((req) => {
+      if (now + this.#shortest(req.kind) <= req.deadlineAt) return true;
+      change.drop.push({ id: req.id, problem: this.#tooLate(req, now) });
+      return false;
+    });
+    while (this.#running.size < this.slots && this.#queue.length > 0) {
+      const next = this.#queue.reduce((best, req) => (this.#before(req, best) ? req : best));
+      this.#queue = this.#queue.filter((req) => req !== next);
+      this.#start(next, now);
+      change.start.push(next.id);
+    }
+    return change;
+  }
+
+  /** When `advance` should be called next although nothing ends, if ever. */
+  nextAdvanceAt(): number | undefined {
+    if (this.#queue.length === 0) return undefined;
+    return Math.min(...this.#queue.map((req) => req.deadlineAt - this.#shortest(req.kind)));
+  }
+
+  /** Expected wait of a newcomer, in ms. */
+  expectedWaitMs(): number {
+    return this.#waitBehind(this.#queue.length);
+  }
+
+  #waitBehind(ahead: number): number {
+    if (this.#running.size < this.slots) return 0;
+    return ((ahead + 1) * this.#meanServiceMs) / this.slots;
+  }
+
+  #canMeet(req: QueuedRequest, now: number): boolean {
+    // With a free slot it may try, or a bad estimate would refuse for ever and never be corrected.
+    if (this.#running.size < this.slots) return req.deadlineAt > now;
+    const ahead = this.#queue.filter((other) => !this.#before(req, other)).length;
+    return now + this.#waitBehind(ahead) + this.#shortest(req.kind) <= req.deadlineAt;
+  }
+
+  #before(a: QueuedRequest, b: QueuedRequest): boolean {
+    if (a.urgent !== b.urgent) return a.urgent;
+    const fewer = this.#runningOf(a.account) - this.#runningOf(b.account);
+    if (a.account !== b.account && fewer !== 0) return fewer < 0;
+    return a.deadlineAt < b.deadlineAt;
+  }
+
+  #runningOf(account: string): number {
+    return [...this.#running.values()].filter((req) => req.account === account).length;
+  }
+
+  /** Frees a place for `req`; throws if its account holds as many as any other. */
+  #displace(req: QueuedRequest): QueuedRequest {
+    const places = groupByAccount(this.#queue);
+    const largest = [...places.values()].sort((a, b) => b.length - a.length)[0];
+    const own = places.get(req.account)?.length ?? 0;
+    if (!largest || own + 1 >= largest.length) throw new ProblemError(this.#overloaded());
+    const last = largest.reduce((worst, other) => (this.#before(worst, other) ? other : worst));
+    this.remove(last.id);
+    return last;
+  }
+
+  #start(req: QueuedRequest, now: number): void {
+    this.#running.set(req.id, { ...req, startedAt: now });
+  }
+
+  #shortest(kind: string): number {
+    return this.#shortestMs.get(kind) ?? 0;
+  }
+
+  #observe(kind: string, serviceMs: number): void {
+    this.#meanServiceMs += SMOOTHING * (serviceMs - this.#meanServiceMs);
+    const shortest = this.#shortestMs.get(kind);
+    const next = shortest === undefined ? serviceMs : Math.min(serviceMs, shortest * MIN_RISE);
+    this.#shortestMs.set(kind, next);
+  }
+
+  #tooLate(req: QueuedRequest, now: number): ProblemError['problem'] {
+    return problem('deadline-passed', {
+      detail: `The request had ${Math.max(0, Math.round(req.deadlineAt - now))} ms left, too few to answer it.`,
+      remedy: 'Try again after retryAfterMs, with a longer deadline.',
+      retryAfterMs: this.expectedWaitMs(),
+      facts: { queued: this.#queue.length, slots: this.slots },
+    });
+  }
+
+  #overloaded(): ProblemError['problem'] {
+    return problem('overloaded', {
+      detail: `All ${this.slots} slots and ${this.#bound} queue places are taken.`,
+      remedy: 'Try again after retryAfterMs, or on another runner.',
+      retryAfterMs: this.expectedWaitMs(),
+      facts: { bound: this.#bound, slots: this.slots },
+    });
+  }
+}
+
+function groupByAccount(queue: QueuedRequest[]): Map<string, QueuedRequest[]> {
+  const groups = new Map<string, QueuedRequest[]>();
+  queue.forEach((req) => {
+    const group = groups.get(req.account);
+    if (group) group.push(req);
+    else groups.set(req.account, [req]);
+  });
+  return groups;
+}
--- /dev/null
+++ b/packages/link/src/frame.ts
@@ -0,0 +1,69 @@
+/** Frames of a link: what they look like, how long they may be, how they are written. */
+import { MAX_BODY_BYTES, hybridStampSchema, processIdSchema, problemSchema } from '@zincspan/core';
+import { Packr } from 'msgpackr';
+import { z } from 'zod';
+
+/** Longest frame, in bytes: the longest body plus what surrounds it. */
+export const MAX_FRAME_BYTES = MAX_BODY_BYTES + 65_536;
+
+const nonce = z.instanceof(Uint8Array).refine((bytes) => bytes.byteLength === 32, 'want 32 bytes');
+const mac = nonce;
+
+/** Frames of the handshake, in this order: challenge (server), proof (dialer), welcome (server). */
+export const challengeSchema = z.strictObject({ t: z.literal('link.challenge'), nonce });
+export const proofSchema = z.strictObject({
+  t: z.literal('link.proof'),
+  process: processIdSchema,
+  /** When the process started by its own calendar, in ms: tells which of two incarnations is the older. */
+  bornAt: z.number().min(0),
+  nonce,
+  /** One for each key that the dialer holds, newest first. */
+  macs: z.array(mac).min(1).max(4),
+});
+export const welcomeSchema = z.strictObject({
+  t: z.literal('link.welcome'),
+  process: processIdSchema,
+  /** Which of the dialer's proofs was accepted. */
+  key: z.int().min(0),
+  mac,
+});
+export type Proof = z.infer<typeof proofSchema>;
+export type Welcome = z.infer<typeof welcomeSchema>;
+
+const hlc = hybridStampSchema;
+
+/** Frames of a link that is up. `t` is a method or `link.heartbeat`. */
+export const callSchema = z.strictObject({
+  t: z.string().max(64),
+  id: z.int().min(1),
+  hlc,
+  body: z.unknown(),
+});
+export const answerSchema = z.strictObject({
+  t: z.string().max(64),
+  re: z.int().min(1),
+  hlc,
+  body: z.optional(z.unknown()),
+  problem: z.optional(problemSchema),
+});
+export const heartbeatSchema = z.strictObject({
+  t: z.literal('link.heartbeat'),
+  hlc,
+  bundleVersion: z.int().min(0),
+  status: z.optional(z.record(z.string(), z.unknown())),
+});
+export const frameSchema = z.union([heartbeatSchema, callSchema, answerSchema]);
+export type Frame = z.infer<typeof frameSchema>;
+
+// Copied buffers let a kept body outlive its frame without holding on to all of it.
+const packr = new Packr({ useRecords: false, copyBuffers: true, encodeUndefinedAsNil: false });
+
+/** The bytes of a frame. */
+export function encode(frame: object): Uint8Array {
+  return packr.pack(frame);
+}
+
+/** The value in the bytes; throws on anything truncated or garbled. */
+export function decode(bytes: Uint8Array): unknown {
+  return packr.unpack(bytes);
+}
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,2 +1,7 @@
-/** Public surface of @zincspan/link. */
-export {};
+/** Links between zincspan's processes: typed calls over WebSockets, with heartbeats and redial. */
+export * from './address.js';
+export * from './dialer.js';
+export * from './link.js';
+export * from './link-server.js';
+export * from './options.js';
+export { MAX_FRAME_BYTES } from './frame.js';
--- /dev/null
+++ b/packages/link/src/options.ts
@@ -0,0 +1,72 @@
+/** What a link server and a dialer are built from. */
+import type { Handlers, ProcessContext } from '@zincspan/core';
+import type { Link } from './link.js';
+
+/** Why a link ended. */
+export type CloseReason =
+  | 'closed'
+  | 'closed-by-peer'
+  | 'silence'
+  | 'garbled'
+  | 'oversized'
+  | 'overflow'
+  | 'not-authentic'
+  | 'wrong-peer'
+  | 'handshake-timeout'
+  | 'superseded'
+  | 'stale-incarnation'
+  | 'too-many'
+  | 'unreachable';
+
+/** Typed error of a link's end; counted as `link.closed.<reason>`. */
+export class LinkFault extends Error {
+  readonly reason: CloseReason;
+
+  constructor(reason: CloseReason, detail: string) {
+    super(detail);
+    this.name = 'LinkFault';
+    this.reason = reason;
+  }
+}
+
+/** Bounds of one link. */
+export interface LinkLimits {
+  /** Calls without an answer yet, each way. */
+  callsInFlight: number;
+  /** Bytes written but not yet taken by the network. */
+  outgoingBytes: number;
+  /** Longest handshake, in ms. */
+  handshakeMs: number;
+  /** Connections of a server that haven't proved themselves yet. */
+  unauthenticated: number;
+  /** A call without a timeout of its own, in ms. */
+  callMs: number;
+}
+
+export const DEFAULT_LIMITS: LinkLimits = {
+  callsInFlight: 1024,
+  outgoingBytes: 16 * 1_048_576,
+  handshakeMs: 2000,
+  unauthenticated: 64,
+  callMs: 30_000,
+};
+
+/** Common to both ends. */
+export interface LinkOptions {
+  ctx: ProcessContext;
+  /** Shared secrets, newest first; any of them is accepted. */
+  keys: string[];
+  handlers: Handlers;
+  heartbeat: { everyMs: number; silenceMs: number };
+  /** A link is up and authenticated. `link.ended` tells when it is over. */
+  onPeer?: (link: Link) => void;
+  /** The peer's bundle version, from each of its heartbeats. */
+  onBundleVersion?: (link: Link, version: number) => void;
+  /** Own bundle version, told in heartbeats. */
+  bundleVersion?: () => number;
+  /** Small status told in heartbeats. */
+  status?: () => Record<string, unknown>;
+  limits?: Partial<LinkLimits>;
+  /** When this process started by its calendar, in ms. */
+  bornAt?: number;
+}
--- /dev/null
+++ b/packages/link/src/socket.ts
@@ -0,0 +1,92 @@
+/** One WebSocket with frames on it: bounded both ways, its end reported once. */
+import type { Duplex } from 'node:stream';
+import type { WebSocket } from 'ws';
+import { decode, encode } from './frame.js';
+import { LinkFault } from './options.js';
+
+/** `outgoingBytes` bounds what is written but not yet taken by the network. */
+export interface FrameSocketOptions {
+  socket: WebSocket;
+  /** The TCP connection below, for the count of bytes received. */
+  transport: Duplex;
+  outgoingBytes: number;
+  onEnd: (fault: LinkFault) => void;
+}
+
+/** Error codes of ws for frames over its `maxPayload`. */
+const TOO_LONG = 'WS_ERR_UNSUPPORTED_MESSAGE_LENGTH';
+
+/** Sends and receives frames until its end. */
+export class FrameSocket {
+  #onFrame: ((frame: unknown) => void) | undefined;
+
+  readonly #socket: WebSocket;
+
+  readonly #transport: Duplex & { bytesRead?: number };
+
+  readonly #outgoingBytes: number;
+
+  readonly #onEnd: (fault: LinkFault) => void;
+
+  #ended = false;
+
+  constructor({ socket, transport, outgoingBytes, onEnd }: FrameSocketOptions) {
+    this.#socket = socket;
+    this.#transport = transport;
+    this.#outgoingBytes = outgoingBytes;
+    this.#onEnd = onEnd;
+    socket.on('message', (data: Buffer, isBinary) => this.#read(data, isBinary));
+    socket.on('error', (err: Error & { code?: string }) => this.end(faultOf(err)));
+    socket.on('close', () =>
+      this.end(new LinkFault('closed-by-peer', 'The peer closed the link.')),
+    );
+  }
+
+  /** Bytes received so far: silence is when this doesn't grow. */
+  get bytesRead(): number {
+    return this.#transport.bytesRead ?? 0;
+  }
+
+  get ended(): boolean {
+    return this.#ended;
+  }
+
+  /** Who gets the frames from now on. It may throw LinkFault to end the socket. */
+  receive(onFrame: (frame: unknown) => void): void {
+    this.#onFrame = onFrame;
+  }
+
+  /** Writes a frame; false if it surely wasn't, as the outgoing bound is reached or the socket has ended. */
+  send(frame: object): boolean {
+    if (this.#ended || this.#socket.readyState !== this.#socket.OPEN) return false;
+    if (this.#socket.bufferedAmount > this.#outgoingBytes) return false;
+    this.#socket.send(encode(frame));
+    return true;
+  }
+
+  /** Ends it at once, without waiting for the peer. */
+  end(fault: LinkFault): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    // A graceful end flushes what was written; a silent peer must not hold the socket open.
+    if (fault.reason === 'closed') this.#socket.close(1000);
+    else this.#socket.terminate();
+    this.#onEnd(fault);
+  }
+
+  #read(data: Buffer, isBinary: boolean): void {
+    if (this.#ended) return;
+    try {
+      if (!isBinary) throw new LinkFault('garbled', 'A text message came where frames are binary.');
+      this.#onFrame?.(decode(data));
+    } catch (err) {
+      this.end(err instanceof LinkFault ? err : new LinkFault('garbled', String(err)));
+    }
+  }
+}
+
+function faultOf(err: Error & { code?: string }): LinkFault {
+  if (err.code === TOO_LONG) return new LinkFault('oversized', err.message);
+  if (err.code?.startsWith('WS_ERR')) return new LinkFault('garbled', err.message);
+  return new LinkFault('closed-by-peer', err.message);
+}
