Keep, check, sign and spread the configuration bundle

A bundle is split into sections with cached digests; the signed digest is taken over them, so a daemon applies a delta and checks it by itself. Processes fetch what they lack from whoever told them; a refused peer isn't asked again at each heartbeat. Ruled out: drained upstreams as one section, as each change would resend the whole list; names from the difference of two non-adjacent versions, as a section changed and changed back between them would be missed.

--- /dev/null
+++ b/packages/core/src/bundle/sync.steps.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { account, bundleOf, headOf, SyncProcess, settled } from './bundle.support.js';
+import { checkBundle } from './check.js';
+import type { Finding } from '../settings/finding.js';
+import type { Peer } from '../message/peer.js';
+
+interface SyncWorld {
+  a: SyncProcess;
+  c: SyncProcess;
+  d: SyncProcess;
+  forger: Peer;
+  fetched: number;
+  findings: Finding[];
+}
+
+const bundle = bundleOf({ accounts: [account('malabar')] });
+
+Given('bundle processes a, b and c linked in a row', function (this: SyncWorld) {
+  this.a = new SyncProcess('a');
+  const b = new SyncProcess('b');
+  this.c = new SyncProcess('c');
+  this.a.link(b);
+  b.link(this.c);
+});
+
+When('bundle process a takes version 1', async function (this: SyncWorld) {
+  assert.equal(this.a.sync.offerBundle(headOf(bundle, 1), bundle, 'table'), 'taken');
+  await settled();
+});
+
+Then('bundle process c has version 1', function (this: SyncWorld) {
+  assert.equal(this.c.keeper.version, 1);
+});
+
+When('bundle process d starts with links to all', async function (this: SyncWorld) {
+  this.d = new SyncProcess('d');
+  this.a.fetches = 0;
+  this.c.fetches = 0;
+  this.d.link(this.a);
+  this.d.link(this.c);
+  this.d.links.forEach((peer) => this.d.sync.onPeer(peer));
+  await settled();
+});
+
+Then('bundle process d has version 1 after one fetch with a body', function (this: SyncWorld) {
+  assert.equal(this.d.keeper.version, 1);
+  assert.equal(this.d.metrics.counters.get('bundle.taken'), 1);
+  assert.equal(this.a.fetches + this.c.fetches, 2);
+});
+
+Given('a bundle process whose peer tells a version with a forged body', function (this: SyncWorld) {
+  this.d = new SyncProcess('d');
+  this.fetched = 0;
+  const forged = { from: 0, head: headOf(bundle, 1), set: [], remove: [] };
+  this.forger = {
+    process: { id: 'forger', role: 'entry', incarnation: 'forger-1', failureDomain: 'x' },
+    closed: false,
+    call: async () => {
+      this.fetched += 1;
+      return { delta: forged };
+    },
+  } as unknown as Peer;
+});
+
+When(
+  "the peer's bundle version rides on {int} heartbeats",
+  async function (this: SyncWorld, heartbeats: number) {
+    for (let i = 0; i < heartbeats; i += 1) {
+      this.d.sync.onVersion(this.forger, 1);
+      await settled();
+    }
+  },
+);
+
+Then('the forged bundle was fetched once', function (this: SyncWorld) {
+  assert.equal(this.fetched, 1);
+  assert.equal(this.d.keeper.version, 0);
+});
+
+const urgentJob = { name: 'render', path: 'job', urgency: 'waiting', idempotent: true };
+const match = { name: 'match', path: 'request', urgency: 'waiting', idempotent: true };
+const shape = { tasks: 2, acceleratorsPerTask: 8 };
+const guarantee = { name: 'g', account: 'a', shape };
+const FAULTS: Record<string, object> = {
+  'two accounts of one name': {
+    accounts: [account('a'), { ...(account('b') as object), name: 'a' }],
+  },
+  'one token in two accounts': {
+    accounts: [account('a'), { ...(account('a') as object), name: 'b' }],
+  },
+  'an urgent kind without a contract': { kinds: [{ ...match, urgency: 'urgent' }] },
+  'a request that can be checkpointed': { kinds: [{ ...match, checkpointable: true }] },
+  'a checkpointable job that runs once': {
+    kinds: [{ ...urgentJob, idempotent: false, checkpointable: true }],
+  },
+  'a guarantee of an account not there': { guarantees: [guarantee] },
+  'guarantees too large with a loss': { accounts: [account('a')], guarantees: [guarantee] },
+  "guarantees too large for what's left": {
+    accounts: [account('a')],
+    guarantees: [{ ...guarantee, shape: { ...shape, tasks: 1 } }],
+    drained: ['w1'],
+  },
+};
+const workers = ['w1', 'w2'].map((id) => ({
+  type: 'worker' as const,
+  id,
+  address: '127.0.0.1:1',
+  rack: 'r',
+  rackPosition: 0,
+  cores: 32,
+  memoryMb: 65_536,
+  accelerators: 8,
+}));
+
+When(/^the bundle is checked with (.*)$/, function (this: SyncWorld, fault: string) {
+  this.findings = checkBundle(bundleOf(FAULTS[fault.trim()]), workers);
+});
+
+Then('the bundle finding is at {string}', function (this: SyncWorld, path: string) {
+  assert.ok(this.findings.some((finding) => finding.path === path));
+});
