--- a/packages/entry/src/request/admission.ts
+++ b/packages/entry/src/request/admission.ts
@@ -1,45 +1,52 @@
-/** Bounds on requests in progress: in total and per client account. */
-import { ProblemError, problem, type ClientAccount } from '@zincspan/core';
+/** Bounds on requests in progress at this entry: in total, by quota, and by share while all is busy. */
+import { AccountLimiter, ProblemError, problem, type ProcessContext } from '@zincspan/core';
+import type { BundleSource } from '../bundle-source.js';
+
+/** What admission works with. `entries`: entries that share the quotas, this one included. */
+export interface RequestAdmissionOptions {
+  ctx: ProcessContext;
+  bundles: BundleSource;
+  /** Bound of this entry over all accounts. */
+  most: number;
+  entries: () => number;
+}
 
 const RETRY_AFTER_MS = 1000;
 
 /** Counts requests in progress and refuses those beyond a bound, at once. */
 export class RequestAdmission {
-  readonly #most: number;
-
-  readonly #entries: number;
+  readonly #ctx: ProcessContext;
 
-  readonly #byAccount = new Map<string, number>();
+  readonly #most: number;
 
-  #total = 0;
+  readonly #limiter: AccountLimiter;
 
-  /** `most`: bound of this entry over all accounts. `entries`: how many entries share the quotas. */
-  constructor({ most, entries }: { most: number; entries: number }) {
+  constructor({ ctx, bundles, most, entries }: RequestAdmissionOptions) {
+    this.#ctx = ctx;
     this.#most = most;
-    this.#entries = Math.max(1, entries);
+    this.#limiter = new AccountLimiter({ entries, capacity: most });
+    const follow = (): void => this.#limiter.setAccounts(bundles.current?.bundle.accounts ?? []);
+    bundles.subscribe(follow);
+    follow();
   }
 
   /** Requests in progress now. */
   get inProgress(): number {
-    return this.#total;
+    return this.#limiter.inProgress();
   }
 
-  /** Admits a request; the answer ends it. Throws ProblemError `overloaded` or `quota-exceeded`. */
-  enter({ name, quota }: ClientAccount): () => void {
-    if (this.#total >= this.#most) throw overloaded(this.#most);
-    const bound = Math.ceil(quota.requests / this.#entries);
-    const current = this.#byAccount.get(name) ?? 0;
-    if (current >= bound) throw quotaExceeded(name, bound, quota.requests);
-    this.#byAccount.set(name, current + 1);
-    this.#total += 1;
-    return () => this.#leave(name);
+  /** What the runners can carry from this entry; above most of it, accounts are held to their shares. */
+  setCapacity(capacity: number): void {
+    this.#limiter.setCapacity(Math.min(this.#most, capacity));
   }
 
-  #leave(name: string): void {
-    this.#total -= 1;
-    const current = (this.#byAccount.get(name) ?? 1) - 1;
-    if (current === 0) this.#byAccount.delete(name);
-    else this.#byAccount.set(name, current);
+  /** Admits a request; the answer ends it. Throws ProblemError `overloaded` or `quota-exceeded`. */
+  enter(account: string): () => void {
+    const startedAt = this.#ctx.clock.now();
+    if (this.inProgress >= this.#most) throw overloaded(this.#most);
+    const answer = this.#limiter.start(account, startedAt);
+    if (answer.type === 'refused') throw new ProblemError(answer.problem);
+    return () => this.#limiter.ended(account, this.#ctx.clock.now() - startedAt);
   }
 }
 
@@ -53,14 +60,3 @@
     }),
   );
 }
-
-function quotaExceeded(account: string, bound: number, quota: number): ProblemError {
-  return new ProblemError(
-    problem('quota-exceeded', {
-      detail: `Client account ${account} has ${bound} requests in progress here, its share of its quota.`,
-      remedy: 'Wait for answers before sending more, or ask an operator for a larger quota.',
-      retryAfterMs: RETRY_AFTER_MS,
-      facts: { bound, quota },
-    }),
-  );
-}
--- a/packages/entry/src/request/app.ts
+++ b/packages/entry/src/request/app.ts
@@ -4,29 +4,32 @@
 import { RequestIds } from './request-ids.js';
 import { registerRequestRoute } from './request-route.js';
 import { RequestRouter } from './request-router.js';
-import { TokenRetryGate } from './retry-gate.js';
-import { LeastLoadedChooser } from './runner-chooser.js';
+import { RunnerPool } from './runner-pool.js';
+
+const REVIEW_EVERY_MS = 100;
 
 /** Makes the request path. */
 export function requestApp(deps: EntryDeps): EntryApp {
-  const { ctx, settings, bundles, upstreams } = deps;
-  const others = settings.entries.filter(({ id }) => id !== settings.id).length;
-  const admission = new RequestAdmission({
-    most: settings.limits.requestsInProgress,
-    entries: others + 1,
-  });
+  const { ctx, settings, bundles, upstreams, mesh } = deps;
+  const entries = (): number => mesh.peers().length + 1;
+  const most = settings.limits.requestsInProgress;
+  const admission = new RequestAdmission({ ctx, bundles, most, entries });
   const ids = new RequestIds({ incarnation: ctx.self.incarnation });
-  const router = new RequestRouter({
-    ctx,
-    bundles,
-    upstreams,
-    chooser: new LeastLoadedChooser(),
-    retries: new TokenRetryGate(),
-  });
+  const pool = new RunnerPool({ ctx, bundles, upstreams, entries });
+  const router = new RequestRouter({ ctx, upstreams, pool });
+  let timer: NodeJS.Timeout | undefined;
   return {
     name: 'request',
     routes: (server) =>
       registerRequestRoute(server, { ctx, settings, bundles, admission, router, ids }),
-    status: () => ({ inProgress: admission.inProgress }),
+    start: () => {
+      timer = setInterval(() => {
+        pool.checkSilence();
+        admission.setCapacity(pool.capacity());
+        ctx.metrics.gauge('request.in-progress', admission.inProgress);
+      }, REVIEW_EVERY_MS);
+    },
+    stop: () => clearInterval(timer),
+    status: () => ({ inProgress: admission.inProgress, ejected: pool.ejected() }),
   };
 }
--- a/packages/entry/src/request/request-route.ts
+++ b/packages/entry/src/request/request-route.ts
@@ -13,7 +13,8 @@
 import type { Answer } from './attempt.js';
 import type { RequestIds } from './request-ids.js';
 import { RequestLife } from './request-life.js';
-import type { RequestOrder, RequestRouter } from './request-router.js';
+import type { RequestOrder } from './request-order.js';
+import type { RequestRouter } from './request-router.js';
 
 /** What the route works with. */
 export interface RequestRouteDeps {
@@ -56,9 +57,9 @@
   const { ctx, admission, ids, settings } = deps;
   const order = readOrder(req, deps.bundles, ids);
   const deadlineMs = readDeadline(req, settings.limits);
-  const leave = admission.enter(callingAccount(req));
+  const leave = admission.enter(order.account);
   const life = new RequestLife({ clock: ctx.clock, deadlineMs });
-  req.events.once('disconnect', () => life.end('caller-left'));
+  endWithCaller(req, life);
   const startedAt = ctx.clock.now();
   try {
     const answer = await deps.router.run(order, { life });
@@ -71,6 +72,13 @@
   }
 }
 
+/** hapi tells of a lost caller only while the body is still arriving; the response's end tells always. */
+function endWithCaller({ raw: { res } }: Request, life: RequestLife): void {
+  res.once('close', () => {
+    if (!res.writableEnded) life.end('caller-left');
+  });
+}
+
 function answerResponse(h: ResponseToolkit, answer: Answer, requestId: string): ResponseObject {
   const body = Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength);
   const res = h.response(body).code(answer.status).header(REQUEST_ID_HEADER, requestId);
--- a/packages/entry/src/request/request-router.ts
+++ b/packages/entry/src/request/request-router.ts
@@ -1,31 +1,19 @@
-/** Takes one request to its end: chooses runners, attempts, retries within the budget. */
+/** Takes one request to its end: chooses runners, attempts, retries and hedges within the budget. */
 import {
   ProblemError,
-  problem,
-  type Kind,
-  type Peer,
   type Problem,
   type ProcessContext,
   type Ran,
-  type RequestRun,
+  type RequestEnd,
 } from '@zincspan/core';
-import type { BundleSource } from '../bundle-source.js';
 import type { UpstreamDirectory } from '../membership/upstream-directory.js';
 import { runAttempt, type Answer, type AttemptEnd, type AttemptTarget } from './attempt.js';
+import { firstToAnswer, type StartedAttempt } from './hedge.js';
 import type { RequestLife } from './request-life.js';
-import type { RetryGate } from './retry-gate.js';
-import type { RunnerChooser, RunnerMember } from './runner-chooser.js';
+import { toRequestRun, type RequestOrder } from './request-order.js';
+import type { ChosenRunner, RunnerPool } from './runner-pool.js';
 import { judge, lifeOver, mergeRan } from './verdict.js';
 
-/** A request as its caller sent it. */
-export interface RequestOrder {
-  requestId: string;
-  account: string;
-  kind: Kind;
-  contentType: string;
-  body: RequestRun['body'];
-}
-
 /** How one request is taken care of. */
 export interface RouteOptions {
   life: RequestLife;
@@ -38,142 +26,127 @@
 /** What the router works with. */
 export interface RequestRouterOptions {
   ctx: ProcessContext;
-  bundles: BundleSource;
   upstreams: UpstreamDirectory;
-  chooser: RunnerChooser;
-  retries: RetryGate;
+  pool: RunnerPool;
 }
 
 /** Idempotent requests wait this long for a lost link to come back before they are tried elsewhere. */
 const IDEMPOTENT_SETTLE_MS = 200;
 
-const RETRY_AFTER_MS = 1000;
+const SERVER_ERROR = 500;
 
 /** Routes requests to runners. */
 export class RequestRouter {
   readonly #ctx: ProcessContext;
 
-  readonly #bundles: BundleSource;
-
   readonly #upstreams: UpstreamDirectory;
 
-  readonly #chooser: RunnerChooser;
+  readonly #pool: RunnerPool;
 
-  readonly #retries: RetryGate;
-
-  constructor({ ctx, bundles, upstreams, chooser, retries }: RequestRouterOptions) {
+  constructor({ ctx, upstreams, pool }: RequestRouterOptions) {
     this.#ctx = ctx;
-    this.#bundles = bundles;
     this.#upstreams = upstreams;
-    this.#chooser = chooser;
-    this.#retries = retries;
-    upstreams.onChange((change) => {
-      if (change.type === 'left') chooser.forget(change.member.upstream.id);
-    });
+    this.#pool = pool;
   }
 
   /** The runner's answer. Throws ProblemError with a truthful `ran` over all attempts. */
   async run(order: RequestOrder, options: RouteOptions): Promise<Answer> {
     const { account, kind } = order;
+    const { life } = options;
     const tried = new Set<string>();
     let ran: Ran = 'not-run';
     let failed: Problem | undefined;
-    this.#retries.first(account);
+    this.#pool.firstAttempt(account);
     for (;;) {
-      const runner = this.#choose(kind, tried);
-      if (runner === undefined) throw withRan(failed ?? this.#noRunner(kind, tried), ran);
-      if (failed !== undefined && !this.#mayRetry(account)) throw withRan(failed, ran);
-      tried.add(runner.upstream.id);
-      const end = await this.#attempt(order, runner, options);
-      const { over } = options.life;
-      const verdict = judge(end, { kind, runner: runner.upstream.id, over });
+      const choice = this.#pool.choose(kind, life.timeLeftMs(), tried);
+      if (choice.type === 'refused') throw withRan(failed ?? choice.problem, ran);
+      if (failed !== undefined && !this.#pool.mayRetry(account)) throw withRan(failed, ran);
+      const { end, runner } = await this.#attempt(order, choice.runner, options, tried);
+      const verdict = judge(end, { kind, runner, over: life.over });
       if (verdict.type === 'answer') return verdict.answer;
       ran = mergeRan(ran, verdict.problem.ran);
       this.#note(order, runner, end);
       if (verdict.type === 'fail') throw withRan(verdict.problem, ran);
-      if (over !== undefined) throw new ProblemError(lifeOver(over, ran));
+      if (life.over !== undefined) throw new ProblemError(lifeOver(life.over, ran));
       failed = verdict.problem;
     }
   }
 
-  #choose(kind: Kind, tried: ReadonlySet<string>): RunnerMember | undefined {
-    const drained = this.#bundles.current?.bundle.drained ?? [];
-    const runners = this.#upstreams
-      .runners(kind.name)
-      .filter(({ upstream }) => !tried.has(upstream.id) && !drained.includes(upstream.id))
-      .filter(({ guard }) => this.#upstreams.guardPeer(guard) !== undefined);
-    return this.#chooser.choose(runners);
-  }
-
+  /** One attempt, with a second copy elsewhere if it takes longer than most of its kind. */
   async #attempt(
     order: RequestOrder,
-    runner: RunnerMember,
-    { life, beforeSend, keepRunning }: RouteOptions,
-  ): Promise<AttemptEnd> {
-    const peer = this.#upstreams.guardPeer(runner.guard);
-    if (peer === undefined) return { type: 'not-sent' };
-    const { id: guard, incarnation } = peer.process;
-    await beforeSend?.({ guard, incarnation });
-    if (life.over !== undefined) return { type: 'life-over', sent: false };
-    const { id } = runner.upstream;
-    const startedAt = this.#ctx.clock.now();
-    this.#chooser.started(id);
-    const end = await runAttempt(this.#upstreams, peer, toRun(order, life), {
+    runner: ChosenRunner,
+    options: RouteOptions,
+    tried: Set<string>,
+  ): Promise<{ end: AttemptEnd; runner: string }> {
+    const { kind, account } = order;
+    const { life } = options;
+    tried.add(runner.id);
+    const { id: guard, incarnation } = runner.peer.process;
+    await options.beforeSend?.({ guard, incarnation });
+    if (life.over !== undefined) {
+      return { end: { type: 'life-over', sent: false }, runner: runner.id };
+    }
+    const first = this.#start(order, runner, options);
+    const delayMs = this.#pool.hedgeDelayMs(kind, life.timeLeftMs());
+    if (delayMs === undefined) return { end: await first.end, runner: runner.id };
+    return firstToAnswer(first, {
+      delayMs,
       life,
-      ...(order.kind.idempotent ? { settleWithinMs: IDEMPOTENT_SETTLE_MS } : {}),
+      second: () => {
+        const choice = this.#pool.choose(kind, life.timeLeftMs(), tried);
+        if (choice.type === 'refused' || !this.#pool.mayHedge(account, kind)) return undefined;
+        tried.add(choice.runner.id);
+        this.#ctx.metrics.count('request.hedged');
+        return this.#start(order, choice.runner, options);
+      },
     });
-    this.#chooser.ended(id, {
-      ok: end.type === 'answered',
-      ms: this.#ctx.clock.now() - startedAt,
-      load: 'load' in end ? end.load : undefined,
-    });
-    if (end.type === 'life-over' && keepRunning !== true) cancel(peer, order.requestId);
-    return end;
   }
 
-  #mayRetry(account: string): boolean {
-    const share = this.#bundles.current?.bundle.policy.retryBudget ?? 0;
-    const may = this.#retries.tryRetry(account, share);
-    this.#ctx.metrics.count(may ? 'request.retried' : 'request.retry-refused');
-    return may;
+  #start(
+    order: RequestOrder,
+    { id, peer }: ChosenRunner,
+    { life, keepRunning = false }: RouteOptions,
+  ): StartedAttempt {
+    let cancelled = false;
+    const cancel = (): void => {
+      if (cancelled) return;
+      cancelled = true;
+      peer.call('request.cancel', { requestId: order.requestId }).catch(() => undefined);
+    };
+    const settleWithinMs = order.kind.idempotent ? IDEMPOTENT_SETTLE_MS : undefined;
+    this.#pool.started(id);
+    const end = runAttempt(this.#upstreams, peer, toRequestRun(order, life), {
+      life,
+      ...(settleWithinMs === undefined ? {} : { settleWithinMs }),
+    }).then((attemptEnd) => {
+      this.#pool.ended(id, toRequestEnd(order, attemptEnd, cancelled));
+      if (attemptEnd.type === 'life-over' && !keepRunning) cancel();
+      return attemptEnd;
+    });
+    return { runner: id, end, cancel };
   }
 
-  #note({ requestId }: RequestOrder, runner: RunnerMember, end: AttemptEnd): void {
+  #note({ requestId }: RequestOrder, runner: string, end: AttemptEnd): void {
     this.#ctx.metrics.count(`request.attempt.${end.type}`);
-    if (end.type !== 'lost' && end.type !== 'barred') return;
-    const why = end.type === 'lost' ? end.why : 'never-seen';
-    const event = end.type === 'lost' ? 'request.lost' : 'request.settled';
-    this.#ctx.timeline.record(event, requestId, { runner: runner.upstream.id, why });
-  }
-
-  #noRunner(kind: Kind, tried: ReadonlySet<string>): Problem {
-    const listed = this.#upstreams.runners(kind.name).length;
-    return problem('no-upstream', {
-      detail: `No linked runner takes requests of kind ${kind.name}.`,
-      remedy: 'Try again shortly; operators: look at the runners and their guards.',
-      retryAfterMs: RETRY_AFTER_MS,
-      facts: { listed, tried: tried.size },
-    });
+    if (end.type === 'lost') {
+      this.#ctx.timeline.record('request.lost', requestId, { runner, why: end.why });
+    } else if (end.type === 'barred') {
+      this.#ctx.timeline.record('request.settled', requestId, { runner, state: 'never-seen' });
+    }
   }
 }
 
-/** Tells a guard that nobody waits for the request any more. */
-function cancel(peer: Peer, requestId: string): void {
-  peer.call('request.cancel', { requestId }).catch(() => undefined);
-}
-
-function toRun(order: RequestOrder, life: RequestLife): RequestRun {
-  const { requestId, account, kind, contentType, body } = order;
-  return {
-    requestId,
-    account,
-    kind: kind.name,
-    idempotent: kind.idempotent,
-    urgent: kind.urgency === 'urgent',
-    timeLeftMs: life.timeLeftMs(),
-    contentType,
-    body,
-  };
+/** What an attempt's end says of its runner. */
+function toRequestEnd({ kind }: RequestOrder, end: AttemptEnd, cancelled: boolean): RequestEnd {
+  const load = 'load' in end ? end.load : undefined;
+  if (end.type === 'answered') {
+    const how = end.answer.status >= SERVER_ERROR ? 'failed' : 'answered';
+    return { kind: kind.name, how, ms: end.serviceMs, load };
+  }
+  const given = cancelled || end.type === 'life-over';
+  const busy = end.type === 'refused' && end.problem.kind !== 'upstream-failed';
+  return { kind: kind.name, how: given || busy ? 'abandoned' : 'failed', load };
 }
 
 function withRan(cause: Problem, ran: Ran): ProblemError {
