Schedule by contract, guarantee and fair share

Claims evict the cheapest set of borrowers and hold their place meanwhile; large gangs get reservations with backfill; urgent jobs evict waiting ones; failing workers are quarantined.

--- a/packages/core/src/gang/placement.ts
+++ b/packages/core/src/gang/placement.ts
@@ -11,8 +11,8 @@
   shape: Shape;
   /** One task a worker as far as there are workers, rather than packed. */
   spread?: boolean;
-  /** Tightest fit first, or whichever comes first. */
-  strategy?: 'best-fit' | 'first-fit';
+  /** Tightest fit first, whichever comes first, or the emptiest first, full ones included. */
+  strategy?: 'best-fit' | 'first-fit' | 'most-free';
   slots?: Slots;
 }
 
@@ -71,6 +71,8 @@
 
   readonly #bestFit: boolean;
 
+  readonly #mostFree: boolean;
+
   readonly #slots: (worker: WorkerCapacity) => number;
 
   constructor(
@@ -81,6 +83,7 @@
     this.#shape = shape;
     this.#spread = spread;
     this.#bestFit = strategy === 'best-fit';
+    this.#mostFree = strategy === 'most-free';
     this.#slots = (worker) => slots(worker, shape);
   }
 
@@ -93,9 +96,7 @@
 
   #oneWorker(): Portion[] | undefined {
     const { tasks, acceleratorsPerTask } = this.#shape;
-    const workers = this.#bestFit
-      ? this.#capacity.byFree.ascending(tasks * acceleratorsPerTask)
-      : this.#capacity.workers.values();
+    const workers = this.#workers(tasks * acceleratorsPerTask);
     let best: WorkerCapacity | undefined;
     let compared = 0;
     for (const worker of workers) {
@@ -108,12 +109,21 @@
     return best && [{ worker: best, tasks }];
   }
 
+  #workers(need: number): Iterable<WorkerCapacity> {
+    const { byFree, workers } = this.#capacity;
+    if (this.#bestFit) return byFree.ascending(need);
+    return this.#mostFree ? byFree.descending(0) : workers.values();
+  }
+
+  #racks(need: number): Iterable<RackCapacity> {
+    const { racksByFree, racks } = this.#capacity;
+    if (this.#bestFit) return racksByFree.ascending(need);
+    return this.#mostFree ? racksByFree.descending(0) : racks.values();
+  }
+
   #oneRack(): Portion[] | undefined {
     const { tasks, acceleratorsPerTask } = this.#shape;
-    const racks = this.#bestFit
-      ? this.#capacity.racksByFree.ascending(tasks * acceleratorsPerTask)
-      : this.#capacity.racks.values();
-    for (const rack of racks) {
+    for (const rack of this.#racks(tasks * acceleratorsPerTask)) {
       const portions = this.#fill([rack]);
       if (portions !== undefined) return portions;
     }
@@ -127,7 +137,7 @@
     for (const rack of this.#capacity.racks.values()) {
       for (const next of this.#capacity.positions.get(rack.position + 1) ?? []) {
         const free = rack.free + next.free;
-        if (free < need || free >= bestFree) continue;
+        if (this.#bestFit && (free < need || free >= bestFree)) continue;
         const portions = this.#fill([rack, next]);
         if (portions === undefined) continue;
         if (!this.#bestFit) return portions;
@@ -201,6 +211,10 @@
     const uses = worker.uses.slice();
     for (let i = 0; i < tasks; i += 1) {
       const accelerators = chooseAccelerators(uses, shape.acceleratorsPerTask);
+      // Room that must be cleared first has no numbers yet; only their count matters until it is.
+      while (accelerators.length < shape.acceleratorsPerTask) {
+        accelerators.push(accelerators.length);
+      }
       accelerators.forEach((number) => {
         uses[number] = 1;
       });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -73,3 +73,7 @@
 export * from './bundle/diff.js';
 export * from './bundle/head-row.js';
 export * from './bundle/sync.js';
+export * from './process/report-handlers.js';
+export * from './bundle/canonical.js';
+export * from './scheduler/contract-scheduler.js';
+export * from './scheduler/bundle-view.js';
--- /dev/null
+++ b/packages/core/src/scheduler/admissions.ts
@@ -0,0 +1,98 @@
+/** Truthful refusals: what can never run here, and what an account's quota leaves no room for. */
+import { problem, type Problem } from '../error/problem.js';
+import type { ClaimBook } from '../guarantee/claim-book.js';
+import type { DomainState } from './domain-state.js';
+import { sizeOf } from './placer.js';
+import type { Decision, QueuedJob } from './scheduler.js';
+
+/** Taken for Retry-After when nothing is known of how fast the queue moves. */
+const RETRY_AFTER_MS = 10_000;
+
+/** Checks jobs as they are queued in one failure domain. */
+export class Admissions {
+  readonly #state: DomainState;
+
+  readonly #claims: ClaimBook;
+
+  #refusals: Decision[] = [];
+
+  /** Queued before the workers were known; checked once they are. */
+  #unchecked: QueuedJob[] = [];
+
+  constructor({ state, claims }: { state: DomainState; claims: ClaimBook }) {
+    this.#state = state;
+    this.#claims = claims;
+  }
+
+  /** True if the job may wait; else it is refused with the next decisions. */
+  accept(job: QueuedJob): boolean {
+    const refusal = this.#overQuota(job) ?? this.#beyondClaim(job);
+    if (refusal !== undefined) {
+      this.#refusals.push({ type: 'refuse', key: job.key, problem: refusal });
+      return false;
+    }
+    this.#unchecked.push(job);
+    return true;
+  }
+
+  /** Refusals due. What can never run is refused only once the workers are known. */
+  decide(now: number): Decision[] {
+    if (now >= this.#state.workers.settledAt() && this.#state.workers.size > 0) {
+      this.#unchecked
+        .filter(({ key }) => this.#state.queue.has(key))
+        .forEach((job) => this.#checkFit(job));
+      this.#unchecked = [];
+    }
+    const refusals = this.#refusals;
+    this.#refusals = [];
+    return refusals;
+  }
+
+  /** Refused jobs that were waiting, to be taken out of the queue. */
+  #checkFit(job: QueuedJob): void {
+    const kind = this.#state.view.kind(job.spec.kind);
+    const answer = this.#state.workers.couldEverFit(job.spec.shape, kind.spread);
+    if (answer.fits) return;
+    this.#refusals.push({
+      type: 'refuse',
+      key: job.key,
+      problem: problem('never-fits', {
+        detail: answer.reason,
+        remedy: 'Submit a smaller gang or a wider adjacency.',
+      }),
+    });
+  }
+
+  #overQuota({ account, spec, attempt }: QueuedJob): Problem | undefined {
+    const quota = this.#state.view.account(account)?.quota;
+    if (quota === undefined || attempt > 0) return undefined;
+    const size = sizeOf(spec.shape);
+    const most = quota.accelerators + this.#state.view.guaranteed(account);
+    if (size > most) {
+      return problem('never-fits', {
+        detail: `The gang asks for ${size} accelerators; ${account} may use ${most} at once.`,
+        remedy: 'Submit a smaller gang, or ask an operator for a larger quota.',
+        facts: { asked: size, bound: most },
+      });
+    }
+    const queued = this.#state.queue.count(account);
+    if (queued < quota.queuedJobs) return undefined;
+    return problem('quota-exceeded', {
+      detail: `${account} has ${queued} jobs waiting; its quota is ${quota.queuedJobs}.`,
+      remedy: 'Submit again after retryAfterMs, or cancel jobs that are no longer needed.',
+      retryAfterMs: RETRY_AFTER_MS,
+      facts: { queued, bound: quota.queuedJobs },
+    });
+  }
+
+  #beyondClaim({ account, spec }: QueuedJob): Problem | undefined {
+    if (spec.claim === undefined) return undefined;
+    const claim = this.#claims.get(`claims/${account}/${spec.claim}`);
+    if (claim === undefined || sizeOf(spec.shape) <= claim.size) return undefined;
+    return problem('never-fits', {
+      detail: `The gang asks for ${sizeOf(spec.shape)} accelerators; claim ${spec.claim} has ${claim.size}.`,
+      remedy: 'Submit a smaller gang, or claim a larger guarantee.',
+      facts: { asked: sizeOf(spec.shape), bound: claim.size },
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduler/domain-state.ts
@@ -0,0 +1,179 @@
+/** Everything the contract scheduler knows of one failure domain, shared by its parts. */
+import type { Bundle } from '../bundle/bundle.js';
+import { FirmLedger } from '../guarantee/firm-ledger.js';
+import { Homes } from '../guarantee/homes.js';
+import { evictionCost, type EvictionRules } from '../guarantee/eviction-cost.js';
+import type { EvictionCost } from '../guarantee/victims.js';
+import { Capacity } from '../gang/placement-capacity.js';
+import type { Worker } from '../upstream/upstream.js';
+import { BundleView } from './bundle-view.js';
+import { Clearings } from './clearings.js';
+import { RunTimeEstimator, type EstimateQuery } from './estimate.js';
+import { FairShare } from './fair-share.js';
+import { QueueOrder } from './queue-order.js';
+import { RunningJobs, type RunningJob } from './running-jobs.js';
+import type { QueuedJob } from './scheduler.js';
+import { WorkerHealth } from './worker-health.js';
+import { WorkerStates } from './worker-states.js';
+
+/** What an estimate of a queued job is about. */
+export function estimateQuery({ account, spec, savedMs }: QueuedJob): EstimateQuery {
+  return {
+    account,
+    kind: spec.kind,
+    shape: spec.shape,
+    declaredRunMs: spec.declaredRunMs,
+    savedMs,
+  };
+}
+
+/** State of one failure domain. Changes go through the methods where more than one part must follow. */
+export class DomainState {
+  readonly failureDomain: string;
+
+  view: BundleView;
+
+  readonly capacity = new Capacity();
+
+  readonly ledger = new FirmLedger();
+
+  readonly homes = new Homes({ ledger: this.ledger });
+
+  readonly running = new RunningJobs();
+
+  /** Workers let out of quarantine, which get one small task at a time. */
+  readonly onProbation = new Set<string>();
+
+  readonly clearings = new Clearings();
+
+  readonly estimator = new RunTimeEstimator();
+
+  readonly fairShare = new FairShare();
+
+  readonly health: WorkerHealth;
+
+  readonly workers: WorkerStates;
+
+  readonly queue: QueueOrder;
+
+  /** Accelerators held by claims, by account. */
+  readonly claimed = new Map<string, number>();
+
+  constructor({ failureDomain, bundle }: { failureDomain: string; bundle: Bundle }) {
+    this.failureDomain = failureDomain;
+    this.view = new BundleView(bundle, failureDomain);
+    this.health = new WorkerHealth(bundle.policy);
+    this.workers = new WorkerStates({ capacities: [this.capacity, this.ledger.capacity] });
+    this.queue = new QueueOrder({
+      inputs: {
+        traits: (kind) => {
+          const { urgency, contract } = this.view.kind(kind);
+          return { urgent: urgency === 'urgent', withinMs: contract?.withinMs };
+        },
+        runMs: (job) => this.estimator.estimate(estimateQuery(job)).p90Ms,
+        priority: (account, now) => this.fairShare.priority(account, now),
+        overuse: (account, competing) => this.fairShare.overuse(account, competing),
+      },
+    });
+    this.setBundle(bundle);
+  }
+
+  setBundle(bundle: Bundle): void {
+    this.view = new BundleView(bundle, this.failureDomain);
+    this.fairShare.setAccounts(bundle.accounts);
+    this.homes.setGuarantees(this.view.guarantees);
+    for (const running of this.running.values()) {
+      if (!this.ledger.has(running.job.key)) running.inside = false;
+    }
+  }
+
+  addWorker(worker: Worker, now: number): void {
+    if (this.workers.isRebuilt(worker)) this.loseWorker(worker.id);
+    this.workers.add(worker, now);
+    this.health.add(worker.id);
+    this.#countCapacity();
+  }
+
+  /** A worker and all that ran on it are gone; clearings that counted on it are given up. */
+  loseWorker(worker: string): void {
+    this.running.dropWorker(worker);
+    this.clearings.dropWorker(worker);
+    this.ledger.dropWorker(worker);
+    this.workers.remove(worker);
+    this.homes.workerLost(worker);
+    this.#countCapacity();
+  }
+
+  /** Counts a job as placed. `firm`: its room can't be taken back for a claim. */
+  place(running: RunningJob, { firm, now }: { firm: boolean; now: number }): void {
+    const { job, members, within } = running;
+    this.running.add(running);
+    if (within === undefined) this.capacity.take(members);
+    if (firm && within === undefined) this.ledger.take(job.key, members);
+    members.forEach(({ worker }) => this.health.placed(worker, job.key, now));
+    this.fairShare.start(
+      {
+        key: job.key,
+        account: job.account,
+        shape: job.spec.shape,
+        withinGuarantee: running.inside || within !== undefined,
+      },
+      now,
+    );
+  }
+
+  /** Counts a placed job as gone. */
+  unplace(key: string, now: number): RunningJob | undefined {
+    const running = this.running.remove(key);
+    if (running === undefined) return undefined;
+    if (running.within === undefined) this.capacity.release(running.members);
+    this.ledger.release(key);
+    this.fairShare.end(key, now);
+    this.clearings.left(key);
+    return running;
+  }
+
+  /** Accelerators an account uses here, claims included. */
+  inUse(account: string): number {
+    return this.running.inUse(account) + (this.claimed.get(account) ?? 0);
+  }
+
+  /** Whether an account would still be inside its guarantees with `more` accelerators. */
+  isInside(account: string, more = 0): boolean {
+    const guaranteed = this.view.guaranteed(account);
+    return guaranteed > 0 && this.inUse(account) + more <= guaranteed;
+  }
+
+  /** Changes what an account's claims hold. */
+  countClaim(account: string, change: number): void {
+    this.claimed.set(account, (this.claimed.get(account) ?? 0) + change);
+  }
+
+  /** Cost of evicting jobs for `account`. */
+  evictionCost(account: string, purpose: EvictionRules['purpose'], now: number): EvictionCost {
+    const competing = this.view.bundle.accounts.map(({ name }) => name);
+    const overuses = new Map<string, number>();
+    const overuse = (name: string) => {
+      const known = overuses.get(name) ?? this.fairShare.overuse(name, competing);
+      overuses.set(name, known);
+      return known;
+    };
+    return evictionCost({
+      now,
+      account,
+      purpose,
+      checkpointLimitMs: this.view.policy.checkpointLimitMs,
+      isInside: (name) => this.isInside(name),
+      overuse,
+    });
+  }
+
+  /** Expected run time still to go of a queued job, in ms. */
+  runMs(job: QueuedJob): { p50Ms: number; p90Ms: number } {
+    return this.estimator.estimate(estimateQuery(job));
+  }
+
+  #countCapacity(): void {
+    this.fairShare.setCapacity(this.workers.total());
+  }
+}
--- a/packages/core/src/scheduler/fifo-scheduler.ts
+++ b/packages/core/src/scheduler/fifo-scheduler.ts
@@ -54,7 +54,7 @@
         this.#capacity.add(event.worker);
         break;
       case 'worker-left':
-        if (event.how === 'lost') this.#capacity.remove(event.worker);
+        if (event.how === 'lost') this.#loseWorker(event.worker);
         else this.#capacity.setOpen(event.worker, false);
         break;
       case 'job-queued':
@@ -95,7 +95,7 @@
       ...summarize({
         capacity: this.#capacity,
         bundle: this.#bundle,
-        queued: [...this.#queue.values()].map(({ spec }) => spec.shape),
+        queued: [...this.#queue.values()].map(({ spec }) => ({ shape: spec.shape, count: 1 })),
       }),
       quarantined: [],
       queued: this.#queue.size,
@@ -149,6 +149,19 @@
     });
   }
 
+  #loseWorker(worker: string): void {
+    this.#workers.delete(worker);
+    this.#capacity.remove(worker);
+    const isLeft = (member: Member) => member.worker !== worker;
+    this.#placed.forEach(({ job, members }, key) =>
+      this.#placed.set(key, { job, members: members.filter(isLeft) }),
+    );
+    this.#claims.forEach((claim, key) => {
+      if (claim.members === undefined) return;
+      this.#claims.set(key, { ...claim, members: claim.members.filter(isLeft) });
+    });
+  }
+
   #place(key: string, job: QueuedJob, decisions: Decision[]): void {
     const { shape } = job.spec;
     const members = findPlacement(this.#capacity, { shape, strategy: 'first-fit' });
--- a/packages/core/src/scheduler/fragmentation.ts
+++ b/packages/core/src/scheduler/fragmentation.ts
@@ -11,6 +11,12 @@
 /** Allowance for sums of fractions of gangs. */
 const EPSILON = 1e-9;
 
+/** Queued gangs of one shape. */
+export interface ShapeCount {
+  shape: Shape;
+  count: number;
+}
+
 /** A shape and how much it counts: accelerators asked for. */
 interface Demand {
   shape: Shape;
@@ -61,7 +67,7 @@
 }
 
 /** Guaranteed and queued shapes, equal ones together. */
-export function demandsOf(bundle: Bundle, queued: Iterable<Shape>): Demand[] {
+export function demandsOf(bundle: Bundle, queued: Iterable<ShapeCount>): Demand[] {
   const demands = new Map<string, Demand>();
   const add = (shape: Shape, count: number) => {
     const size = shape.tasks * shape.acceleratorsPerTask;
@@ -72,7 +78,7 @@
     demands.set(key, demand);
   };
   bundle.guarantees.forEach(({ shape, count }) => add(shape, count));
-  for (const shape of queued) add(shape, 1);
+  for (const { shape, count } of queued) add(shape, count);
   return [...demands.values()];
 }
 
@@ -84,7 +90,7 @@
 }: {
   capacity: Capacity;
   bundle: Bundle;
-  queued: Iterable<Shape>;
+  queued: Iterable<ShapeCount>;
 }): Pick<SchedulerSummary, 'workers' | 'accelerators' | 'free' | 'fragmentation' | 'largestGang'> {
   const [roomiest] = capacity.racksByFree.descending(1);
   return {
--- /dev/null
+++ b/packages/core/src/scheduler/placer.ts
@@ -0,0 +1,152 @@
+/** Where one queued job may run now: inside its account's guarantee, on firm room, or borrowing. */
+import { findPlacement, freeSlots, type Slots } from '../gang/placement.js';
+import type { WorkerCapacity } from '../gang/placement-capacity.js';
+import type { Member, Shape } from '../gang/shape.js';
+import type { Kind } from '../kind/kind.js';
+import type { DomainState } from './domain-state.js';
+import type { Reservations } from './reservations.js';
+import type { QueuedJob } from './scheduler.js';
+
+/** A place for a job. `firm`: counted in the ledger. `inside`: within its account's guarantees. */
+export interface Place {
+  members: Member[];
+  firm: boolean;
+  inside: boolean;
+}
+
+/** Accelerators of a shape. */
+export function sizeOf({ tasks, acceleratorsPerTask }: Shape): number {
+  return tasks * acceleratorsPerTask;
+}
+
+/** Finds places. One search of a kind that failed is not repeated until something becomes free. */
+export class Placer {
+  readonly #state: DomainState;
+
+  readonly #reservations: Reservations;
+
+  readonly #failed = new Set<string>();
+
+  #failedAt = -1;
+
+  constructor({ state, reservations }: { state: DomainState; reservations: Reservations }) {
+    this.#state = state;
+    this.#reservations = reservations;
+  }
+
+  /** Forgets what failed: rules other than free room have changed. */
+  reset(): void {
+    this.#failed.clear();
+  }
+
+  /** A place for a job now, nothing taken yet. */
+  find(job: QueuedJob, now: number): Place | undefined {
+    this.#forgetStale();
+    const kind = this.#state.view.kind(job.spec.kind);
+    const size = sizeOf(job.spec.shape);
+    const inside = this.#state.isInside(job.account, size) && size > 0;
+    if (size > 0 && this.#state.capacity.free < size) return undefined;
+    if (inside) {
+      const place = this.#findInside(job, kind, now);
+      if (place !== undefined) return place;
+    }
+    const recoverable = kind.idempotent || kind.checkpointable;
+    if (!recoverable) return this.#findFirm(job, kind, false, now);
+    return this.#findAny(job, kind, now);
+  }
+
+  #findInside(job: QueuedJob, kind: Kind, now: number): Place | undefined {
+    const members = this.#search(`home/${job.account}`, job, kind, now, (worker, shape) =>
+      Math.min(freeSlots(worker, shape), this.#homeSlots(job.account, worker, shape)),
+    );
+    if (members !== undefined) return { members, firm: false, inside: true };
+    return this.#findFirm(job, kind, true, now);
+  }
+
+  #findFirm(job: QueuedJob, kind: Kind, inside: boolean, now: number): Place | undefined {
+    const { ledger } = this.#state;
+    const members = this.#search('firm', job, kind, now, (worker, shape) =>
+      Math.min(freeSlots(worker, shape), ledger.slots('', worker, shape)),
+    );
+    return members && { members, firm: true, inside };
+  }
+
+  #findAny(job: QueuedJob, kind: Kind, now: number): Place | undefined {
+    const members = this.#search('any', job, kind, now, freeSlots);
+    return members && { members, firm: false, inside: false };
+  }
+
+  #search(
+    where: string,
+    { key, spec }: QueuedJob,
+    kind: Kind,
+    now: number,
+    slots: Slots,
+  ): Member[] | undefined {
+    const { shape } = spec;
+    const job = { key, spec };
+    const memo = memoKey(where, shape, kind, this.#reservations.classOf(key, kind, now));
+    if (this.#failed.has(memo)) return undefined;
+    const members = findPlacement(this.#state.capacity, {
+      shape,
+      spread: kind.spread,
+      slots: (worker, asked) => {
+        if (!this.#mayUse(worker, job, kind, now)) return 0;
+        return slots(worker, asked);
+      },
+    });
+    if (members === undefined && memo !== undefined) this.#failed.add(memo);
+    return members;
+  }
+
+  #mayUse(
+    worker: WorkerCapacity,
+    { key, spec }: Pick<QueuedJob, 'key' | 'spec'>,
+    { idempotent }: Kind,
+    now: number,
+  ): boolean {
+    if (!worker.open) return false;
+    if (!this.#reservations.mayUse(worker.id, key, now)) return false;
+    if (!this.#state.onProbation.has(worker.id)) return true;
+    const task = { idempotent, accelerators: sizeOf(spec.shape) };
+    return this.#state.health.mayUse(worker.id, task, now);
+  }
+
+  /** Room in an account's homes on a worker, less what its own jobs use of them already. */
+  #homeSlots(account: string, worker: WorkerCapacity, shape: Shape): number {
+    const { ledger, running } = this.#state;
+    const slots = ledger.homeSlots(account, worker, shape);
+    if (slots === 0) return 0;
+    for (const { job, inside } of running.on(worker.id)) {
+      if (job.account === account && inside && !ledger.has(job.key)) return 0;
+    }
+    return slots;
+  }
+
+  #forgetStale(): void {
+    const releases = this.#state.capacity.releases + this.#state.ledger.capacity.releases;
+    if (releases === this.#failedAt) return;
+    this.#failedAt = releases;
+    this.#failed.clear();
+  }
+}
+
+/** Jobs of one class fail or fit alike. */
+function memoKey(
+  where: string,
+  { tasks, acceleratorsPerTask, coresPerTask, memoryMbPerTask, adjacency }: Shape,
+  { spread, idempotent }: Kind,
+  reserved: string,
+): string {
+  return [
+    where,
+    tasks,
+    acceleratorsPerTask,
+    coresPerTask,
+    memoryMbPerTask,
+    adjacency,
+    spread,
+    idempotent,
+    reserved,
+  ].join('/');
+}
--- /dev/null
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -0,0 +1,176 @@
+/** One pass through the queue: places what fits, makes room for what may not wait, reserves for large gangs. */
+import type { ClaimBook } from '../guarantee/claim-book.js';
+import type { Member } from '../gang/shape.js';
+import type { DomainState } from './domain-state.js';
+import { Placer, sizeOf, type Place } from './placer.js';
+import type { QueuedWork } from './queued-work.js';
+import type { Reservations } from './reservations.js';
+import type { RoomMaking } from './room-making.js';
+import type { Decision, QueuedJob } from './scheduler.js';
+import type { Waits } from './waits.js';
+
+/** Blocked jobs looked at in one pass. */
+const MAX_BLOCKED = 512;
+
+/** Urgent jobs for which room is made in one pass. */
+const MAX_URGENT = 16;
+
+/** Part of its contract that an urgent job waits before others are evicted for it. */
+const URGENT_PATIENCE = 0.05;
+
+/** Gangs for which jobs are moved at once: one, and one more for this many racks. */
+const RACKS_PER_MOVE = 16;
+
+/** What a pass works with. */
+export interface PassParts {
+  state: DomainState;
+  claims: ClaimBook;
+  reservations: Reservations;
+  rooms: RoomMaking;
+  waits: Waits;
+  queued: QueuedWork;
+}
+
+/** Where a job was put by a pass. */
+export interface Placed {
+  job: QueuedJob;
+  place: Place;
+  within?: string;
+}
+
+/** Passes through the queue of one failure domain. */
+export class QueuePass {
+  readonly #parts: PassParts;
+
+  readonly #placer: Placer;
+
+  /** Jobs told to be late; once is enough. */
+  readonly #toldLate = new Set<string>();
+
+  /** Jobs that got a place being cleared in this pass. */
+  #clearing: QueuedJob[] = [];
+
+  #urgentLeft = MAX_URGENT;
+
+  #blocked = 0;
+
+  constructor(parts: PassParts) {
+    this.#parts = parts;
+    this.#placer = new Placer(parts);
+  }
+
+  /** Jobs that couldn't be placed in the last pass. */
+  get blocked(): number {
+    return this.#blocked;
+  }
+
+  /** Whether a job would be placed at once. */
+  wouldFit(job: QueuedJob, now: number): boolean {
+    return this.#placer.find(job, now) !== undefined;
+  }
+
+  forget(key: string): void {
+    this.#toldLate.delete(key);
+    this.#parts.reservations.drop(key);
+  }
+
+  /** Goes through `jobs` in order. `place` is called for each job placed, before the next is looked at. */
+  run(
+    jobs: Iterable<QueuedJob>,
+    now: number,
+    place: (placed: Placed) => Decision,
+  ): { decisions: Decision[]; clearing: QueuedJob[] } {
+    const decisions: Decision[] = [];
+    this.#placer.reset();
+    this.#clearing = [];
+    this.#urgentLeft = MAX_URGENT;
+    this.#blocked = 0;
+    for (const job of jobs) {
+      const placed = this.#findPlace(job, now);
+      if (placed !== undefined) decisions.push(place(placed));
+      else if (!this.#block(job, now, decisions)) break;
+    }
+    return { decisions, clearing: this.#clearing };
+  }
+
+  #findPlace(job: QueuedJob, now: number): Placed | undefined {
+    if (job.spec.claim !== undefined) return this.#findWithin(job, job.spec.claim);
+    const { fairShare } = this.#parts.state;
+    const withinGuarantee = this.#parts.state.isInside(job.account, sizeOf(job.spec.shape));
+    if (!fairShare.mayStart(job.account, job.spec.shape, { withinGuarantee })) return undefined;
+    const place = this.#placer.find(job, now);
+    return place && { job, place };
+  }
+
+  #findWithin(job: QueuedJob, id: string): Placed | undefined {
+    const within = `claims/${job.account}/${id}`;
+    const claim = this.#parts.claims.heldClaim(within);
+    const { spread } = this.#parts.state.view.kind(job.spec.kind);
+    const members: Member[] | undefined = claim?.findPlacement(job.spec.shape, spread);
+    return members && { job, within, place: { members, firm: false, inside: true } };
+  }
+
+  /** What to do for a job that doesn't fit; false once the rest of the queue can't fit either. */
+  #block(job: QueuedJob, now: number, decisions: Decision[]): boolean {
+    this.#blocked += 1;
+    if (job.spec.claim !== undefined) return true;
+    const { state, queued } = this.#parts;
+    if (state.view.isUrgent(job)) {
+      decisions.push(...this.#hurry(job, now));
+      return this.#blocked < MAX_BLOCKED;
+    }
+    const size = sizeOf(job.spec.shape);
+    if (this.#blocked === 1 || this.#isLarge(size)) decisions.push(...this.#helpGang(job, now));
+    if (state.capacity.free === 0 && queued.withoutAccelerators === 0) return false;
+    return this.#blocked < MAX_BLOCKED;
+  }
+
+  #isLarge(size: number): boolean {
+    const { capacity } = this.#parts.state;
+    return size >= capacity.accelerators / Math.max(1, capacity.workers.size);
+  }
+
+  /** An urgent job: evicts for it once it has waited a little; says early if its contract is lost. */
+  #hurry(job: QueuedJob, now: number): Decision[] {
+    const { view } = this.#parts.state;
+    const contractAt = view.contractAt(job);
+    const patience =
+      contractAt === undefined ? 0 : (contractAt - job.submittedAt) * URGENT_PATIENCE;
+    if (now >= job.submittedAt + patience && this.#urgentLeft > 0) {
+      this.#urgentLeft -= 1;
+      const evictions = this.#parts.rooms.forUrgent(job, now);
+      if (evictions.length > 0) {
+        this.#clearing.push(job);
+        return evictions;
+      }
+    }
+    return contractAt === undefined ? [] : this.#warn(job, contractAt, now);
+  }
+
+  #warn(job: QueuedJob, contractAt: number, now: number): Decision[] {
+    if (this.#toldLate.has(job.key)) return [];
+    const { waits, state } = this.#parts;
+    const waitMs = waits.expected(sizeOf(job.spec.shape), true, now);
+    const expectedAt = now + waitMs + state.runMs(job).p50Ms;
+    if (expectedAt <= contractAt) return [];
+    this.#toldLate.add(job.key);
+    return [{ type: 'late', key: job.key, expectedAt, contractAt }];
+  }
+
+  /** A gang that can't be placed: a reservation, and after a while others are moved for it. */
+  #helpGang(job: QueuedJob, now: number): Decision[] {
+    const { state, reservations, rooms } = this.#parts;
+    const reservation = reservations.reserve(job, now);
+    const { defragmentAfterMs } = state.view.policy;
+    if (now - job.submittedAt < defragmentAfterMs) return [];
+    if (rooms.moving > state.capacity.racks.size / RACKS_PER_MOVE) return [];
+    const waitMs =
+      reservation === undefined ? defragmentAfterMs : Math.max(0, reservation.at - now);
+    const moves = rooms.forGang(job, waitMs, now);
+    if (moves.length > 0) {
+      this.#clearing.push(job);
+      reservations.drop(job.key);
+    }
+    return moves;
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduler/queued-work.ts
@@ -0,0 +1,33 @@
+/** Running totals of what waits, so that estimates and warnings need no scan of the queue. */
+import type { QueuedJob } from './scheduler.js';
+import { sizeOf } from './placer.js';
+
+/** Sums over queued jobs. */
+export class QueuedWork {
+  urgentJobs = 0;
+
+  urgentAccelerators = 0;
+
+  accelerators = 0;
+
+  /** Jobs that need no accelerator. */
+  withoutAccelerators = 0;
+
+  /** Queued jobs of each shape, for fragmentation. */
+  readonly shapes = new Map<string, { shape: QueuedJob['spec']['shape']; count: number }>();
+
+  change({ spec: { shape } }: QueuedJob, urgent: boolean, sign: 1 | -1): void {
+    const size = sizeOf(shape);
+    this.accelerators += sign * size;
+    if (size === 0) this.withoutAccelerators += sign;
+    if (urgent) {
+      this.urgentJobs += sign;
+      this.urgentAccelerators += sign * size;
+    }
+    const key = `${shape.tasks}/${shape.acceleratorsPerTask}/${shape.coresPerTask}/${shape.memoryMbPerTask}/${shape.adjacency}`;
+    const entry = this.shapes.get(key) ?? { shape, count: 0 };
+    entry.count += sign;
+    if (entry.count > 0) this.shapes.set(key, entry);
+    else this.shapes.delete(key);
+  }
+}
