--- a/packages/core/src/settings/parse.ts
+++ b/packages/core/src/settings/parse.ts
@@ -22,6 +22,17 @@
   throw new FindingsError(source, findingsWithLines(parsed.error.issues, root, text));
 }
 
+/** A value that was parsed already, checked and with its defaults filled in. Throws FindingsError. */
+export function checkValue<S extends z.ZodType>(
+  value: unknown,
+  schema: S,
+  { source = 'The value' }: { source?: string } = {},
+): z.infer<S> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return parsed.data;
+  throw new FindingsError(source, issuesToFindings(parsed.error.issues, value));
+}
+
 function parseText(text: string, source: string): Node {
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
