Deepen the store clients and stand-ins; prove writes under faults

Retry-After is a second or more with jitter, as 50 ms would have sent callers back into an outage. Idle connections are dropped after a lost answer and after 10 s unused. Stand-ins: planned stop and crash apart, rate bounds of the platform, in-order delays in the proxy, guards' connections counted without those that read the ledger.

--- a/packages/platform/src/http/http-attempt.ts
+++ b/packages/platform/src/http/http-attempt.ts
@@ -22,6 +22,9 @@
   | { outcome: 'refused'; detail: string }
   | { outcome: 'lost'; detail: string };
 
+/** Kept connections are closed after this long without use, in ms: what idles is what goes silent. */
+const IDLE_MS = 10_000;
+
 const SERVER_ERROR = 500;
 const DOWN = 503;
 
@@ -33,7 +36,7 @@
 
   constructor({ address, maxSockets }: { address: string; maxSockets: number }) {
     this.#baseUrl = `http://${address}`;
-    this.#agent = new Agent({ keepAlive: true, maxSockets, scheduling: 'lifo' });
+    this.#agent = new Agent({ keepAlive: true, maxSockets, scheduling: 'lifo', timeout: IDLE_MS });
   }
 
   /** Never rejects. `fresh` dials a new connection, for when a kept one may have gone silent. */
--- a/packages/platform/src/http/http-table.ts
+++ b/packages/platform/src/http/http-table.ts
@@ -10,6 +10,8 @@
   type Table,
   type WriteResult,
 } from '@zincspan/core';
+import { MAX_SCAN_ROWS } from '../table/row-store.js';
+import { checkWrites } from '../table/check-writes.js';
 import { parseAnswer, unexpectedAnswer } from './answers.js';
 import type { HttpCall } from './http-attempt.js';
 import { StoreCaller, type Answer, type CallTime } from './store-caller.js';
@@ -19,7 +21,6 @@
 const OK = 200;
 const NOT_FOUND = 404;
 const CONFLICT = 409;
-const GONE = 410;
 
 /** Table over HTTP. Reads and writes wait for their turns apart, so that neither starves the other. */
 export class HttpTable implements Table {
@@ -47,12 +48,13 @@
   ): Promise<Row[]> {
     const query = new URLSearchParams({ prefix });
     if (after !== undefined) query.set('after', after);
-    if (limit !== undefined) query.set('limit', String(limit));
+    if (limit !== undefined) query.set('limit', String(Math.min(limit, MAX_SCAN_ROWS)));
     const answer = await this.#read(`/v1/rows?${query.toString()}`);
     return parseAnswer(rowListSchema, answer, 'not-run').rows;
   }
 
   async write(writes: RowWrite[]): Promise<WriteResult> {
+    checkWrites(writes);
     const writeId = randomUUID();
     const call: HttpCall = {
       method: 'POST',
@@ -104,6 +106,7 @@
   }
 }
 
+/** Reads the answer to a write; any but the two that the interface allows is a refusal. */
 function readWritten(answer: Answer): WriteResult {
   if (answer.status === OK) {
     const { versions } = parseAnswer(versionListSchema, answer, 'unknown');
@@ -113,5 +116,5 @@
     const { rows } = parseAnswer(rowListSchema, answer, 'not-run');
     return { outcome: 'conflict', rows };
   }
-  throw unexpectedAnswer(answer.status, answer.status === GONE ? 'not-run' : 'unknown');
+  throw unexpectedAnswer(answer.status, 'not-run');
 }
--- a/packages/platform/src/http/store-caller.ts
+++ b/packages/platform/src/http/store-caller.ts
@@ -7,6 +7,9 @@
 import { withDefaults, type StoreOptions } from './store-options.js';
 import { storeUnavailable } from './store-problem.js';
 
+/** Shortest pause between attempts that are limited by time alone, in ms. */
+const MIN_INSIST_PAUSE_MS = 10;
+
 /** An answer of the service, whatever its status. */
 export type Answer = Extract<AttemptResult, { outcome: 'answered' }>;
 
@@ -43,18 +46,22 @@
     const { address, concurrency } = this.#options;
     this.#connection = new HttpConnection({ address, maxSockets: concurrency });
     this.#limit = new CallLimit(this.#options);
-    this.#breaker = new CircuitBreaker(this.#options);
+    this.#breaker = new CircuitBreaker({
+      ...this.#options,
+      onChange: (state) => this.#reportBreaker(state),
+    });
   }
 
-  /** Time until another call makes sense, in ms. */
+  /** Time until another call makes sense, in ms, with jitter so that callers don't return in step. */
   get retryAfterMs(): number {
-    return Math.max(this.#breaker.closedInMs, this.#options.backoffMs);
+    const { openMs, random } = this.#options;
+    return Math.max(this.#breaker.waitMs, openMs) + random() * openMs;
   }
 
   /** Runs `call` in its turn. Rejects with `store-unavailable`, not run, when it gets none. */
   async inTurn<T>(reserveMs: number, call: (time: CallTime) => Promise<T>): Promise<T> {
     const deadline = this.#clock.now() + this.#options.totalMs;
-    this.#refuseIfOpen(this.#breaker.closedInMs);
+    this.#refuseIfOpen(this.#breaker.waitMs);
     const refusal = await this.#limit.acquire(this.#options.totalMs - reserveMs);
     if (refusal !== undefined) throw this.#refused(`calls are waiting for it already (${refusal})`);
     try {
@@ -72,7 +79,7 @@
     for (let attempt = 0; attempt < this.#options.attempts; attempt++) {
       if (attempt > 0) await this.#pauseBefore(attempt, time);
       const timeoutMs = this.#timeLeft(time);
-      if (timeoutMs <= 0 || (attempt > 0 && this.#breaker.closedInMs > 0)) break;
+      if (timeoutMs <= 0 || (attempt > 0 && this.#breaker.waitMs > 0)) break;
       const result = await this.#attempt(call, { timeoutMs, fresh: attempt > 0 });
       if (result.outcome === 'answered') return result;
       maybeActed ||= result.outcome === 'lost';
@@ -88,7 +95,7 @@
       const timeoutMs = this.#timeLeft(time);
       const result = await this.#attempt(call, { timeoutMs, fresh: true });
       if (result.outcome === 'answered') return result;
-      await this.#pauseBefore(attempt, time);
+      await this.#pauseBefore(attempt, time, MIN_INSIST_PAUSE_MS);
     }
     return undefined;
   }
@@ -115,9 +122,9 @@
     return result;
   }
 
-  async #pauseBefore(attempt: number, time: CallTime): Promise<void> {
+  async #pauseBefore(attempt: number, time: CallTime, minMs = 0): Promise<void> {
     const leftMs = time.deadline - time.reserveMs - this.#clock.now();
-    const pauseMs = fullJitterMs(attempt, this.#options);
+    const pauseMs = Math.max(minMs, fullJitterMs(attempt, this.#options));
     if (leftMs > 0) await pause(Math.min(pauseMs, leftMs));
   }
 
@@ -129,6 +136,13 @@
     if (waitMs > 0) throw this.#refused('its last calls failed');
   }
 
+  #reportBreaker(state: 'open' | 'closed'): void {
+    const { metrics, log, address } = this.#options;
+    metrics.count(`store.breaker-${state}`);
+    if (state === 'open') log.warn({ address }, 'store failing, calls refused');
+    else log.info({ address }, 'store answering again');
+  }
+
   #refused(why: string): ProblemError {
     this.#options.metrics.count('store.not-tried');
     const detail = `The store at ${this.#options.address} wasn't asked: ${why}.`;
--- a/packages/platform/src/http/store-options.ts
+++ b/packages/platform/src/http/store-options.ts
@@ -1,5 +1,5 @@
 /** Options that the table and object store clients share. */
-import { SystemClock, type Clock, type Metrics } from '@zincspan/core';
+import { SystemClock, type Clock, type Log, type Metrics } from '@zincspan/core';
 
 /** How a client reaches the platform. All times in ms. */
 export interface StoreOptions {
@@ -20,14 +20,19 @@
   /** Failed attempts in a row that open the circuit breaker, and how long it stays open. */
   failuresToOpen?: number;
   openMs?: number;
+  /** Must keep step with the host's timers. */
   clock?: Clock;
   /** 0 to 1; for the jitter of pauses. */
   random?: () => number;
   metrics?: Metrics;
+  /** Told when the circuit breaker opens and closes. */
+  log?: Log;
 }
 
 const NO_METRICS: Metrics = { count() {}, gauge() {}, timing() {} };
 
+const NO_LOG: Log = { info() {}, warn() {}, error() {} };
+
 /** The options with every default filled in. The total allows for all attempts unless it is given. */
 export function withDefaults(options: StoreOptions): Required<StoreOptions> {
   const timeoutMs = options.timeoutMs ?? 1000;
@@ -44,6 +49,13 @@
     clock: new SystemClock(),
     random: Math.random,
     metrics: NO_METRICS,
-    ...options,
+    log: NO_LOG,
+    ...given(options),
   };
 }
+
+/** The options without those that were passed as undefined. */
+function given(options: StoreOptions): StoreOptions {
+  const entries = Object.entries(options).filter(([, value]) => value !== undefined);
+  return Object.fromEntries(entries) as unknown as StoreOptions;
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,5 @@
 /** Clients of the platform's table service and object store, and in-memory ones for tests. */
-export * from './memory/row-store.js';
+export * from './table/row-store.js';
 export * from './memory/memory-faults.js';
 export * from './memory/memory-table.js';
 export * from './memory/memory-object-store.js';
--- a/packages/platform/src/memory/memory-table.ts
+++ b/packages/platform/src/memory/memory-table.ts
@@ -9,7 +9,8 @@
   type WriteResult,
 } from '@zincspan/core';
 import { MemoryFaults } from './memory-faults.js';
-import { RowStore } from './row-store.js';
+import { checkWrites } from '../table/check-writes.js';
+import { RowStore } from '../table/row-store.js';
 
 /** Table in memory with switchable faults. Several tables may share one store, as clients of one service. */
 export class MemoryTable implements Table {
@@ -32,6 +33,7 @@
   }
 
   async write(writes: RowWrite[]): Promise<WriteResult> {
+    checkWrites(writes);
     const result = await this.faults.write(() => this.store.write(randomUUID(), writes));
     if (result.outcome !== 'barred') return result;
     throw new ProblemError(
--- /dev/null
+++ b/packages/platform/src/table/check-writes.ts
@@ -0,0 +1,21 @@
+/** Refuses transactions that the platform would refuse, before they are sent. */
+import { ProblemError, problem, transactionSchema, type RowWrite } from '@zincspan/core';
+
+const writesSchema = transactionSchema.shape.writes;
+
+/** Throws ProblemError `bad-input` for too many writes, a bad key, or two writes of one row. */
+export function checkWrites(writes: RowWrite[]): void {
+  const parsed = writesSchema.safeParse(writes);
+  if (!parsed.success) throw badWrites(parsed.error.issues[0]?.message ?? 'Malformed writes.');
+  const keys = new Set(writes.map(({ key }) => key));
+  if (keys.size < writes.length) throw badWrites('A row is written twice.');
+}
+
+function badWrites(detail: string): ProblemError {
+  return new ProblemError(
+    problem('bad-input', {
+      detail: `The transaction was not sent: ${detail}`,
+      remedy: 'Write 1 to 25 different rows with keys of 1 to 300 characters.',
+    }),
+  );
+}
--- /dev/null
+++ b/packages/platform/src/table/row-store.steps.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { RowWrite } from '@zincspan/core';
+import { RowStore, type SettledWrite } from './row-store.js';
+
+interface RowStoreWorld {
+  rows: RowStore;
+  answer: SettledWrite;
+}
+
+/** Reads `key@ifVersion=value` parts. */
+function parseWrites(text: string): RowWrite[] {
+  return text.split(' ').map((part) => {
+    const [, key, ifVersion, value] = /^(.+)@(\d+)=(.+)$/.exec(part)!;
+    return { key: key!, ifVersion: Number(ifVersion), value: JSON.parse(value!) };
+  });
+}
+
+Given('a row store', function (this: RowStoreWorld) {
+  this.rows = new RowStore();
+});
+
+When(
+  'the row store is written {string} with {string}',
+  function (this: RowStoreWorld, writeId: string, writes: string) {
+    this.answer = this.rows.write(writeId, parseWrites(writes));
+  },
+);
+
+When('the row store is asked about {string}', function (this: RowStoreWorld, writeId: string) {
+  this.answer = this.rows.settle(writeId);
+});
+
+Then('the row store answers {string}', function (this: RowStoreWorld, outcome: string) {
+  assert.equal(this.answer.outcome, outcome);
+});
+
+Then('the row store holds {string}', function (this: RowStoreWorld, keys: string) {
+  const held = this.rows.scan('').map(({ key }) => key);
+  assert.equal(held.join(','), keys);
+});
+
+Then(
+  'the row store has {string} at version {int}',
+  function (this: RowStoreWorld, key: string, version: number) {
+    assert.equal(this.rows.get(key).version, version);
+  },
+);
+
+Then(
+  'a scan of the row store for {string} after {string} finds {string} of {int}',
+  function (this: RowStoreWorld, prefix: string, after: string, keys: string, limit: number) {
+    const found = this.rows.scan(prefix, { after, limit }).map(({ key }) => key);
+    assert.equal(found.join(','), keys);
+  },
+);
--- a/packages/platform/src/memory/row-store.ts
+++ b/packages/platform/src/table/row-store.ts
@@ -47,7 +47,7 @@
     const rows: Row[] = [];
     let at = this.#position(after < prefix ? prefix : after);
     if (this.#keys[at] === after) at += 1;
-    for (; at < this.#keys.length && rows.length < limit; at++) {
+    for (; at < this.#keys.length && rows.length < Math.min(limit, MAX_SCAN_ROWS); at++) {
       const key = this.#keys[at]!;
       if (!key.startsWith(prefix)) break;
       rows.push(this.get(key));
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -6,6 +6,9 @@
 import { startRunner } from './runner/runner.js';
 import { startWorker } from './worker/worker.js';
 
+/** Longest wait of a runner for requests in progress after SIGTERM, in ms. */
+const GRACE_MS = 10_000;
+
 const count = z.coerce.number().int().min(0).optional();
 const text = z.coerce.string().optional();
 
@@ -20,6 +23,7 @@
     .transform((kinds) => kinds.split(','))
     .optional(),
   serviceMs: count,
+  graceMs: count.default(GRACE_MS),
 });
 
 const workerFlagsSchema = z.object({
@@ -55,6 +59,7 @@
   .option('--connections <n>', 'Connections at once')
   .option('--kinds <names>', 'Kinds it serves, with commas between; all if absent')
   .option('--service-ms <ms>', 'Service time where the body names none')
+  .option('--grace-ms <ms>', 'Longest wait for requests in progress after SIGTERM')
   .action((flags: unknown) => host(startRunner(given(runnerFlagsSchema, flags))));
 
 cli
--- a/packages/stand-ins/src/platform/call-stats.ts
+++ b/packages/stand-ins/src/platform/call-stats.ts
@@ -10,10 +10,12 @@
 
   #lastSecond = 0;
 
-  count(now = Date.now()): void {
+  /** Counts a call; answers how many there were in this second so far. */
+  count(now = Date.now()): number {
     this.#roll(now);
     this.#total += 1;
     this.#inSecond += 1;
+    return this.#inSecond;
   }
 
   /** `perSecond` is of the last whole second. */
--- a/packages/stand-ins/src/platform/platform-service.ts
+++ b/packages/stand-ins/src/platform/platform-service.ts
@@ -1,10 +1,10 @@
 /** The platform stand-in's routes over rows and objects in memory. */
-import type { Lifecycle, Request, ResponseToolkit, Server } from '@hapi/hapi';
+import type { Lifecycle, ResponseToolkit, Server } from '@hapi/hapi';
 import { transactionSchema } from '@zincspan/core';
 import { MAX_SCAN_ROWS, RowStore, type SettledWrite } from '@zincspan/platform';
 import { z } from 'zod';
 import { delay } from '../server/delay.js';
-import { MAX_BODY_BYTES, pathParam } from '../server/http-server.js';
+import { MAX_BODY_BYTES, pathParam, type Handler } from '../server/http-server.js';
 import { cutConnection, neverAnswer } from '../server/raw-answer.js';
 import { CallStats } from './call-stats.js';
 import type { PlatformFaults } from './platform-faults.js';
@@ -68,53 +68,53 @@
     ]);
   }
 
-  readonly #getRow: Lifecycle.Method = (req) => this.rows.get(pathParam(req, 'key'));
+  readonly #getRow: Handler = (req) => this.rows.get(pathParam(req, 'key'));
 
-  readonly #scanRows: Lifecycle.Method = (req) => {
+  readonly #scanRows: Handler = (req) => {
     const { prefix, after, limit } = scanQuerySchema.parse(req.query);
     return { rows: this.rows.scan(prefix, { limit, ...(after === undefined ? {} : { after }) }) };
   };
 
-  readonly #transact: Lifecycle.Method = (req, h) => {
+  readonly #transact: Handler = (req, h) => {
     const { writeId, writes } = transactionSchema.parse(req.payload);
     return answerWrite(h, this.rows.write(writeId, writes));
   };
 
-  readonly #settle: Lifecycle.Method = (req, h) => {
+  readonly #settle: Handler = (req, h) => {
     const settled = this.rows.settle(pathParam(req, 'writeId'));
     if (settled.outcome === 'written') return { versions: settled.versions };
     return h.response({ error: 'It never will take effect.' }).code(404);
   };
 
-  readonly #getObject: Lifecycle.Method = (req, h) => {
+  readonly #getObject: Handler = (req, h) => {
     const body = this.#objects.get(pathParam(req, 'key'));
     if (body === undefined) return h.response({ error: 'No such object.' }).code(404);
     return h.response(body).type('application/octet-stream');
   };
 
-  readonly #putObject: Lifecycle.Method = (req, h) => {
+  readonly #putObject: Handler = (req, h) => {
     this.#objects.set(pathParam(req, 'key'), req.payload as Buffer);
     return h.response().code(204);
   };
 
-  #read(handler: Lifecycle.Method): Lifecycle.Method {
+  #read(handler: Handler): Handler {
     return async (req, h) => {
-      this.#reads.count();
-      const fault = await this.#outage(h);
-      return fault ?? callHandler(handler, req, h);
+      const inSecond = this.#reads.count();
+      const fault = await this.#outage(h, inSecond, this.faults.readsPerSecond);
+      return fault ?? handler(req, h);
     };
   }
 
-  #write(handler: Lifecycle.Method): Lifecycle.Method {
+  #write(handler: Handler): Handler {
     return async (req, h) => {
-      this.#writes.count();
-      const fault = await this.#outage(h);
+      const inSecond = this.#writes.count();
+      const fault = await this.#outage(h, inSecond, this.faults.writesPerSecond);
       if (fault !== undefined) return fault;
       if (this.faults.loseWrites > 0) {
         this.faults.loseWrites -= 1;
         return cutConnection(req, h);
       }
-      const answer = callHandler(handler, req, h);
+      const answer = handler(req, h);
       if (this.faults.loseAnswers === 0) return answer;
       this.faults.loseAnswers -= 1;
       return cutConnection(req, h);
@@ -122,22 +122,21 @@
   }
 
   /** The answer of an outage, if there is one. */
-  async #outage(h: ResponseToolkit): Promise<Lifecycle.ReturnValue | undefined> {
+  async #outage(
+    h: ResponseToolkit,
+    inSecond: number,
+    limit: number,
+  ): Promise<Lifecycle.ReturnValue | undefined> {
     await delay(this.faults.slowMs);
     if (this.faults.hang) return neverAnswer(h);
     if (this.faults.down) return h.response({ error: 'The platform is down.' }).code(503);
+    if (limit > 0 && inSecond > limit) {
+      return h.response({ error: `More than ${limit} such calls a second.` }).code(503);
+    }
     return undefined;
   }
 }
 
-function callHandler(
-  handler: Lifecycle.Method,
-  req: Request,
-  h: ResponseToolkit,
-): Lifecycle.ReturnValue {
-  return Reflect.apply(handler, undefined, [req, h]) as Lifecycle.ReturnValue;
-}
-
 function answerWrite(h: ResponseToolkit, result: SettledWrite): Lifecycle.ReturnValue {
   if (result.outcome === 'written') return { versions: result.versions };
   if (result.outcome === 'conflict') return h.response({ rows: result.rows }).code(409);
--- a/packages/stand-ins/src/platform/platform.ts
+++ b/packages/stand-ins/src/platform/platform.ts
@@ -29,5 +29,6 @@
     rows: service.rows,
     stats: () => service.stats(),
     close: () => closeServer(server),
+    kill: () => closeServer(server),
   };
 }
--- a/packages/stand-ins/src/proxy/proxied-connection.ts
+++ b/packages/stand-ins/src/proxy/proxied-connection.ts
@@ -1,5 +1,6 @@
 /** One connection through the lossy proxy. */
 import type { Socket } from 'node:net';
+import { DelayLine } from './delay-line.js';
 import type { ProxyFaults, Silence } from './proxy-faults.js';
 
 /** Bytes both ways between a client and its server, until silenced or cut. */
@@ -46,10 +47,12 @@
   }
 
   #forward(from: Socket, to: Socket, direction: 'to-server' | 'to-client'): void {
-    from.on('data', (bytes) => this.#later(() => this.#pass(bytes, to, direction)));
-    from.on('end', () => this.#later(() => this.#pass(undefined, to, direction)));
+    const line = new DelayLine();
+    const later = (action: () => void) => line.add(this.#faults.delayMs, action);
+    from.on('data', (bytes) => later(() => this.#pass(bytes, to, direction)));
+    from.on('end', () => later(() => this.#pass(undefined, to, direction)));
     from.on('error', () => {});
-    from.on('close', () => this.#later(() => this.#closed(to, direction)));
+    from.on('close', () => later(() => this.#closed(to, direction)));
   }
 
   /** Swallows the bytes, or the end of the stream, if the direction is silenced. */
@@ -64,10 +67,4 @@
     if (!this.#silenced[direction]) to.destroySoon();
     if (this.#client.destroyed && this.#server.destroyed) this.#onClose();
   }
-
-  #later(action: () => void): void {
-    const { delayMs } = this.#faults;
-    if (delayMs === 0) action();
-    else setTimeout(action, delayMs);
-  }
 }
--- a/packages/stand-ins/src/proxy/proxy-server.ts
+++ b/packages/stand-ins/src/proxy/proxy-server.ts
@@ -34,14 +34,16 @@
   });
   await proxy.start();
   await server.start();
+  const close = async () => {
+    await proxy.close();
+    await closeServer(server);
+  };
   return {
     address: proxy.address,
     admin: serverAddress(server),
     proxy,
     faults: proxy.faults,
-    close: async () => {
-      await proxy.close();
-      await closeServer(server);
-    },
+    close,
+    kill: close,
   };
 }
--- a/packages/stand-ins/src/runner/runner-service.ts
+++ b/packages/stand-ins/src/runner/runner-service.ts
@@ -1,4 +1,5 @@
 /** The runner stand-in's routes: slots, service time, faults. */
+import type { Socket } from 'node:net';
 import type { Lifecycle, Request, ResponseToolkit, Server } from '@hapi/hapi';
 import { z } from 'zod';
 import { delay } from '../server/delay.js';
@@ -21,7 +22,9 @@
 
   #inUse = 0;
 
-  #connections = 0;
+  readonly #counted = new Set<Socket>();
+
+  #onIdle: (() => void) | undefined;
 
   constructor(options: { slots: number; serviceMs: number; faults: RunnerFaults }) {
     this.faults = options.faults;
@@ -30,12 +33,9 @@
   }
 
   register(server: Server): void {
-    server.listener.on('connection', (socket) => {
-      this.#connections += 1;
-      this.ledger.maxConnections = Math.max(this.ledger.maxConnections, this.#connections);
-      socket.once('close', () => {
-        this.#connections -= 1;
-      });
+    server.ext('onRequest', (req, h) => {
+      if (req.path.startsWith('/v1/')) this.#countConnection(req.raw.req.socket);
+      return h.continue;
     });
     server.route([
       { method: 'GET', path: '/ledger', handler: () => this.ledger.read() },
@@ -49,6 +49,25 @@
     ]);
   }
 
+  /** Resolves once no request is in progress, after `limitMs` at the latest. */
+  async idle(limitMs: number): Promise<void> {
+    if (this.#inUse === 0 || limitMs === 0) return;
+    await Promise.race([
+      delay(limitMs),
+      new Promise<void>((resolve) => {
+        this.#onIdle = resolve;
+      }),
+    ]);
+  }
+
+  /** Counts connections that carry calls of a guard; those that only read the ledger aren't its doing. */
+  #countConnection(socket: Socket): void {
+    if (this.#counted.has(socket)) return;
+    this.#counted.add(socket);
+    this.ledger.maxConnections = Math.max(this.ledger.maxConnections, this.#counted.size);
+    socket.once('close', () => this.#counted.delete(socket));
+  }
+
   #health(h: ResponseToolkit): Lifecycle.ReturnValue {
     if (this.faults.freeze) return neverAnswer(h);
     return { slots: this.#slots, inUse: this.#inUse };
@@ -65,6 +84,7 @@
       return await this.#run(req, h);
     } finally {
       this.#inUse -= 1;
+      if (this.#inUse === 0) this.#onIdle?.();
     }
   }
 
--- a/packages/stand-ins/src/runner/runner.ts
+++ b/packages/stand-ins/src/runner/runner.ts
@@ -16,6 +16,8 @@
   kinds?: string[];
   /** Service time where the body names none, in ms. */
   serviceMs?: number;
+  /** Longest wait for requests in progress on a planned stop, in ms. */
+  graceMs?: number;
   /** `IP:port` of the guard to announce itself to. */
   guard?: string;
   faults?: Partial<RunnerFaults>;
@@ -35,6 +37,7 @@
   connections = 60,
   kinds = [],
   serviceMs = 10,
+  graceMs = 0,
   guard,
   faults = {},
 }: RunnerOptions = {}): Promise<RunnerStandIn> {
@@ -50,6 +53,10 @@
   const runner = runnerSchema.parse({ type: 'runner', id, address, slots, connections, kinds });
   const announcer = guard === undefined ? undefined : new Announcer({ guard, upstream: runner });
   void announcer?.start();
+  const kill = async () => {
+    announcer?.fallSilent();
+    await closeServer(server);
+  };
   return {
     address,
     runner,
@@ -57,7 +64,9 @@
     ledger: () => service.ledger.read(),
     close: async () => {
       await announcer?.withdraw();
-      await closeServer(server);
+      await service.idle(graceMs);
+      await kill();
     },
+    kill,
   };
 }
--- a/packages/stand-ins/src/server/announcer.ts
+++ b/packages/stand-ins/src/server/announcer.ts
@@ -16,7 +16,7 @@
 
   #timer: NodeJS.Timeout | undefined;
 
-  #withdrawn = false;
+  #ended = false;
 
   constructor({ guard, upstream }: { guard: string; upstream: Upstream }) {
     this.#url = `http://${guard}/v1/upstream`;
@@ -26,17 +26,22 @@
   /** Announces now and every two seconds. Resolves after the first try. */
   async start(): Promise<void> {
     await this.#send('POST', this.#upstream);
-    if (this.#withdrawn) return;
+    if (this.#ended) return;
     this.#timer = setTimeout(() => {
       void this.start();
     }, REPEAT_MS);
   }
 
+  /** Stops announcing without telling the guard, as a crash does. */
+  fallSilent(): void {
+    this.#ended = true;
+    clearTimeout(this.#timer);
+  }
+
   /** Stops announcing and tells the guard, once. */
   async withdraw(): Promise<void> {
-    if (this.#withdrawn) return;
-    this.#withdrawn = true;
-    clearTimeout(this.#timer);
+    if (this.#ended) return;
+    this.fallSilent();
     await this.#send('DELETE');
   }
 
--- a/packages/stand-ins/src/server/http-server.ts
+++ b/packages/stand-ins/src/server/http-server.ts
@@ -11,6 +11,12 @@
   faults: Faults;
 }
 
+/** Answers one route. */
+export type Handler = (
+  req: Hapi.Request,
+  h: Hapi.ResponseToolkit,
+) => Hapi.Lifecycle.ReturnValue | Promise<Hapi.Lifecycle.ReturnValue>;
+
 /** Host and port of `IP:port`; port 0 takes any free one. */
 export function parseListen(listen: string): { host: string; port: number } {
   const at = listen.lastIndexOf(':');
--- a/packages/stand-ins/src/server/stand-in.ts
+++ b/packages/stand-ins/src/server/stand-in.ts
@@ -5,6 +5,8 @@
   /** `IP:port` it listens on. */
   readonly address: string;
   readonly faults: Faults;
-  /** Ends it at once: withdraws from its guard, cuts its connections. */
+  /** A planned stop: withdraws from its guard, then ends. */
   close(): Promise<void>;
+  /** A crash: cuts its connections without a word. */
+  kill(): Promise<void>;
 }
--- a/packages/stand-ins/src/worker/task-params.ts
+++ b/packages/stand-ins/src/worker/task-params.ts
@@ -9,6 +9,8 @@
   fail: z.boolean().default(false),
   /** How long a checkpoint takes. */
   checkpointMs: z.number().min(0).default(5),
+  /** From the order to stop until it has stopped; it runs on meanwhile. */
+  stopMs: z.number().min(0).default(0),
   /** What it truly uses, where that differs from what was declared. */
   useCores: z.optional(z.number().min(0)),
   useMemoryMb: z.optional(z.number().min(0)),
--- a/packages/stand-ins/src/worker/task-progress.ts
+++ b/packages/stand-ins/src/worker/task-progress.ts
@@ -30,6 +30,7 @@
 
   /** When it reaches 1; never at speed 0. */
   get endsAt(): number {
+    if (this.#speed === 0) return Infinity;
     return this.#since + ((1 - this.#base) * this.#runMs) / this.#speed;
   }
 
--- a/packages/stand-ins/src/worker/worker-routes.ts
+++ b/packages/stand-ins/src/worker/worker-routes.ts
@@ -3,7 +3,7 @@
 import { workerTaskSchema, type Worker } from '@zincspan/core';
 import { z } from 'zod';
 import { delay } from '../server/delay.js';
-import { pathParam } from '../server/http-server.js';
+import { pathParam, type Handler } from '../server/http-server.js';
 import { neverAnswer } from '../server/raw-answer.js';
 import { checkpointRef } from './task-params.js';
 import type { TaskSet } from './task-set.js';
@@ -34,13 +34,13 @@
 /** All routes of the worker, `/ledger` included. */
 export function workerRoutes({ tasks, faults, describe }: WorkerRoutesOptions): ServerRoute[] {
   const underFaults =
-    (handler: Lifecycle.Method): Lifecycle.Method =>
+    (handler: Handler): Handler =>
     async (req, h) => {
       await delay(faults.slowMs);
       if (faults.freeze) return neverAnswer(h);
       return Reflect.apply(handler, undefined, [req, h]) as Lifecycle.ReturnValue;
     };
-  const onTask = (handler: TaskHandler): Lifecycle.Method =>
+  const onTask = (handler: TaskHandler): Handler =>
     underFaults((req, h) => {
       const task = tasks.find(pathParam(req, 'task'));
       if (task === undefined) return answerError(h, 404, 'No such task.');
@@ -61,7 +61,7 @@
   ];
 }
 
-function prepareHandler(tasks: TaskSet): Lifecycle.Method {
+function prepareHandler(tasks: TaskSet): Handler {
   return (req, h) => {
     const task = tasks.prepare(workerTaskSchema.parse(req.payload));
     if (task === undefined) return answerError(h, 409, 'Its accelerators are not free.');
@@ -69,7 +69,7 @@
   };
 }
 
-function eventsHandler(tasks: TaskSet): Lifecycle.Method {
+function eventsHandler(tasks: TaskSet): Handler {
   return async (req) => {
     const { after, waitMs } = eventsQuerySchema.parse(req.query);
     const changed = tasks.changedSince(after);
@@ -117,7 +117,8 @@
 }
 
 function stopHandler(tasks: TaskSet): TaskHandler {
-  return (task) => {
+  return async (task) => {
+    await delay(task.ended ? 0 : task.params.stopMs);
     tasks.change(task, () => task.stop());
     return task.status();
   };
--- a/packages/stand-ins/src/worker/worker.ts
+++ b/packages/stand-ins/src/worker/worker.ts
@@ -66,6 +66,11 @@
   const worker = describe();
   const announcer = guard === undefined ? undefined : new Announcer({ guard, upstream: worker });
   void announcer?.start();
+  const kill = async () => {
+    announcer?.fallSilent();
+    tasks.close();
+    await closeServer(server);
+  };
   return {
     address: worker.address,
     worker,
@@ -73,8 +78,8 @@
     ledger: () => tasks.ledger.read(),
     close: async () => {
       await announcer?.withdraw();
-      tasks.close();
-      await closeServer(server);
+      await kill();
     },
+    kill,
   };
 }
