Link entries with guards and with each other

Entry took its links as an interface only. linkMesh fills it with a LinkServer and dialers: of two entries the one with the lower id dials, so that there is one link between them.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -77,7 +77,13 @@
     registerHealthRoutes(this.server, { bundles, isDraining: deps.isDraining });
     this.#apps.forEach((app) => app.routes?.(this.server));
     const handlers: Handlers = mergeHandlers(this.#apps);
-    this.#links = links?.({ ctx, settings, handlers, onPeer: (peer) => this.#onPeer(peer) });
+    this.#links = links?.({
+      ctx,
+      settings,
+      handlers,
+      bundleVersion: () => bundles.current?.head.version ?? 0,
+      onPeer: (peer) => this.#onPeer(peer),
+    });
   }
 
   /** Listens for links, then starts the parts, then listens for callers. */
@@ -110,6 +116,11 @@
     this.#note('entry.stopped');
   }
 
+  /** Where guards and other entries link to, once started. */
+  get linkAddress(): string | undefined {
+    return this.#links?.address;
+  }
+
   /** Status of every part by its name. */
   status(): Record<string, unknown> {
     const parts = this.#apps.map((app) => [app.name, app.status?.() ?? {}]);
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -10,6 +10,7 @@
 export * from './mesh/entry-mesh.js';
 export * from './entry.js';
 export * from './mesh/entry-links.js';
+export * from './mesh/link-mesh.js';
 export * from './bundle/app.js';
 export * from './bundle/head-watch.js';
 export * from './operator/app.js';
--- a/packages/entry/src/mesh/entry-links.ts
+++ b/packages/entry/src/mesh/entry-links.ts
@@ -3,6 +3,8 @@
 
 /** Listens for guards and entries, and dials entries. */
 export interface EntryLinks {
+  /** Where it listens, once started. */
+  readonly address: string;
   start(): Promise<void>;
   close(): Promise<void>;
 }
@@ -12,5 +14,7 @@
   ctx: ProcessContext;
   settings: EntrySettings;
   handlers: Handlers;
+  /** Told to peers with each heartbeat; 0 while no bundle is in force. */
+  bundleVersion: () => number;
   onPeer: (peer: Peer) => void;
 }) => EntryLinks;
--- a/packages/entry/src/testing/entry-world.support.ts
+++ b/packages/entry/src/testing/entry-world.support.ts
@@ -16,6 +16,7 @@
 import type { BundleInForce, BundleSource } from '../bundle-source.js';
 import { Entry } from '../entry.js';
 import type { EntryAppFactory } from '../app.js';
+import type { EntryLinksFactory } from '../mesh/entry-links.js';
 import { FakePeer } from './fake-peer.support.js';
 
 export const TOKEN = 'token-of-tuul';
@@ -95,7 +96,7 @@
 }
 
 export class EntryWorld {
-  readonly ctx = testContext();
+  readonly ctx: ReturnType<typeof testContext>;
 
   readonly table = new MemoryTable();
 
@@ -105,7 +106,15 @@
 
   entry!: Entry;
 
-  build({ settings = {}, apps = [] }: { settings?: object; apps?: EntryAppFactory[] } = {}): void {
+  constructor({ id = 'entry-a' }: { id?: string } = {}) {
+    this.ctx = testContext(id);
+  }
+
+  build({
+    settings = {},
+    apps = [],
+    links,
+  }: { settings?: object; apps?: EntryAppFactory[]; links?: EntryLinksFactory } = {}): void {
     this.entry = new Entry({
       ctx: this.ctx,
       settings: testSettings({ ...settings }),
@@ -113,6 +122,7 @@
       objectStore: new MemoryObjectStore(),
       bundles: this.bundles,
       apps,
+      ...(links === undefined ? {} : { links }),
     });
   }
 
