Run jobs and claims under one owner per failure domain

Cause: nothing yet turned a submitted job into a gang on its workers. Change: the job row's state machine, the state machine of one attempt, lease keeper, owner loop, recovery, and the caller API of jobs and claims. Conclusion: the path from submission to the final row works on fake guards that use the real reservation book; claims, recovery and hand-over have no scenarios of their own yet.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -17,3 +17,4 @@
 export * from './operator/operator-auth.js';
 export * from './operator/rollout.js';
 export * from './operator/proposals.js';
+export * from './owner/app.js';
--- /dev/null
+++ b/packages/entry/src/owner/domain-owner.ts
@@ -0,0 +1,379 @@
+/**
+ * One ownership of a failure domain: a loop that feeds events to the scheduler and carries its decisions out.
+ * It ends for good when the lease is lost; the next one is a new object with a higher term.
+ */
+import {
+  toProblem,
+  type Bundle,
+  type Decision,
+  type DomainScheduler,
+  type JobRow,
+  type MethodReq,
+  type ProcessContext,
+  type SchedulerEvent,
+  type SchedulerSummary,
+  type Shape,
+  type Table,
+  type TaskEnd,
+} from '@zincspan/core';
+import type { BundleSource } from '../bundle-source.js';
+import { ClaimKeeper } from '../claim/claim-keeper.js';
+import { ClaimStore } from '../claim/claim-store.js';
+import type { KnownWorkers } from '../job/known-workers.js';
+import { JobStore } from '../job/job-store.js';
+import type { RowWatch } from '../job/row-watch.js';
+import { DEFAULT_LIMITS, type AttemptLimits } from './attempt-runner.js';
+import { GuardOrders } from './guard-orders.js';
+import { JobKeeper } from './job-keeper.js';
+import type { Ownership } from './ownership.js';
+import { recover, reconcile, rescan } from './recovery.js';
+import { SystemTimers, type Timers } from './timers.js';
+import { WorkerWatch, type OwnerDirectory } from './worker-watch.js';
+import { WriteQueue } from './write-queue.js';
+
+/** Time between two looks for jobs whose notification was lost, in ms. */
+const RESCAN_MS = 10_000;
+
+/** A refusal that rests on workers not known yet is thought over after this long, in ms. */
+const RECONSIDER_MS = 10_000;
+
+/** Makes a scheduler; the real one is `createScheduler` of @zincspan/core. */
+export type SchedulerFactory = (options: {
+  failureDomain: string;
+  bundle: Bundle;
+}) => DomainScheduler;
+
+/** What an ownership is made from. */
+export interface DomainOwnerOptions {
+  failureDomain: string;
+  term: number;
+  ctx: ProcessContext;
+  table: Table;
+  bundles: BundleSource;
+  directory: OwnerDirectory;
+  knownWorkers: KnownWorkers;
+  createScheduler: SchedulerFactory;
+  watch: RowWatch;
+  onStaleTerm: () => void;
+  /** Whether the table is known to be down: placements wait, as they couldn't be written. */
+  isStoreDown?: () => boolean;
+  timers?: Timers;
+  limits?: AttemptLimits;
+}
+
+/** Owner of one failure domain under one term. */
+export class DomainOwner {
+  readonly failureDomain: string;
+
+  readonly term: number;
+
+  readonly #options: DomainOwnerOptions;
+
+  readonly #ctx: ProcessContext;
+
+  readonly #timers: Timers;
+
+  readonly #closing = new AbortController();
+
+  readonly #own: Ownership;
+
+  readonly #jobs: JobKeeper;
+
+  readonly #claims: ClaimKeeper;
+
+  #scheduler: DomainScheduler | undefined;
+
+  #open = false;
+
+  #pumping = false;
+
+  #deferred: Decision[] = [];
+
+  #cancelTimer: (() => void) | undefined;
+
+  #cancelRescan: (() => void) | undefined;
+
+  #unsubscribe: (() => void) | undefined;
+
+  constructor(options: DomainOwnerOptions) {
+    this.#options = options;
+    this.failureDomain = options.failureDomain;
+    this.term = options.term;
+    this.#ctx = options.ctx;
+    this.#timers = options.timers ?? new SystemTimers();
+    this.#own = this.#ownership(options);
+    this.#jobs = new JobKeeper(this.#own);
+    this.#claims = new ClaimKeeper(this.#own, { isInUse: (key) => this.#jobs.isWithin(key) });
+  }
+
+  /** Rebuilds the view, settles what is found half-way, and starts deciding. */
+  async open(): Promise<void> {
+    const { bundles } = this.#options;
+    this.#unsubscribe = bundles.subscribe(() => this.#bundleChanged());
+    if (bundles.current === undefined) return;
+    await this.#begin(bundles.current.bundle);
+  }
+
+  /** Stops deciding at once. What runs goes on running for the next owner to find. */
+  close(): void {
+    this.#closing.abort();
+    this.#unsubscribe?.();
+    this.#cancelTimer?.();
+    this.#cancelRescan?.();
+    this.#own.workers.stop();
+    this.#jobs.close();
+    this.#claims.close();
+  }
+
+  /** Figures of the scheduler, once there is one. */
+  summary(): SchedulerSummary | undefined {
+    return this.#scheduler?.summary(this.#ctx.clock.wall());
+  }
+
+  /** Expected time until a job of this shape would start, in ms, once there is a scheduler. */
+  expectedWaitMs(account: string, kind: string, shape: Shape): number | undefined {
+    return this.#scheduler?.expectedWaitMs(account, kind, shape, this.#ctx.clock.wall());
+  }
+
+  /** Takes a job that was just written, here or by another entry. */
+  jobQueued(row: JobRow, version: number): void {
+    if (this.#open) this.#jobs.adopt({ row, version });
+  }
+
+  /** Cancels a job whose row says so. */
+  async cancelJob(key: string): Promise<'not-run' | 'ran' | 'unknown'> {
+    await this.#jobs.cancel(key);
+    return this.#jobs.ran(key);
+  }
+
+  /** Cancels a job of which nothing is reserved. False if it isn't one. */
+  async cancelQueued(key: string): Promise<boolean> {
+    return this.#open && (await this.#jobs.cancelQueued(key));
+  }
+
+  /** Reads a claim again that a caller has made or released. */
+  async claimChanged(account: string, id: string): Promise<void> {
+    if (this.#open) await this.#claims.changed(account, id);
+  }
+
+  /** A guard says that a member is prepared. */
+  taskReady({ ref, incarnation }: MethodReq<'task.ready'>): void {
+    const runner = this.#jobs.runner(ref.key);
+    if (runner?.attempt === ref.attempt) runner.memberReady(ref.member, incarnation);
+  }
+
+  /** A guard says that a member has ended. One that no attempt waits for may be forgotten. */
+  taskEnded(end: TaskEnd, guard: string): void {
+    if (this.#jobs.memberEnded(end) || this.#claims.memberEnded(end)) return;
+    if (!this.#open) return;
+    const to = { guard, incarnation: end.incarnation };
+    void this.#own.orders.send(to, 'gang.forget', { ref: end.ref });
+  }
+
+  /** Lagged usage of running tasks. */
+  taskUsage({ usages }: MethodReq<'task.usage'>): void {
+    usages.forEach(({ ref, cores, memoryMb, progress }) => {
+      if (this.#jobs.runner(ref.key)?.attempt !== ref.attempt) return;
+      const { key, member } = ref;
+      this.#own.post({ type: 'job-usage', key, member, cores, memoryMb, progress });
+    });
+  }
+
+  /** The table answers again: decisions that waited for it are carried out. */
+  storeIsBack(): void {
+    this.#wake();
+  }
+
+  #ownership(options: DomainOwnerOptions): Ownership {
+    const { failureDomain, term, ctx, table, bundles, directory, watch, onStaleTerm } = options;
+    const writer = new WriteQueue({ table, metrics: ctx.metrics });
+    const post = (event: SchedulerEvent): void => this.#post(event);
+    const onGuard = (guard: string): void => this.#guardChanged(guard);
+    return {
+      failureDomain,
+      term,
+      ctx,
+      bundles,
+      jobs: new JobStore({ table, writer }),
+      claims: new ClaimStore({ table, writer }),
+      workers: new WorkerWatch({ failureDomain, directory, post, onGuard }),
+      orders: new GuardOrders({ failureDomain, term, directory, onStaleTerm }),
+      timers: this.#timers,
+      limits: options.limits ?? DEFAULT_LIMITS,
+      watch,
+      signal: this.#closing.signal,
+      post,
+    };
+  }
+
+  async #begin(bundle: Bundle): Promise<void> {
+    const { createScheduler, failureDomain } = this.#options;
+    this.#scheduler = createScheduler({ failureDomain, bundle });
+    this.#own.workers.start();
+    await recover(this.#own, this.#jobs, this.#claims);
+    if (this.#closing.signal.aborted) return;
+    this.#open = true;
+    this.#ctx.timeline.record('owner.open', failureDomain, {
+      term: this.term,
+      jobs: this.#jobs.size,
+      claims: this.#claims.size,
+    });
+    this.#planRescan();
+    this.#wake();
+  }
+
+  #bundleChanged(): void {
+    const bundle = this.#options.bundles.current?.bundle;
+    if (bundle === undefined || this.#closing.signal.aborted) return;
+    if (this.#scheduler === undefined) void this.#begin(bundle);
+    else this.#post({ type: 'bundle', bundle });
+  }
+
+  #guardChanged(guard: string): void {
+    this.#jobs.guardChanged(guard);
+    if (this.#open) void reconcile(this.#own, this.#jobs, this.#claims, guard);
+  }
+
+  #post(event: SchedulerEvent): void {
+    if (this.#closing.signal.aborted || this.#scheduler === undefined) return;
+    this.#scheduler.apply(event, this.#ctx.clock.wall());
+    if (event.type === 'job-ended') this.#claims.jobEnded();
+    this.#wake();
+  }
+
+  /** Decides soon, once for all that happens until then. */
+  #wake(): void {
+    if (this.#pumping || !this.#open) return;
+    this.#pumping = true;
+    queueMicrotask(() => {
+      this.#pumping = false;
+      this.#pump();
+    });
+  }
+
+  #pump(): void {
+    if (this.#closing.signal.aborted || this.#scheduler === undefined) return;
+    this.#cancelTimer?.();
+    const now = this.#ctx.clock.wall();
+    const decisions = [...this.#deferred, ...this.#scheduler.decide(now)];
+    this.#deferred = [];
+    decisions.forEach((decision) => this.#carryOut(decision));
+    const next = this.#scheduler.nextDecisionAt(now);
+    if (next === undefined) return;
+    this.#cancelTimer = this.#timers.after(Math.max(1, next - now), () => this.#wake());
+  }
+
+  #carryOut(decision: Decision): void {
+    this.#ctx.metrics.count(`decision.${decision.type}`);
+    switch (decision.type) {
+      case 'place':
+      case 'hold':
+      case 'evict':
+      case 'refuse':
+        if (this.#options.isStoreDown?.() === true) this.#deferred.push(decision);
+        else this.#act(decision);
+        break;
+      case 'throttle':
+        void this.#jobs.runner(decision.key)?.throttle(decision.member, decision.cores);
+        break;
+      default:
+        this.#announce(decision);
+    }
+  }
+
+  #act(decision: Extract<Decision, { type: 'place' | 'hold' | 'evict' | 'refuse' }>): void {
+    switch (decision.type) {
+      case 'place':
+        this.#place(decision);
+        break;
+      case 'hold':
+        this.#claims.hold(decision);
+        break;
+      case 'evict':
+        this.#jobs.evict(decision);
+        break;
+      case 'refuse':
+        this.#refuse(decision);
+        break;
+      default:
+        decision satisfies never;
+    }
+  }
+
+  #place(decision: Extract<Decision, { type: 'place' }>): void {
+    const { key, within } = decision;
+    if (within === undefined || this.#claims.isOpen(within)) {
+      this.#jobs.place(decision);
+      return;
+    }
+    this.#own.post({ type: 'job-unplaced', key });
+    void this.#jobs.refuse(key, claimReleased(within));
+  }
+
+  /** A refusal is final, so one that rests on the workers known is checked against those seen lately. */
+  #refuse({ key, problem }: Extract<Decision, { type: 'refuse' }>): void {
+    if (this.#claims.has(key)) {
+      void this.#claims.refuse(key, problem.detail);
+      return;
+    }
+    const shape = this.#jobs.shape(key);
+    const { knownWorkers, failureDomain } = this.#options;
+    const doubtful = problem.kind === 'never-fits' && shape !== undefined;
+    if (doubtful && knownWorkers.mayFit(failureDomain, shape)) {
+      this.#timers.after(RECONSIDER_MS, () => this.#jobs.enqueueAgain(key));
+      return;
+    }
+    void this.#jobs.refuse(key, problem);
+  }
+
+  #announce(
+    decision: Extract<Decision, { type: 'quarantine' | 'late' | 'guarantee-broken' }>,
+  ): void {
+    const { timeline, log } = this.#ctx;
+    switch (decision.type) {
+      case 'quarantine':
+        timeline.record('worker.quarantined', decision.worker, { why: decision.why });
+        log.warn({ worker: decision.worker, why: decision.why }, 'worker quarantined');
+        break;
+      case 'late':
+        timeline.record('job.late', decision.key, {
+          job: decision.key,
+          expectedAt: decision.expectedAt,
+          contractAt: decision.contractAt,
+        });
+        break;
+      case 'guarantee-broken':
+        timeline.record('guarantee.broken', decision.guarantee, { why: decision.why });
+        log.warn({ guarantee: decision.guarantee, why: decision.why }, 'guarantee broken');
+        break;
+      default:
+        decision satisfies never;
+    }
+  }
+
+  #planRescan(): void {
+    this.#cancelRescan = this.#timers.after(RESCAN_MS, () => {
+      void this.#rescan();
+    });
+  }
+
+  async #rescan(): Promise<void> {
+    try {
+      if (this.#options.isStoreDown?.() !== true) {
+        await rescan(this.#own, this.#jobs, this.#claims);
+      }
+    } catch (err) {
+      this.#ctx.metrics.count('owner.rescan-failed', 1, { kind: toProblem(err).kind });
+    }
+    if (!this.#closing.signal.aborted) this.#planRescan();
+  }
+}
+
+function claimReleased(claim: string) {
+  return {
+    kind: 'conflict' as const,
+    ran: 'not-run' as const,
+    detail: `Its claim ${claim} is released.`,
+    remedy: 'Claim the shape again and submit the job with the new claim.',
+  };
+}
--- /dev/null
+++ b/packages/entry/src/owner/handlers.ts
@@ -0,0 +1,54 @@
+/** What guards and other entries tell the owner of a failure domain. */
+import { ProblemError, problem, type Handlers, type Peer } from '@zincspan/core';
+import type { DomainOwner } from './domain-owner.js';
+import type { Owners } from './owners.js';
+
+/** Handlers of all messages to owners. */
+export function ownerHandlers(owners: Owners): Handlers {
+  return {
+    'task.ready': (req, peer) => {
+      ownerFor(owners, peer).taskReady(req);
+      return {};
+    },
+    'task.ended': (req, peer) => {
+      ownerFor(owners, peer).taskEnded(req, peer.process.id);
+      return {};
+    },
+    'task.usage': (req, peer) => {
+      ownerFor(owners, peer).taskUsage(req);
+      return {};
+    },
+    'job.queued': ({ row, version }) => {
+      ownerOf(owners, row.failureDomain).jobQueued(row, version);
+      return {};
+    },
+    'job.cancel': async ({ account, id }) => ({ ran: await owners.cancelHere(account, id) }),
+    'claim.changed': async ({ account, id }) => {
+      await Promise.all(owners.all().map((owner) => owner.claimChanged(account, id)));
+      return {};
+    },
+    'owner.changed': async ({ failureDomain }) => {
+      await owners.ownerChanged(failureDomain);
+      return {};
+    },
+  };
+}
+
+/** The owner that a guard means: that of its own failure domain. */
+function ownerFor(owners: Owners, { process }: Peer): DomainOwner {
+  return ownerOf(owners, process.failureDomain);
+}
+
+function ownerOf(owners: Owners, failureDomain: string): DomainOwner {
+  const owner = owners.local(failureDomain);
+  if (owner !== undefined) return owner;
+  const holder = owners.holder(failureDomain) ?? 'nobody yet';
+  throw new ProblemError(
+    problem('not-owner', {
+      detail: `This entry doesn't own failure domain ${failureDomain}; its holder is ${holder}.`,
+      remedy: 'Tell the holder, or wait for its orders.',
+      ran: 'unknown',
+      facts: { failureDomain, holder },
+    }),
+  );
+}
--- /dev/null
+++ b/packages/entry/src/owner/member-driver.ts
@@ -0,0 +1,260 @@
+/**
+ * Carries out the orders for one member of an attempt on its guard, again and again until each has surely been
+ * answered, its guard has been replaced, or the guard has been silent for so long that the member's lease is over.
+ */
+import {
+  type AttemptEvent,
+  type AttemptRef,
+  type Clock,
+  type Member,
+  type TaskEnd,
+  type TaskSpec,
+} from '@zincspan/core';
+import type { GuardOrders, OrderResult } from './guard-orders.js';
+import { backoffMs, pause, type Timers } from './timers.js';
+
+/** A member and the guard incarnation that it was given to. */
+export interface PlacedMember extends Member {
+  guard: string;
+  incarnation: string;
+}
+
+/** What the members of one attempt have in common. Times in ms. */
+export interface MemberDriverOptions {
+  placed: PlacedMember;
+  ref: AttemptRef;
+  /** Absent: accelerators are held for a claim and nothing is run. */
+  task?: TaskSpec | undefined;
+  within?: string | undefined;
+  ttlMs: number;
+  /** Silence of a guard after which a lease that it renews has surely ended. */
+  lostAfterMs: number;
+  orders: GuardOrders;
+  timers: Timers;
+  clock: Clock;
+  tell: (event: AttemptEvent) => void;
+}
+
+/** Outcome of one try: over, again soon, or again only to renew. */
+type Try = 'over' | 'again' | 'renew';
+
+/** Order under way for one member; a newer order replaces an older one. */
+export class MemberDriver {
+  readonly #options: MemberDriverOptions;
+
+  #round = new AbortController();
+
+  #ready = false;
+
+  #started = false;
+
+  #stopping: { checkpoint: boolean; limitMs: number } | undefined;
+
+  #silentSince: number | undefined;
+
+  #placed: PlacedMember;
+
+  constructor(options: MemberDriverOptions) {
+    this.#options = options;
+    this.#placed = options.placed;
+  }
+
+  get placed(): PlacedMember {
+    return this.#placed;
+  }
+
+  get isReady(): boolean {
+    return this.#ready;
+  }
+
+  /** Reserves, and keeps the reservation alive until it is started or stopped. */
+  reserve(): void {
+    this.#drive(() => this.#tryReserve());
+  }
+
+  /** Passes the barrier. A claim's hold has none: it is kept by renewal. */
+  start(): void {
+    this.#started = true;
+    if (this.#options.task === undefined) return;
+    this.#drive(() => this.#tryStart());
+  }
+
+  /** Stops or releases the member until it surely runs no more. */
+  stop(how: { checkpoint: boolean; limitMs: number }): void {
+    this.#stopping = how;
+    this.#drive(() => this.#tryStop(this.#placed.incarnation));
+  }
+
+  /** The guard said by itself that the member is ready. */
+  ready(): void {
+    if (this.#ready || this.#stopping !== undefined) return;
+    this.#ready = true;
+    this.#options.tell({ type: 'member-ready', member: this.#placed.member });
+  }
+
+  /** The guard said by itself that the member has ended. */
+  ended(end: TaskEnd): void {
+    this.close();
+    this.#options.tell({ type: 'member-ended', member: this.#placed.member, end });
+  }
+
+  /** Something happened to the guard: asks it again how the member stands. */
+  probe(): void {
+    if (this.#round.signal.aborted || this.#stopping !== undefined) return;
+    if (this.#started && this.#options.task !== undefined) this.#drive(() => this.#tryStart());
+  }
+
+  /** The end is written down: the guard need not remember it. */
+  async forget(): Promise<void> {
+    const { orders, ref } = this.#options;
+    const placed = this.#placed;
+    const incarnation = orders.incarnation(placed.guard) ?? placed.incarnation;
+    await orders.send({ guard: placed.guard, incarnation }, 'gang.forget', { ref });
+  }
+
+  /** Limits a running task to this many cores. */
+  async throttle(cores: number): Promise<void> {
+    const { orders, ref } = this.#options;
+    const placed = this.#placed;
+    await orders.send(placed, 'gang.throttle', { ref, cores });
+  }
+
+  /** Gives no more orders. */
+  close(): void {
+    this.#round.abort();
+  }
+
+  #drive(attempt: () => Promise<Try>): void {
+    this.#round.abort();
+    this.#round = new AbortController();
+    void this.#loop(attempt, this.#round.signal);
+  }
+
+  async #loop(attempt: () => Promise<Try>, signal: AbortSignal): Promise<void> {
+    const { timers, ttlMs } = this.#options;
+    for (let tries = 0; !signal.aborted; tries += 1) {
+      const outcome = this.#isReplaced() ? await this.#tryReplaced() : await attempt();
+      if (outcome === 'over' || signal.aborted) return;
+      if (this.#isSurelyOver()) this.#lose('Its guard has been silent for too long.');
+      else await pause(timers, outcome === 'renew' ? ttlMs / 3 : backoffMs(tries), signal);
+    }
+  }
+
+  async #tryReserve(): Promise<Try> {
+    const { orders, ref, ttlMs, task, within } = this.#options;
+    const { guard, incarnation, ...member } = this.#placed;
+    const { signal } = this.#round;
+    const result = await orders.send({ guard, incarnation }, 'gang.reserve', {
+      ref,
+      member,
+      ttlMs,
+      ...(task === undefined ? {} : { task }),
+      ...(within === undefined ? {} : { within }),
+    });
+    if (signal.aborted) return 'over';
+    this.#noteSilence(result);
+    if (result.type === 'refused') return this.#drop(result.problem.detail);
+    if (result.type !== 'done') return 'again';
+    const { state } = result.res;
+    if (state === 'preparing') return 'renew';
+    if (state !== 'ready' && state !== 'held') return this.#drop(`Its reservation is ${state}.`);
+    this.ready();
+    return 'renew';
+  }
+
+  async #tryStart(): Promise<Try> {
+    const { orders, ref } = this.#options;
+    const placed = this.#placed;
+    const { signal } = this.#round;
+    const result = await orders.send(placed, 'gang.start', { ref });
+    if (signal.aborted) return 'over';
+    this.#noteSilence(result);
+    // Whatever the reason: once it is surely stopped the attempt can go on with its end.
+    if (result.type === 'refused') return this.#tryStop(placed.incarnation);
+    if (result.type !== 'done') return 'again';
+    const { state, end } = result.res;
+    if (state === 'ended') return end === undefined ? 'again' : this.#over(end);
+    return state === 'running' || state === 'stopping' ? 'over' : 'again';
+  }
+
+  async #tryStop(incarnation: string): Promise<Try> {
+    const { orders, ref } = this.#options;
+    const placed = this.#placed;
+    const { checkpoint, limitMs } = this.#stopping ?? { checkpoint: false, limitMs: 0 };
+    const { signal } = this.#round;
+    const to = { guard: placed.guard, incarnation };
+    const req = { ref, checkpoint, limitMs };
+    const result = await orders.send(to, 'gang.stop', req, { extraMs: limitMs });
+    if (signal.aborted) return 'over';
+    if (result.type !== 'done') {
+      this.#noteSilence({ type: 'lost' });
+      return 'again';
+    }
+    return this.#over(result.res);
+  }
+
+  /**
+   * The guard was restarted. It may have found the task running on its worker and goes on with it; else its answer
+   * bars the attempt there.
+   */
+  async #tryReplaced(): Promise<Try> {
+    const { orders, ref, task } = this.#options;
+    const { guard } = this.#placed;
+    const incarnation = orders.incarnation(guard) ?? this.#placed.incarnation;
+    const mayGoOn = this.#started && this.#stopping === undefined && task !== undefined;
+    if (!mayGoOn) return this.#tryStop(incarnation);
+    const { signal } = this.#round;
+    const result = await orders.send({ guard, incarnation }, 'gang.start', { ref });
+    if (signal.aborted) return 'over';
+    this.#noteSilence(result);
+    if (result.type === 'refused') return this.#tryStop(incarnation);
+    if (result.type !== 'done') return 'again';
+    const { state, end } = result.res;
+    if (state === 'ended') return end === undefined ? 'again' : this.#over(end);
+    this.#placed = { ...this.#placed, incarnation };
+    return 'over';
+  }
+
+  #isReplaced(): boolean {
+    const { orders } = this.#options;
+    const placed = this.#placed;
+    const incarnation = orders.incarnation(placed.guard);
+    return incarnation !== undefined && incarnation !== placed.incarnation;
+  }
+
+  #over(end: TaskEnd): Try {
+    const forgotten = end.outcome === 'never-started' && this.#isReplaced() && this.#started;
+    if (forgotten) return this.#lose('Its guard was restarted and knows nothing of it.');
+    this.ended(end);
+    return 'over';
+  }
+
+  /** The reservation is gone without having been started. */
+  #drop(detail: string): Try {
+    const { tell, ref } = this.#options;
+    const { member, incarnation } = this.#placed;
+    this.close();
+    if (this.#ready) {
+      const outcome = 'never-started';
+      const end: TaskEnd = { ref, incarnation, outcome, detail, ranMs: 0 };
+      tell({ type: 'member-ended', member, end });
+    } else tell({ type: 'reserve-refused', member, detail });
+    return 'over';
+  }
+
+  #lose(detail: string): Try {
+    this.close();
+    this.#options.tell({ type: 'member-lost', member: this.#placed.member, detail });
+    return 'over';
+  }
+
+  #noteSilence({ type }: Pick<OrderResult<unknown>, 'type'>): void {
+    const silent = type === 'not-sent' || type === 'lost';
+    this.#silentSince = silent ? (this.#silentSince ?? this.#options.clock.now()) : undefined;
+  }
+
+  #isSurelyOver(): boolean {
+    if (this.#silentSince === undefined) return false;
+    return this.#options.clock.now() - this.#silentSince >= this.#options.lostAfterMs;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/owner/owners.ts
@@ -0,0 +1,241 @@
+/** The failure domains and their owners, as one entry sees them: its own ownerships, and who holds the others. */
+import {
+  jobKey,
+  type EntrySettings,
+  type JobRow,
+  type Method,
+  type MethodReq,
+  type Peer,
+  type ProcessContext,
+  type Ran,
+  type Table,
+} from '@zincspan/core';
+import type { BundleSource } from '../bundle-source.js';
+import type { KnownWorkers } from '../job/known-workers.js';
+import type { RowWatch } from '../job/row-watch.js';
+import type { AttemptLimits } from './attempt-runner.js';
+import { DomainOwner, type SchedulerFactory } from './domain-owner.js';
+import { LeaseKeeper } from './lease-keeper.js';
+import { preferenceRank } from './preference.js';
+import { SystemTimers, type Timers } from './timers.js';
+import type { OwnerDirectory } from './worker-watch.js';
+
+/** Calls between entries may take this long, in ms: they only hurry what a rescan would find. */
+const NOTIFY_MS = 2000;
+
+/** What is needed of the links to other entries. */
+export interface OwnerMesh {
+  peer(id: string): Peer | undefined;
+  peers(): Peer[];
+}
+
+/** What the owners are made from. */
+export interface OwnersOptions {
+  ctx: ProcessContext;
+  settings: Pick<EntrySettings, 'failureDomains' | 'owner' | 'listenLink'>;
+  table: Table;
+  bundles: BundleSource;
+  directory: OwnerDirectory;
+  mesh: OwnerMesh;
+  knownWorkers: KnownWorkers;
+  watch: RowWatch;
+  createScheduler: SchedulerFactory;
+  timers?: Timers;
+  limits?: AttemptLimits;
+}
+
+/** Keeps a lease keeper per failure domain, and an owner for each lease held. */
+export class Owners {
+  readonly #options: OwnersOptions;
+
+  readonly #timers: Timers;
+
+  readonly #keepers = new Map<string, LeaseKeeper>();
+
+  readonly #owners = new Map<string, DomainOwner>();
+
+  constructor(options: OwnersOptions) {
+    this.#options = options;
+    this.#timers = options.timers ?? new SystemTimers();
+    options.settings.failureDomains.forEach((failureDomain) => {
+      this.#keepers.set(failureDomain, this.#keeper(failureDomain));
+    });
+  }
+
+  get failureDomains(): string[] {
+    return [...this.#keepers.keys()];
+  }
+
+  start(): void {
+    this.#keepers.forEach((keeper) => keeper.start());
+  }
+
+  /** Hands every failure domain over, so that another entry needn't wait for the leases to lapse. */
+  async handOver(): Promise<void> {
+    await Promise.all([...this.#keepers.keys()].map((each) => this.#handOver(each)));
+  }
+
+  stop(): void {
+    this.#keepers.forEach((keeper) => keeper.stop());
+    this.#owners.forEach((owner) => owner.close());
+    this.#owners.clear();
+  }
+
+  /** This entry's ownership of a failure domain, if it has it. */
+  local(failureDomain: string): DomainOwner | undefined {
+    return this.#owners.get(failureDomain);
+  }
+
+  /** All of this entry's ownerships. */
+  all(): DomainOwner[] {
+    return [...this.#owners.values()];
+  }
+
+  /** Id of the entry that holds a failure domain, as far as is known. */
+  holder(failureDomain: string): string | undefined {
+    return this.#keepers.get(failureDomain)?.row?.holder?.id;
+  }
+
+  /** Tells the owner of a job that was just written. */
+  async jobQueued(row: JobRow, version: number): Promise<void> {
+    const owner = this.local(row.failureDomain);
+    if (owner !== undefined) owner.jobQueued(row, version);
+    else await this.#tell(row.failureDomain, 'job.queued', { row, version });
+  }
+
+  /** Tells the owner of a job that its cancellation is requested. */
+  async jobCancelled({ failureDomain, account, id }: JobRow): Promise<void> {
+    const owner = this.local(failureDomain);
+    if (owner !== undefined) await owner.cancelJob(jobKey(account, id));
+    else await this.#tell(failureDomain, 'job.cancel', { account, id });
+  }
+
+  /** Cancels a queued job that this entry owns, without a wish in its row first. False if that isn't the case. */
+  async cancelQueued({ failureDomain, account, id }: JobRow): Promise<boolean> {
+    const owner = this.local(failureDomain);
+    return (await owner?.cancelQueued(jobKey(account, id))) ?? false;
+  }
+
+  /** Cancels a job for another entry, if one of this entry's owners has it. */
+  async cancelHere(account: string, id: string): Promise<Ran> {
+    const key = jobKey(account, id);
+    const answers = await Promise.all(this.all().map((owner) => owner.cancelJob(key)));
+    return answers.find((ran) => ran !== 'unknown') ?? 'unknown';
+  }
+
+  /** Tells the owner of a claim that its row has changed. */
+  async claimChanged(failureDomain: string, account: string, id: string): Promise<void> {
+    const owner = this.local(failureDomain);
+    if (owner !== undefined) await owner.claimChanged(account, id);
+    else await this.#tell(failureDomain, 'claim.changed', { account, id });
+  }
+
+  /** Another entry says that a failure domain changed hands. */
+  async ownerChanged(failureDomain: string): Promise<void> {
+    await this.#keepers.get(failureDomain)?.step();
+  }
+
+  /** Holder, term and figures of each failure domain. */
+  status(): Record<string, unknown> {
+    const now = [...this.#keepers].map(([failureDomain, { row, isStoreDown }]) => [
+      failureDomain,
+      {
+        holder: row?.holder?.id ?? null,
+        term: row?.term ?? 0,
+        storeDown: isStoreDown,
+        summary: this.local(failureDomain)?.summary() ?? null,
+      },
+    ]);
+    return Object.fromEntries(now) as Record<string, unknown>;
+  }
+
+  #keeper(failureDomain: string): LeaseKeeper {
+    const { ctx, table, settings } = this.#options;
+    return new LeaseKeeper({
+      failureDomain,
+      ctx,
+      table,
+      address: settings.listenLink,
+      rank: () => this.#rank(failureDomain),
+      leaseMs: settings.owner.leaseMs,
+      renewMs: settings.owner.renewMs,
+      timers: this.#timers,
+      onGained: (term) => this.#gained(failureDomain, term),
+      onLost: () => this.#lost(failureDomain),
+      onStoreBack: () => this.local(failureDomain)?.storeIsBack(),
+    });
+  }
+
+  /** Only entries that are linked now count: the others couldn't take over. */
+  #rank(failureDomain: string): number {
+    const { ctx, mesh } = this.#options;
+    const candidates = [ctx.self, ...mesh.peers().map(({ process }) => process)];
+    return preferenceRank(ctx.self.id, failureDomain, candidates);
+  }
+
+  #gained(failureDomain: string, term: number): void {
+    const { ctx, table, bundles, directory, knownWorkers, createScheduler, watch, limits } =
+      this.#options;
+    const keeper = this.#keepers.get(failureDomain);
+    const owner = new DomainOwner({
+      failureDomain,
+      term,
+      ctx,
+      table,
+      bundles,
+      directory,
+      knownWorkers,
+      createScheduler,
+      watch,
+      timers: this.#timers,
+      onStaleTerm: () => keeper?.staleTerm(),
+      isStoreDown: () => keeper?.isStoreDown ?? false,
+      ...(limits === undefined ? {} : { limits }),
+    });
+    this.#owners.set(failureDomain, owner);
+    this.#broadcast(failureDomain, term, ctx.self.id);
+    owner.open().catch((err: unknown) => {
+      ctx.log.error({ failureDomain, term, err }, 'taking over a failure domain failed');
+      void keeper?.release();
+    });
+  }
+
+  async #handOver(failureDomain: string): Promise<void> {
+    const keeper = this.#keepers.get(failureDomain);
+    const term = keeper?.term;
+    await keeper?.release();
+    if (term !== undefined) this.#broadcast(failureDomain, term);
+  }
+
+  #lost(failureDomain: string): void {
+    this.#owners.get(failureDomain)?.close();
+    this.#owners.delete(failureDomain);
+  }
+
+  #broadcast(failureDomain: string, term: number, holder?: string): void {
+    const news = { failureDomain, term, ...(holder === undefined ? {} : { holder }) };
+    this.#options.mesh.peers().forEach((peer) => {
+      peer.call('owner.changed', news, { timeoutMs: NOTIFY_MS }).catch(() => this.#missed('owner'));
+    });
+  }
+
+  async #tell<M extends Method>(
+    failureDomain: string,
+    method: M,
+    req: MethodReq<M>,
+  ): Promise<void> {
+    const holder = this.holder(failureDomain);
+    const peer = holder === undefined ? undefined : this.#options.mesh.peer(holder);
+    try {
+      if (peer === undefined) this.#missed(method);
+      else await peer.call(method, req, { timeoutMs: NOTIFY_MS });
+    } catch {
+      this.#missed(method);
+    }
+  }
+
+  /** Lost notifications are found by the owner's rescan. */
+  #missed(what: string): void {
+    this.#options.ctx.metrics.count('owner.notify-missed', 1, { what });
+  }
+}
