--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,23 @@
+/** Command line of the benches: one command for each. */
+import { cac } from 'cac';
+import { benchPolicy, type PolicyBenchOptions } from './policy/policy-bench.js';
+import { benchRoute, type RouteBenchOptions } from './route/route-bench.js';
+
+const cli = cac('bench');
+
+cli
+  .command('route', 'Requests to runners: every policy version against every scenario')
+  .option('--seed <seed>', 'Seed of the callers and runners', { default: 1 })
+  .option('--scenario <text>', 'Only scenarios whose name contains this', { default: '' })
+  .action((options: RouteBenchOptions) => benchRoute(options));
+
+cli
+  .command('policy', 'Jobs on workers: every policy version against every scenario')
+  .option('--seed <seed>', 'Seed of the submissions', { default: 1 })
+  .option('--scenario <text>', 'Only scenarios whose name contains this', { default: '' })
+  .option('--deployment <text>', 'Only deployments whose name contains this', { default: '' })
+  .option('--version-name <text>', 'Only policy versions whose name contains this', { default: '' })
+  .action((options: PolicyBenchOptions) => benchPolicy(options));
+
+cli.help();
+cli.parse();
--- /dev/null
+++ b/packages/bench/src/route/request-route.ts
@@ -0,0 +1,143 @@
+/** One request at an entry of the driver: attempts, hedging, retries, its deadline. */
+import type {
+  HedgePolicy,
+  LatencyTracker,
+  Problem,
+  RetryBudget,
+  RunnerChooser,
+} from '@zincspan/core';
+import type { BenchRequest, RequestEnding } from './bench-entry.js';
+import type { FakeRunner, RunnerAnswer } from './fake-runner.js';
+import type { VirtualTime } from './virtual-time.js';
+
+/** What a route works with. */
+export interface RouteDeps {
+  time: VirtualTime;
+  chooser: RunnerChooser;
+  latency: LatencyTracker;
+  budget: RetryBudget;
+  hedging: HedgePolicy | undefined;
+  runners: Map<string, FakeRunner>;
+  linkMs(runner: FakeRunner): number;
+}
+
+interface Attempt {
+  id: string;
+  runner: FakeRunner;
+  sentAt: number;
+  ended: boolean;
+}
+
+const RETRY_SHARE = 0.1;
+
+/** Takes one request to its end, and its attempts to theirs. */
+export class RequestRoute {
+  readonly #deps: RouteDeps;
+
+  readonly #req: BenchRequest;
+
+  readonly #done: (end: RequestEnding) => void;
+
+  readonly #attempts: Attempt[] = [];
+
+  #over = false;
+
+  constructor(deps: RouteDeps, req: BenchRequest, done: (end: RequestEnding) => void) {
+    this.#deps = deps;
+    this.#req = req;
+    this.#done = done;
+  }
+
+  start(): void {
+    const { time, budget } = this.#deps;
+    budget.firstAttempt(this.#req.account, RETRY_SHARE);
+    const refused = this.#attempt();
+    if (refused) {
+      this.#finish({ type: 'refused', problem: refused });
+      return;
+    }
+    time.after(this.#req.deadlineAt - time.now, () => this.#expire());
+    this.#planHedge();
+  }
+
+  cancel(): void {
+    this.#finish({ type: 'deadline' });
+  }
+
+  /** Sends one more copy; returns the problem if no runner can take it. */
+  #attempt(): Problem | undefined {
+    const { chooser, time, runners } = this.#deps;
+    const { kind, idempotent } = this.#req;
+    const exclude = new Set(this.#attempts.map(({ runner }) => runner.id));
+    const choice = chooser.choose({ kind, idempotent, exclude }, time.now);
+    if (choice.type === 'refused') return choice.problem;
+    const runner = runners.get(choice.runner) as FakeRunner;
+    const id = `${this.#req.id}.${this.#attempts.length}`;
+    const attempt = { id, runner, sentAt: time.now, ended: false };
+    this.#attempts.push(attempt);
+    chooser.started(runner.id, time.now);
+    this.#send(attempt);
+    return undefined;
+  }
+
+  #send(attempt: Attempt): void {
+    const { time, linkMs } = this.#deps;
+    const delayMs = linkMs(attempt.runner);
+    const answer = (result: RunnerAnswer): void =>
+      time.after(delayMs, () => this.#answered(attempt, result));
+    time.after(delayMs, () => attempt.runner.receive({ ...this.#req, id: attempt.id, answer }));
+  }
+
+  #planHedge(): void {
+    const { time, hedging, chooser } = this.#deps;
+    const { kind, idempotent, deadlineAt, account } = this.#req;
+    const delayMs = hedging?.delayMs({ kind, idempotent, timeLeftMs: deadlineAt - time.now });
+    if (delayMs === undefined) return;
+    time.after(delayMs, () => {
+      const utilisation = chooser.utilisation(kind, time.now);
+      if (this.#over || !hedging?.mayHedge({ account, utilisation })) return;
+      this.#attempt();
+    });
+  }
+
+  #answered(attempt: Attempt, result: RunnerAnswer): void {
+    const { chooser, time } = this.#deps;
+    const { kind } = this.#req;
+    if (attempt.ended) return;
+    Object.assign(attempt, { ended: true });
+    const ms = result.outcome === 'answered' ? result.serviceMs : undefined;
+    chooser.ended(attempt.runner.id, { kind, how: 'answered', ms, load: result.load }, time.now);
+    if (this.#over) return;
+    if (result.outcome === 'answered') this.#finish({ type: 'answered' });
+    else this.#refusedByGuard(result.problem);
+  }
+
+  /** Not run there: another runner may have room. */
+  #refusedByGuard(cause: Problem): void {
+    if (this.#attempts.some(({ ended }) => !ended)) return;
+    const mayRetry = this.#deps.budget.take(this.#req.account);
+    const refused = mayRetry ? this.#attempt() : cause;
+    if (refused) this.#finish({ type: 'refused', problem: refused });
+  }
+
+  #expire(): void {
+    if (this.#over) return;
+    this.#finish({ type: 'deadline' });
+  }
+
+  #finish(end: RequestEnding): void {
+    if (this.#over) return;
+    this.#over = true;
+    this.#attempts.filter(({ ended }) => !ended).forEach((attempt) => this.#abandon(attempt));
+    this.#done(end);
+  }
+
+  #abandon(attempt: Attempt): void {
+    const { chooser, time, linkMs } = this.#deps;
+    const { kind } = this.#req;
+    Object.assign(attempt, { ended: true });
+    const ms = time.now - attempt.sentAt;
+    chooser.ended(attempt.runner.id, { kind, how: 'abandoned', ms }, time.now);
+    time.after(linkMs(attempt.runner), () => attempt.runner.cancel(attempt.id));
+  }
+}
