--- a/packages/entry/src/operator/report.ts
+++ b/packages/entry/src/operator/report.ts
@@ -75,25 +75,15 @@
   const drained = new Set(bundles.current?.bundle.drained);
   const now = ctx.clock.now();
   const known = upstreams.all().map(({ upstream, failureDomain, guard, state, expiresAt }) => ({
-    id: upstream.id,
-    type: upstream.type,
+    upstream,
     failureDomain,
     guard,
     state,
     drained: drained.has(upstream.id),
     linked: upstreams.guardPeer(guard) !== undefined,
     expiresInMs: Math.max(0, Math.round(expiresAt - now)),
-    size:
-      upstream.type === 'worker'
-        ? {
-            rack: upstream.rack,
-            cores: upstream.cores,
-            memoryMb: upstream.memoryMb,
-            accelerators: upstream.accelerators,
-          }
-        : { slots: upstream.slots, connections: upstream.connections },
   }));
-  return { upstreams: known.sort((a, b) => (a.id < b.id ? -1 : 1)) };
+  return { upstreams: known.sort((a, b) => (a.upstream.id < b.upstream.id ? -1 : 1)) };
 }
 
 /** Jobs of one account or all, in order of account and id. */
