Add the guard: announcements, requests and gangs

Cause: each upstream needs one arbiter beside it that entries can trust. Hanging up on a runner when its request is given up: it may still be busy, so the slot is kept for a while instead. Change: before the start a task's lease on its worker never reaches past its reservation, so a start sent by a guard that was paused after its check is refused there.

--- a/packages/core/src/lease/reservation-book.ts
+++ b/packages/core/src/lease/reservation-book.ts
@@ -19,7 +19,7 @@
   asReported,
   holds,
   idOf,
-  isWaiting,
+  isUnstarted,
   newEntry,
   nothingToStart,
   repeat,
@@ -108,10 +108,11 @@
     const entry = this.#entries.get(idOf(ref));
     if (!entry) return { todo: 'nothing', state: 'ended', end: this.#endOfUnknown(ref, now) };
     if (entry.state === 'preparing' || entry.state === 'held') throw refuseUnready(ref);
-    if (entry.state !== 'ready') return nothingToStart(entry);
+    if (entry.state !== 'ready' && entry.state !== 'starting') return nothingToStart(entry);
     if (now >= entry.expiresAt || this.#tombstones.hasAttempt(ref)) throw refuseEnded(ref);
     entry.state = 'starting';
     entry.mayHaveStarted = true;
+    entry.startsTried += 1;
     return { todo: 'start-task' };
   }
 
@@ -128,13 +129,16 @@
   startRefused(ref: AttemptRef): void {
     const entry = this.#entries.get(idOf(ref));
     if (entry?.state !== 'starting') return;
-    entry.mayHaveStarted = false;
+    // An earlier start whose answer was lost may have been the one that worked.
+    entry.mayHaveStarted = entry.startsTried > 1;
     entry.state = 'stopping';
   }
 
-  /** Whether the start may be repeated: its answer was lost and the time isn't over. */
-  isStarting(ref: AttemptRef): boolean {
-    return this.#entries.get(idOf(ref))?.state === 'starting';
+  /** Time left before the start, in ms; undefined once it has started or ended. */
+  reservedMs(ref: AttemptRef, now: number): number | undefined {
+    const entry = this.#entries.get(idOf(ref));
+    if (!entry || !isUnstarted(entry)) return undefined;
+    return entry.expiresAt - now;
   }
 
   /** Releases or stops, and bars the attempt for good. */
@@ -158,7 +162,7 @@
     const full: TaskEnd = { ref, incarnation: this.#incarnation, ...end };
     if (!entry) return full;
     if (entry.end) return entry.end;
-    if (!entry.mayHaveStarted) full.outcome = 'never-started';
+    if (!entry.mayHaveStarted && end.ranMs === 0) full.outcome = 'never-started';
     entry.state = 'ended';
     entry.end = full;
     this.#tombstones.barMember(ref, now);
@@ -174,7 +178,7 @@
   /** Lets go of what wasn't started in time. Returns the tasks that must be stopped on the worker. */
   expire(now: number): AttemptRef[] {
     const due = [...this.#entries.values()].filter(
-      (entry) => now >= entry.expiresAt && isWaiting(entry),
+      (entry) => now >= entry.expiresAt && isUnstarted(entry),
     );
     // A claim's hold runs nothing, so it may be taken again: no tombstone.
     due
@@ -190,7 +194,7 @@
 
   /** When `expire` should be called next, if ever. */
   nextExpiryAt(): number | undefined {
-    const times = [...this.#entries.values()].filter(isWaiting).map(({ expiresAt }) => expiresAt);
+    const times = [...this.#entries.values()].filter(isUnstarted).map(({ expiresAt }) => expiresAt);
     return times.length === 0 ? undefined : Math.min(...times);
   }
 
--- a/packages/core/src/lease/reservation-entry.ts
+++ b/packages/core/src/lease/reservation-entry.ts
@@ -24,6 +24,8 @@
   expiresAt: number;
   /** The worker may have passed the barrier. */
   mayHaveStarted: boolean;
+  /** Starts whose answers aren't known to be refusals. */
+  startsTried: number;
   startedAt: number | undefined;
   end: TaskEnd | undefined;
 }
@@ -45,11 +47,15 @@
   return entry.state !== 'ended';
 }
 
-/** True before the start, while the reservation's time runs. */
-export function isWaiting({ state }: Entry): boolean {
+function isWaiting({ state }: Entry): boolean {
   return state === 'preparing' || state === 'ready' || state === 'held';
 }
 
+/** True until the start is confirmed, while the reservation's time runs. */
+export function isUnstarted(entry: Entry): boolean {
+  return isWaiting(entry) || entry.state === 'starting';
+}
+
 /** Its part in the sums of capacity. */
 export function toHolding(entry: Entry): Holding {
   return { key: entry.ref.key, member: entry.member, claim: entry.claim, within: entry.within };
@@ -75,6 +81,7 @@
     claim: req.task === undefined,
     expiresAt: now + req.ttlMs,
     mayHaveStarted: false,
+    startsTried: 0,
     startedAt: undefined,
     end: undefined,
   };
--- a/packages/core/src/request/request-ledger.ts
+++ b/packages/core/src/request/request-ledger.ts
@@ -2,9 +2,10 @@
  * What a guard remembers of requests, so that each runs at most once without the table.
  *
  * An id is recorded before the runner sees its request. Entries make ids as `<entry incarnation>-<sequence>`
- * (`requestIdOf`), the sequence growing. Results are kept within bounds; when one is dropped, the highest dropped
- * sequence of its series stays behind as a floor. An id at or below the floor may have been seen, so it is never
- * called `never-seen` and never runs again. An id without a sequence is a series of its own.
+ * (`requestIdOf`), the sequence growing. Results go first when the bound of bytes is reached; their ids stay. When
+ * an id itself is dropped, the highest dropped sequence of its series stays behind as a floor. An id at or below
+ * the floor may have been seen, so it is never called `never-seen` and never runs again. An id without a sequence
+ * is a series of its own.
  */
 import type { RequestResult, SettleResult } from '../message/message.js';
 
@@ -17,6 +18,7 @@
   | { state: 'forgotten' }
   | { state: 'full' };
 
+
 interface Entry {
   state: 'running' | 'ended' | 'barred';
   result?: RequestResult;
@@ -65,6 +67,9 @@
   /** Ended and barred ids, oldest first. */
   readonly #settled = new Map<string, Entry>();
 
+  /** Settled ids that still have their result, oldest first. */
+  readonly #withResult = new Map<string, Entry>();
+
   readonly #series = new Map<string, Series>();
 
   #bytes = 0;
@@ -122,7 +127,7 @@
     if (known?.state === 'barred') return { state: 'never-seen' };
     if (known || this.#mayHaveDropped(id)) return { state: 'forgotten' };
     this.#seriesOf(id).kept += 1;
-    this.#settle(id, { state: 'barred', bytes: ENTRY_OVERHEAD_BYTES, endedAt: now });
+    this.#settle(id, { state: 'barred', bytes: 0, endedAt: now });
     this.#trim(now);
     return { state: 'never-seen' };
   }
@@ -131,7 +136,7 @@
     if (this.#running.has(id)) return { state: 'running' };
     const entry = this.#settled.get(id);
     if (entry?.result) return { state: 'ended', result: entry.result };
-    if (entry) return { state: 'barred' };
+    if (entry) return { state: entry.state === 'barred' ? 'barred' : 'forgotten' };
     const { series, sequence } = parseId(id);
     const floor = this.#series.get(series)?.floor ?? -1;
     return sequence <= floor ? { state: 'forgotten' } : undefined;
@@ -152,6 +157,8 @@
 
   #settle(id: string, entry: Entry): void {
     this.#settled.set(id, entry);
+    if (!entry.result) return;
+    this.#withResult.set(id, entry);
     this.#bytes += entry.bytes;
   }
 
@@ -161,17 +168,17 @@
       this.#forget(...oldest.value);
       oldest = this.#settled.entries().next();
     }
+    while (this.#bytes > this.#maxBytes) this.#dropResult();
     if (this.#series.size > this.#maxSeries) this.#dropSeries();
   }
 
   #overBounds(oldest: Entry, now: number): boolean {
-    if (this.size > this.#maxEntries || this.#bytes > this.#maxBytes) return true;
-    return now - oldest.endedAt > this.#maxAgeMs;
+    return this.size > this.#maxEntries || now - oldest.endedAt > this.#maxAgeMs;
   }
 
   #forget(id: string, entry: Entry): void {
     this.#settled.delete(id);
-    this.#bytes -= entry.bytes;
+    if (this.#withResult.delete(id)) this.#bytes -= entry.bytes;
     const { series: name, sequence } = parseId(id);
     const series = this.#series.get(name);
     if (!series) return;
@@ -179,6 +186,15 @@
     series.floor = Math.max(series.floor, sequence);
   }
 
+  #dropResult(): void {
+    const oldest = this.#withResult.entries().next();
+    if (oldest.done) return;
+    const [id, entry] = oldest.value;
+    this.#withResult.delete(id);
+    this.#bytes -= entry.bytes;
+    delete entry.result;
+  }
+
   #dropSeries(): void {
     const idle = [...this.#series].find(([, { kept }]) => kept === 0);
     if (!idle) return;
--- /dev/null
+++ b/packages/guard/src/gang/gangs.feature
@@ -0,0 +1,79 @@
+Feature: tasks under a guard
+
+  Scenario: a task is held at the barrier until its start
+    Given a guard beside a worker
+    When an owner reserves accelerators "0,1" for "a"
+    And the owner hears that "a" is ready
+    Then the worker started "a" 0 times
+
+  Scenario: a started task ends and its end is told
+    Given a guard beside a worker
+    When an owner reserves accelerators "0,1" for "a"
+    And the owner hears that "a" is ready
+    And the owner starts "a"
+    Then the owner hears that "a" ended as "succeeded"
+    And the worker started "a" 1 times
+
+  Scenario: taken accelerators are refused
+    Given a guard beside a worker
+    When an owner reserves accelerators "0,1" for "a"
+    Then reserving accelerators "1,2" for "b" is refused as "conflict"
+
+  Scenario: an owner with a lower term is refused
+    Given a guard beside a worker
+    When the owner has term 2
+    And an owner reserves accelerators "0" for "a"
+    And the owner has term 1
+    Then reserving accelerators "1" for "b" is refused as "stale-term"
+
+  Scenario: a released reservation never started and never starts
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a"
+    And the owner hears that "a" is ready
+    And the owner stops "a"
+    Then the stop of "a" said "never-started"
+    And starting "a" answers "ended"
+    And reserving accelerators "0" for "a" is refused as "conflict"
+    And the worker started "a" 0 times
+
+  Scenario: a running task is checkpointed and stopped
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a", which runs 60000 ms
+    And the owner hears that "a" is ready
+    And the owner starts "a"
+    And the owner checkpoints and stops "a"
+    Then the stop of "a" said "checkpointed"
+
+  Scenario: a reservation that isn't started lapses
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a" during 300 ms
+    Then the owner hears that "a" ended as "never-started"
+    And starting "a" answers "ended"
+
+  Scenario: a guard's successor stops what it finds before it offers the worker
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a", which runs 60000 ms
+    And the owner hears that "a" is ready
+    And the owner starts "a"
+    And the guard is replaced
+    Then the worker's "a" is "stopped"
+    And the owner stops "a"
+    And the stop of "a" said "stopped"
+    And an owner reserves accelerators "0" for "b"
+
+  Scenario: a silent worker's task is over once its lease is
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a", which runs 60000 ms
+    And the owner hears that "a" is ready
+    And the owner starts "a"
+    And the worker freezes
+    Then the owner hears that "a" ended as "lease-lapsed"
+    And the worker's "a" is "lapsed"
+
+  Scenario: a guard that was paused past its reservation doesn't start the task
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a" during 300 ms
+    And the owner hears that "a" is ready
+    And the guard's process is paused for 400 ms as the owner starts "a"
+    Then starting "a" answers "ended"
+    And the worker started "a" 0 times
--- /dev/null
+++ b/packages/guard/src/gang/gangs.steps.ts
@@ -0,0 +1,181 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { ProblemError, taskName, type AttemptRef, type TaskEnd } from '@zincspan/core';
+import { startWorker } from '@zincspan/stand-ins';
+import {
+  closeLater,
+  startGuard,
+  startOneGuard,
+  type GuardWorld,
+} from '../test/guard-world.support.js';
+
+interface GangWorld extends GuardWorld {
+  stops: Map<string, TaskEnd>;
+}
+
+const QUICK_LEASE = { taskLeaseMs: 500 };
+
+function refOf(name: string): AttemptRef {
+  return { key: `jobs/tuul/${name}`, attempt: 1, member: 0 };
+}
+
+function isFor(name: string): (ref: AttemptRef) => boolean {
+  return ({ key }) => key === refOf(name).key;
+}
+
+async function reserve(
+  { entry, worker }: GangWorld,
+  accelerators: string,
+  name: string,
+  { ttlMs = 5000, runMs = 50 }: { ttlMs?: number; runMs?: number } = {},
+): Promise<void> {
+  await entry.guard.call('gang.reserve', {
+    order: entry.order,
+    ref: refOf(name),
+    member: {
+      member: 0,
+      worker: worker!.worker.id,
+      accelerators: accelerators.split(',').map(Number),
+      cores: 1,
+      memoryMb: 100,
+    },
+    ttlMs,
+    task: {
+      account: 'tuul',
+      kind: 'render',
+      tasks: 1,
+      params: { runMs },
+      checkpointable: true,
+      maxRunMs: 600_000,
+    },
+  });
+}
+
+function workerEntry(world: GangWorld, name: string) {
+  const task = taskName(refOf(name));
+  return world.worker!.ledger().entries.find((entry) => entry.task === task);
+}
+
+async function stop(world: GangWorld, name: string, checkpoint: boolean): Promise<void> {
+  const { order, guard } = world.entry;
+  const end = await guard.call('gang.stop', { order, ref: refOf(name), checkpoint, limitMs: 1000 });
+  world.stops.set(name, end);
+}
+
+Given('a guard beside a worker', async function (this: GangWorld) {
+  this.stops = new Map();
+  const worker = await startWorker();
+  this.worker = worker;
+  closeLater(() => worker.close());
+  await startGuard(this, worker.worker, QUICK_LEASE);
+});
+
+When(
+  'an owner reserves accelerators {string} for {string}',
+  async function (this: GangWorld, accelerators: string, name: string) {
+    await reserve(this, accelerators, name);
+  },
+);
+
+When(
+  'an owner reserves accelerators {string} for {string} during {int} ms',
+  async function (this: GangWorld, accelerators: string, name: string, ttlMs: number) {
+    await reserve(this, accelerators, name, { ttlMs });
+  },
+);
+
+When(
+  'an owner reserves accelerators {string} for {string}, which runs {int} ms',
+  async function (this: GangWorld, accelerators: string, name: string, runMs: number) {
+    await reserve(this, accelerators, name, { runMs });
+  },
+);
+
+When('the owner hears that {string} is ready', async function (this: GangWorld, name: string) {
+  await this.entry.until(() => this.entry.readies.some(isFor(name)));
+});
+
+When('the owner starts {string}', async function (this: GangWorld, name: string) {
+  const { order, guard } = this.entry;
+  const { state } = await guard.call('gang.start', { order, ref: refOf(name) });
+  assert.equal(state, 'running');
+});
+
+When('the owner stops {string}', async function (this: GangWorld, name: string) {
+  await stop(this, name, false);
+});
+
+When('the owner checkpoints and stops {string}', async function (this: GangWorld, name: string) {
+  await stop(this, name, true);
+});
+
+When('the owner has term {int}', function (this: GangWorld, term: number) {
+  this.entry.term = term;
+});
+
+When('the guard is replaced', async function (this: GangWorld) {
+  await this.guard.stop();
+  this.entry.announcements.length = 0;
+  await startOneGuard(this, this.worker!.worker, QUICK_LEASE);
+});
+
+When('the worker freezes', function (this: GangWorld) {
+  this.worker!.faults.freeze = true;
+});
+
+When(
+  "the guard's process is paused for {int} ms as the owner starts {string}",
+  async function (this: GangWorld, pauseMs: number, name: string) {
+    const { order, guard } = this.entry;
+    const start = guard.call('gang.start', { order, ref: refOf(name) });
+    // All of this test is one process: blocking it pauses the guard with the order unread.
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, pauseMs);
+    await start.catch((err: unknown) => assert.ok(err instanceof ProblemError));
+  },
+);
+
+Then(
+  'reserving accelerators {string} for {string} is refused as {string}',
+  async function (this: GangWorld, accelerators: string, name: string, kind: string) {
+    await assert.rejects(reserve(this, accelerators, name), (err) => {
+      assert.ok(err instanceof ProblemError);
+      assert.equal(err.problem.kind, kind);
+      return true;
+    });
+  },
+);
+
+Then(
+  'starting {string} answers {string}',
+  async function (this: GangWorld, name: string, want: string) {
+    const { order, guard } = this.entry;
+    const { state } = await guard.call('gang.start', { order, ref: refOf(name) });
+    assert.equal(state, want);
+  },
+);
+
+Then(
+  'the owner hears that {string} ended as {string}',
+  async function (this: GangWorld, name: string, outcome: string) {
+    await this.entry.until(() => this.entry.ends.some(({ ref }) => isFor(name)(ref)));
+    assert.equal(this.entry.ends.find(({ ref }) => isFor(name)(ref))?.outcome, outcome);
+  },
+);
+
+Then(
+  'the stop of {string} said {string}',
+  function (this: GangWorld, name: string, outcome: string) {
+    assert.equal(this.stops.get(name)?.outcome, outcome);
+  },
+);
+
+Then(
+  'the worker started {string} {int} times',
+  function (this: GangWorld, name: string, times: number) {
+    assert.equal(workerEntry(this, name)?.starts ?? 0, times);
+  },
+);
+
+Then("the worker's {string} is {string}", function (this: GangWorld, name: string, state: string) {
+  assert.equal(workerEntry(this, name)?.state, state);
+});
--- /dev/null
+++ b/packages/guard/src/gang/guarded-task.ts
@@ -0,0 +1,252 @@
+/**
+ * One task on the worker, from its preparation to its sure end.
+ *
+ * Its lease is renewed here. Before the start a renewal never reaches past the reservation's own end, so that the
+ * worker refuses a late start even if this process was paused between its check and its order. When the worker
+ * falls silent for a lease, renewing stops for good: the task is over once the last renewal that may have arrived
+ * has run out, with a margin for a slow clock.
+ */
+import type { AttemptRef, Clock, WorkerTask, WorkerTaskStatus } from '@zincspan/core';
+import { isEnded, lapsedEnd, toEnd, type PlainEnd } from './task-end.js';
+import type { TaskAnswer, WorkerClient } from './worker-client.js';
+
+/** What a task needs. Times in ms. */
+export interface GuardedTaskOptions {
+  ref: AttemptRef;
+  order: Omit<WorkerTask, 'leaseMs'>;
+  maxRunMs: number;
+  worker: WorkerClient;
+  clock: Clock;
+  leaseMs: number;
+  /** Allowance for the worker's clock, as a share of the lease. */
+  clockMargin: number;
+  /** Time left of the reservation; undefined once started. */
+  reservedMs: () => number | undefined;
+  /** Every status that the worker gives. */
+  onStatus: (task: GuardedTask, status: WorkerTaskStatus) => void;
+  /** It surely doesn't run any more. Called once. */
+  onEnd: (task: GuardedTask, end: PlainEnd) => void;
+}
+
+const MIN_LEASE_MS = 100;
+const RETRY_MS = 200;
+
+/** Drives one task. */
+export class GuardedTask {
+  readonly ref: AttemptRef;
+
+  readonly name: string;
+
+  /** Last usage and run time told by the worker. */
+  status: WorkerTaskStatus | undefined;
+
+  readonly #options: GuardedTaskOptions;
+
+  #lastOkAt: number;
+
+  /** The latest time at which a renewal may have reached the worker. */
+  #lastTryEndedAt: number;
+
+  #trying = 0;
+
+  /** Longest lease that the worker may have been given. */
+  #grantedMs = 0;
+
+  #state: 'alive' | 'stopping' | 'ended' = 'alive';
+
+  #checkpoint: string | undefined;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: GuardedTaskOptions) {
+    this.#options = options;
+    this.ref = options.ref;
+    this.name = options.order.task;
+    const now = options.clock.now();
+    this.#lastOkAt = now;
+    this.#lastTryEndedAt = now;
+  }
+
+  get ended(): boolean {
+    return this.#state === 'ended';
+  }
+
+  /** Prepares it on the worker, trying again until the worker answers or the reservation ends. */
+  async prepare(): Promise<void> {
+    this.#scheduleRenewal();
+    while (this.#state === 'alive') {
+      const leaseMs = this.#leaseMs();
+      if (leaseMs === undefined) return;
+      try {
+        const answer = await this.#try(leaseMs, () =>
+          this.#options.worker.prepare({ ...this.#options.order, leaseMs }),
+        );
+        if (answer.outcome !== 'done') this.#refused(answer);
+        return;
+      } catch {
+        await this.#pause(RETRY_MS);
+      }
+    }
+  }
+
+  /** Passes the barrier. `unknown`: it may or may not have started. */
+  async start(): Promise<'started' | 'refused' | 'unknown'> {
+    try {
+      const answer = await this.#options.worker.start(this.name);
+      if (answer.outcome !== 'done') return 'refused';
+      this.noteStatus(answer.status);
+      return 'started';
+    } catch {
+      return 'unknown';
+    }
+  }
+
+  /** Asks for a checkpoint; the lease is renewed meanwhile. True if there is one now. */
+  async checkpoint(limitMs: number): Promise<boolean> {
+    try {
+      const answer = await this.#options.worker.checkpoint(this.name, limitMs);
+      if (answer.outcome === 'done') this.#checkpoint = answer.checkpoint;
+      return answer.outcome === 'done';
+    } catch {
+      return false;
+    }
+  }
+
+  async throttle(cores: number): Promise<boolean> {
+    return this.#options.worker.throttle(this.name, cores);
+  }
+
+  /** Renews at once, for example because the reservation was prolonged. */
+  renew(): void {
+    if (this.#state === 'alive') void this.#renew();
+  }
+
+  /** Stops it: by the worker's word, or by the end of its lease if the worker is silent. */
+  async stop(): Promise<void> {
+    if (this.#state !== 'alive') return;
+    this.#state = 'stopping';
+    clearTimeout(this.#timer);
+    while (!this.ended) {
+      try {
+        this.#noteStopped(await this.#options.worker.stop(this.name));
+      } catch {
+        if (this.#surelyLapsed()) this.#end(lapsedEnd('The worker is silent and the lease over.'));
+      }
+      if (!this.ended) await this.#pause(RETRY_MS);
+    }
+  }
+
+  /** Takes the worker's word on it, from any answer or event. */
+  noteStatus(status: WorkerTaskStatus): void {
+    if (this.ended) return;
+    this.status = status;
+    if (!isEnded(status)) {
+      this.#options.onStatus(this, status);
+      if (
+        status.state === 'running' &&
+        status.ranMs > this.#options.maxRunMs + this.#options.leaseMs
+      ) {
+        void this.stop();
+      }
+      return;
+    }
+    this.#end(this.#withCheckpoint(toEnd(status)!));
+  }
+
+  /** Lets it be; its lease ends by itself. */
+  close(): void {
+    clearTimeout(this.#timer);
+    this.#state = 'ended';
+  }
+
+  async #renew(): Promise<void> {
+    clearTimeout(this.#timer);
+    if (this.#state !== 'alive') return;
+    const leaseMs = this.#leaseMs();
+    if (leaseMs === undefined) {
+      // The reservation may be prolonged yet; until then the worker's lease runs out by itself.
+      this.#scheduleRenewal();
+      return;
+    }
+    try {
+      const answer = await this.#try(leaseMs, () => this.#options.worker.renew(this.name, leaseMs));
+      // A task that is still being prepared may be unknown yet.
+      if (answer.outcome !== 'done' && this.status) {
+        this.#end(lapsedEnd('The worker does not know it any more.', this.status.ranMs));
+      }
+    } catch {
+      if (this.#options.clock.now() - this.#lastOkAt > this.#options.leaseMs) void this.stop();
+    }
+    this.#scheduleRenewal();
+  }
+
+  /** One order that grants a lease: notes when it may have arrived last. */
+  async #try(leaseMs: number, order: () => Promise<TaskAnswer>): Promise<TaskAnswer> {
+    const { clock } = this.#options;
+    this.#grantedMs = Math.max(this.#grantedMs, leaseMs);
+    this.#trying += 1;
+    try {
+      const answer = await order();
+      this.#lastOkAt = clock.now();
+      if (answer.outcome === 'done') this.noteStatus(answer.status);
+      return answer;
+    } finally {
+      this.#trying -= 1;
+      this.#lastTryEndedAt = clock.now();
+    }
+  }
+
+  /** Lease to grant now; undefined when the reservation has no time left. */
+  #leaseMs(): number | undefined {
+    const { leaseMs, reservedMs } = this.#options;
+    const left = reservedMs();
+    if (left === undefined) return leaseMs;
+    return left < MIN_LEASE_MS ? undefined : Math.min(leaseMs, Math.floor(left));
+  }
+
+  #scheduleRenewal(): void {
+    if (this.#state !== 'alive') return;
+    clearTimeout(this.#timer);
+    const everyMs = (this.#leaseMs() ?? this.#options.leaseMs) / 3;
+    this.#timer = setTimeout(() => {
+      void this.#renew();
+    }, everyMs);
+  }
+
+  #refused(answer: Exclude<TaskAnswer, { outcome: 'done' }>): void {
+    const detail = answer.outcome === 'refused' ? answer.detail : 'unknown to the worker';
+    this.#end({ outcome: 'never-started', detail: `Not prepared: ${detail}`, ranMs: 0 });
+  }
+
+  #noteStopped(answer: TaskAnswer): void {
+    if (answer.outcome === 'done') this.noteStatus(answer.status);
+    else if (answer.outcome === 'unknown-task') {
+      this.#end(lapsedEnd('The worker does not know it any more.', this.status?.ranMs ?? 0));
+    }
+  }
+
+  #surelyLapsed(): boolean {
+    const { clock, clockMargin } = this.#options;
+    if (this.#trying > 0) return false;
+    return clock.now() - this.#lastTryEndedAt > this.#grantedMs * (1 + clockMargin);
+  }
+
+  #withCheckpoint(end: PlainEnd): PlainEnd {
+    if (!this.#checkpoint) return end;
+    const outcome = end.outcome === 'stopped' ? 'checkpointed' : end.outcome;
+    return { ...end, outcome, checkpoint: this.#checkpoint };
+  }
+
+  #end(end: PlainEnd): void {
+    if (this.ended) return;
+    this.close();
+    this.#options.onEnd(this, end);
+  }
+
+  // eslint-disable-next-line class-methods-use-this -- a helper of the loops above.
+  async #pause(ms: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      setTimeout(resolve, ms);
+    });
+  }
+}
--- a/packages/guard/src/index.ts
+++ b/packages/guard/src/index.ts
@@ -1,2 +1,2 @@
-/** Public surface of @zincspan/guard. */
-export {};
+/** The guard: arbiter of one upstream, dialled by nobody, linked to every entry. */
+export * from './guard.js';
--- /dev/null
+++ b/packages/guard/src/request/requests.steps.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { RequestResult } from '@zincspan/core';
+import { startRunner } from '@zincspan/stand-ins';
+import { closeLater, startGuard, type GuardWorld } from '../test/guard-world.support.js';
+
+interface RequestWorld extends GuardWorld {
+  results: Map<string, Promise<RequestResult>>;
+}
+
+function idOf(world: RequestWorld, name: string): string {
+  return `${world.entry.ctx.self.incarnation}-${name.charCodeAt(0)}`;
+}
+
+async function send(world: RequestWorld, name: string, timeLeftMs = 5000): Promise<RequestResult> {
+  return world.entry.guard.call('request.run', {
+    requestId: idOf(world, name),
+    account: 'tuul',
+    kind: 'check-out',
+    idempotent: false,
+    urgent: true,
+    timeLeftMs,
+    contentType: 'application/json',
+    body: Buffer.from(JSON.stringify({ name, serviceMs: 20 })),
+  });
+}
+
+Given(
+  'a guard beside a runner with {int} slots',
+  async function (this: RequestWorld, slots: number) {
+    this.results = new Map();
+    const runner = await startRunner({ slots });
+    this.runner = runner;
+    closeLater(() => runner.close());
+    await startGuard(this, runner.runner);
+  },
+);
+
+Given('a guard without an upstream', async function (this: RequestWorld) {
+  await startGuard(this);
+});
+
+Given('the guarded runner cuts its answers', function (this: RequestWorld) {
+  this.runner!.faults.cutAnswer = true;
+});
+
+Given('the guarded runner is frozen', function (this: RequestWorld) {
+  this.runner!.faults.freeze = true;
+});
+
+Given('the guarded runner is gone', async function (this: RequestWorld) {
+  await this.runner!.close();
+});
+
+When(
+  'an entry sends the guard a request {string}',
+  async function (this: RequestWorld, name: string) {
+    this.results.set(name, send(this, name));
+    await this.results.get(name);
+  },
+);
+
+When(
+  'an entry sends the guard a request {string} with {int} ms left',
+  function (this: RequestWorld, name: string, timeLeftMs: number) {
+    this.results.set(name, send(this, name, timeLeftMs));
+  },
+);
+
+When('an entry asks the guard about {string}', async function (this: RequestWorld, name: string) {
+  const { incarnation } = this.entry.guard.process;
+  const requestId = idOf(this, name);
+  const settled = await this.entry.guard.call('request.settle', { requestId, incarnation });
+  assert.equal(settled.state, 'never-seen');
+});
+
+When(
+  'an entry has requests {string} and {string} in progress',
+  async function (this: RequestWorld, first: string, second: string) {
+    [first, second].forEach((name) => {
+      const result = send(this, name);
+      // One that is still running when the scenario ends loses its link.
+      result.catch(() => {});
+      this.results.set(name, result);
+    });
+    // Calls on one link arrive in order: once this is answered, both are there.
+    const { incarnation } = this.entry.guard.process;
+    const requestId = idOf(this, second);
+    const settled = await this.entry.guard.call('request.settle', { requestId, incarnation });
+    assert.equal(settled.state, 'running');
+  },
+);
+
+When('an entry cancels {string}', async function (this: RequestWorld, name: string) {
+  await this.entry.guard.call('request.cancel', { requestId: idOf(this, name) });
+});
+
+When('the guard is drained', async function (this: RequestWorld) {
+  await this.guard.drain();
+});
+
+When('a runner announces itself to the guard', async function (this: RequestWorld) {
+  this.runner = await startRunner({ guard: this.guard.address });
+  await this.entry.untilReady();
+});
+
+When('the runner withdraws from the guard', async function (this: RequestWorld) {
+  await this.runner!.close();
+});
+
+Then(
+  'the answer to {string} is whole and is its own',
+  async function (this: RequestWorld, name: string) {
+    const result = await this.results.get(name)!;
+    assert.ok(result.outcome === 'answered', JSON.stringify(result));
+    assert.equal(result.length, result.body.byteLength);
+    const answer = JSON.parse(Buffer.from(result.body).toString()) as { requestId: string };
+    assert.equal(answer.requestId, idOf(this, name));
+  },
+);
+
+Then(
+  'request {string} failed as {string}, ran {string}',
+  async function (this: RequestWorld, name: string, kind: string, ran: string) {
+    const result = await this.results.get(name)!;
+    assert.ok(result.outcome === 'problem', JSON.stringify(result));
+    assert.deepEqual([result.problem.kind, result.problem.ran], [kind, ran]);
+  },
+);
+
+Then(
+  'the runner ran {string} {int} times',
+  function (this: RequestWorld, name: string, times: number) {
+    const id = idOf(this, name);
+    const entry = this.runner!.ledger().entries.find(({ requestId }) => requestId === id);
+    assert.equal(entry?.count ?? 0, times);
+  },
+);
+
+Then(
+  'the entry was told that the upstream is {string}',
+  async function (this: RequestWorld, state: 'draining' | 'withdrawn') {
+    await this.entry.untilTold(state);
+  },
+);
