Prove the stand-ins' guarantees and faults by scenarios

A planned stop of the runner cut the answer in progress: it closed its connections once no request held a slot, which is before the answer is written. It now lets the server drain for the grace time.

--- a/packages/platform/src/http/http-table.feature
+++ b/packages/platform/src/http/http-table.feature
@@ -30,7 +30,8 @@
     And the scripted store has the row at version 0
 
   Scenario: a write that can't be settled is unknown
-    Given the scripted store meets writes with "lose,lose,lose"
+    Given a table client that gives up after 400 ms
+    And the scripted store meets writes with "lose,lose,lose"
     And the scripted store meets settling with "cut"
     When the table client writes a row
     Then the table client's write ends as "unknown"
--- a/packages/platform/src/http/http-table.steps.ts
+++ b/packages/platform/src/http/http-table.steps.ts
@@ -19,8 +19,8 @@
 function newTable(world: TableWorld, options: Partial<StoreOptions> = {}): void {
   const table = new HttpTable({
     address: world.storeAddress,
-    timeoutMs: 150,
-    totalMs: 600,
+    timeoutMs: 400,
+    totalMs: 10_000,
     backoffMs: 1,
     random: () => 0,
     ...options,
@@ -43,10 +43,14 @@
 Given(
   'a table client with room for {int} calls and {int} waiting',
   function (this: TableWorld, concurrency: number, waiting: number) {
-    newTable(this, { concurrency, waiting });
+    newTable(this, { concurrency, waiting, totalMs: 400 });
   },
 );
 
+Given('a table client that gives up after {int} ms', function (this: TableWorld, totalMs: number) {
+  newTable(this, { totalMs });
+});
+
 Given(
   'a table client that leaves a store alone after {int} failures',
   function (this: TableWorld, failuresToOpen: number) {
--- a/packages/stand-ins/src/runner/runner-service.ts
+++ b/packages/stand-ins/src/runner/runner-service.ts
@@ -24,8 +24,6 @@
 
   readonly #counted = new Set<Socket>();
 
-  #onIdle: (() => void) | undefined;
-
   constructor(options: { slots: number; serviceMs: number; faults: RunnerFaults }) {
     this.faults = options.faults;
     this.#slots = options.slots;
@@ -49,17 +47,6 @@
     ]);
   }
 
-  /** Resolves once no request is in progress, after `limitMs` at the latest. */
-  async idle(limitMs: number): Promise<void> {
-    if (this.#inUse === 0 || limitMs === 0) return;
-    await Promise.race([
-      delay(limitMs),
-      new Promise<void>((resolve) => {
-        this.#onIdle = resolve;
-      }),
-    ]);
-  }
-
   /** Counts connections that carry calls of a guard; those that only read the ledger aren't its doing. */
   #countConnection(socket: Socket): void {
     if (this.#counted.has(socket)) return;
@@ -84,7 +71,6 @@
       return await this.#run(req, h);
     } finally {
       this.#inUse -= 1;
-      if (this.#inUse === 0) this.#onIdle?.();
     }
   }
 
--- a/packages/stand-ins/src/runner/runner.ts
+++ b/packages/stand-ins/src/runner/runner.ts
@@ -64,8 +64,7 @@
     ledger: () => service.ledger.read(),
     close: async () => {
       await announcer?.withdraw();
-      await service.idle(graceMs);
-      await kill();
+      await closeServer(server, graceMs);
     },
     kill,
   };
--- a/packages/stand-ins/src/server/http-server.ts
+++ b/packages/stand-ins/src/server/http-server.ts
@@ -57,10 +57,10 @@
   return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
 }
 
-/** Stops listening and cuts every connection. */
-export async function closeServer(server: Hapi.Server): Promise<void> {
-  const stopped = server.stop({ timeout: 0 });
-  server.listener.closeAllConnections();
+/** Stops listening, waits up to `graceMs` for calls in progress, and cuts what is left. */
+export async function closeServer(server: Hapi.Server, graceMs = 0): Promise<void> {
+  const stopped = server.stop({ timeout: graceMs });
+  if (graceMs === 0) server.listener.closeAllConnections();
   await stopped;
 }
 
