--- a/packages/cli/src/cli.feature
+++ b/packages/cli/src/cli.feature
@@ -77,3 +77,11 @@
     Given an operators' desk with version 1 in force
     When the client runs "timeline --html @timeline.html"
     Then the client's page "timeline.html" has marks and no outside links
+
+  Scenario Outline: the example bundles are sound
+    Then the example bundle "<bundle>" fits on 10 workers of <cores> cores and <memory> MB
+
+    Examples:
+      | bundle  | cores | memory |
+      | tuul    | 64    | 262144 |
+      | malabar | 32    | 65536  |
--- a/packages/cli/src/cli.steps.ts
+++ b/packages/cli/src/cli.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { createHash } from 'node:crypto';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { loadBundle } from './bundle/bundle-file.js';
 import { OperatorDesk } from './cli.support.js';
 
 interface ClientWorld {
@@ -115,6 +116,24 @@
   },
 );
 
+Then(
+  'the example bundle {string} fits on 10 workers of {int} cores and {int} MB',
+  function (name: string, cores: number, memoryMb: number) {
+    const workers = Array.from({ length: 10 }, (_, i) => ({
+      type: 'worker' as const,
+      id: `worker-${i}`,
+      address: '127.0.0.1:1',
+      rack: `rack-${Math.floor(i / 3)}`,
+      rackPosition: Math.floor(i / 3),
+      cores,
+      memoryMb,
+      accelerators: 8,
+    }));
+    const placed = workers.map((worker) => ({ ...worker, failureDomain: worker.rack }));
+    assert.ok(loadBundle(`examples/${name}/bundle.jsonc`, placed).guarantees.length > 0);
+  },
+);
+
 After(async function (this: ClientWorld) {
   await this.desk?.stop();
 });
--- a/packages/cli/src/cli.support.ts
+++ b/packages/cli/src/cli.support.ts
@@ -15,7 +15,10 @@
 import { MemoryObjectStore, MemoryTable, RowStore } from '@zincspan/platform';
 import { runCli } from './run.js';
 
-interface OperatorEntry { name: string; publicKey: string }
+interface OperatorEntry {
+  name: string;
+  publicKey: string;
+}
 
 const UNUSED_ADDRESS = '127.0.0.1:1';
 
