Hand failure domains over and recover them

Cause: the loop had no scenarios for takeover, and an unexpected failure in it ended the process. Change: decisions, row commits and job entries in modules of their own; failures in the background are logged; refused gangs back off; a job that is being withdrawn leaves the scheduler first.

--- a/packages/entry/src/claim/claim-keeper.ts
+++ b/packages/entry/src/claim/claim-keeper.ts
@@ -64,7 +64,7 @@
     const key = claimKey(row.account, row.id);
     if (this.#entries.has(key)) return;
     if (isOver(row)) {
-      void this.#removeActive(record);
+      this.#own.background('claim removal', this.#removeActive(record));
       return;
     }
     const members = wholeGang(found);
@@ -153,9 +153,8 @@
       clock: ctx.clock,
       limits,
       writeRow: () => this.#writeHeld(entry),
-      onConclude: (conclusion) => {
-        void this.#conclude(entry, conclusion);
-      },
+      onConclude: (conclusion) =>
+        this.#own.background('claim conclusion', this.#conclude(entry, conclusion)),
     });
   }
 
@@ -205,7 +204,7 @@
     this.#own.post({ type: 'claim-released', key: entry.key });
     this.#note('claim.released', entry);
     this.#own.watch.changed(entry.key);
-    void this.#removeActive(entry.record);
+    this.#own.background('claim removal', this.#removeActive(entry.record));
   }
 
   async #removeActive({ row }: ClaimRecord): Promise<void> {
--- a/packages/entry/src/claim/claim-store.ts
+++ b/packages/entry/src/claim/claim-store.ts
@@ -42,14 +42,15 @@
   /** The claim of an account, or undefined. */
   async read(account: string, id: string): Promise<ClaimRecord | undefined> {
     const { value, version } = await this.#table.get(claimKey(account, id));
-    return version === 0 ? undefined : { row: claimRowSchema.parse(value), version };
+    const { data } = claimRowSchema.safeParse(value);
+    return data === undefined ? undefined : { row: data, version };
   }
 
   /** Claims of an account in order of their ids. */
   async list(account: string, options: { after?: string; limit: number }): Promise<ClaimRow[]> {
     const after = options.after === undefined ? {} : { after: claimKey(account, options.after) };
     const rows = await this.#table.scan(claimKey(account, ''), { ...after, limit: options.limit });
-    return rows.map(({ value }) => claimRowSchema.parse(value));
+    return rows.flatMap(({ value }) => claimRowSchema.safeParse(value).data ?? []);
   }
 
   /** Accounts and ids of the claims that aren't over, in one failure domain or of one account in it. */
--- a/packages/entry/src/job/job-store.ts
+++ b/packages/entry/src/job/job-store.ts
@@ -60,7 +60,9 @@
   /** The job of an account, or undefined. */
   async read(account: string, id: string): Promise<JobRecord | undefined> {
     const { value, version } = await this.#table.get(jobKey(account, id));
-    return version === 0 ? undefined : { row: jobRowSchema.parse(value), version };
+    const { data } = jobRowSchema.safeParse(value);
+    // A row that can't be read stops nobody else's job; it is left for its operators.
+    return data === undefined ? undefined : { row: data, version };
   }
 
   /** The same job with the row beside it, as a final write needs it. */
@@ -75,14 +77,14 @@
   async list(account: string, options: { after?: string; limit: number }): Promise<JobRow[]> {
     const after = options.after === undefined ? {} : { after: jobKey(account, options.after) };
     const rows = await this.#table.scan(jobKey(account, ''), { ...after, limit: options.limit });
-    return rows.map(({ value }) => jobRowSchema.parse(value));
+    return rows.flatMap(({ value }) => jobRowSchema.safeParse(value).data ?? []);
   }
 
   /** All active jobs of a failure domain, or of one account in it. */
   async listActive(failureDomain: string, account?: string): Promise<ActiveJob[]> {
     const prefix =
       account === undefined ? `active/${failureDomain}/` : activeJobKey(failureDomain, account, '');
-    return (await scanAll(this.#table, prefix)).map(toActiveJob);
+    return (await scanAll(this.#table, prefix)).flatMap((row) => toActiveJob(row) ?? []);
   }
 
   /** Writes a new job and the row beside it. */
@@ -137,7 +139,8 @@
   }
 }
 
-function toActiveJob({ key, version, value }: Row): ActiveJob {
+function toActiveJob({ key, version, value }: Row): ActiveJob | undefined {
   const { account, id } = accountAndId(key);
-  return { key: jobKey(account, id), account, id, version, ...activeJobSchema.parse(value) };
+  const { data } = activeJobSchema.safeParse(value);
+  return data && { key: jobKey(account, id), account, id, version, ...data };
 }
--- a/packages/entry/src/owner/attempt-runner.ts
+++ b/packages/entry/src/owner/attempt-runner.ts
@@ -71,6 +71,8 @@
 
   #stopWanted = false;
 
+  #cancelWanted = false;
+
   constructor(options: AttemptRunnerOptions) {
     this.#options = options;
     this.key = options.key;
@@ -91,6 +93,11 @@
     return this.#stopWanted;
   }
 
+  /** True once a cancellation was asked for. */
+  get cancelWanted(): boolean {
+    return this.#cancelWanted;
+  }
+
   get members(): PlacedMember[] {
     return this.#drivers.map(({ placed }) => placed);
   }
@@ -127,6 +134,7 @@
   /** Ends the attempt for good. */
   cancel(): void {
     this.#stopWanted = true;
+    this.#cancelWanted = true;
     this.#apply({ type: 'cancel' });
   }
 
--- a/packages/entry/src/owner/domain-owner.ts
+++ b/packages/entry/src/owner/domain-owner.ts
@@ -5,7 +5,6 @@
 import {
   toProblem,
   type Bundle,
-  type Decision,
   type DomainScheduler,
   type JobRow,
   type MethodReq,
@@ -23,6 +22,7 @@
 import { JobStore } from '../job/job-store.js';
 import type { RowWatch } from '../job/row-watch.js';
 import { DEFAULT_LIMITS, type AttemptLimits } from './attempt-runner.js';
+import { DecisionRunner } from './decision-runner.js';
 import { GuardOrders } from './guard-orders.js';
 import { JobKeeper } from './job-keeper.js';
 import type { Ownership } from './ownership.js';
@@ -34,9 +34,6 @@
 /** Time between two looks for jobs whose notification was lost, in ms. */
 const RESCAN_MS = 10_000;
 
-/** A refusal that rests on workers not known yet is thought over after this long, in ms. */
-const RECONSIDER_MS = 10_000;
-
 /** Makes a scheduler; the real one is `createScheduler` of @zincspan/core. */
 export type SchedulerFactory = (options: {
   failureDomain: string;
@@ -81,14 +78,14 @@
 
   readonly #claims: ClaimKeeper;
 
+  readonly #decisions: DecisionRunner;
+
   #scheduler: DomainScheduler | undefined;
 
   #open = false;
 
   #pumping = false;
 
-  #deferred: Decision[] = [];
-
   #cancelTimer: (() => void) | undefined;
 
   #cancelRescan: (() => void) | undefined;
@@ -104,6 +101,13 @@
     this.#own = this.#ownership(options);
     this.#jobs = new JobKeeper(this.#own);
     this.#claims = new ClaimKeeper(this.#own, { isInUse: (key) => this.#jobs.isWithin(key) });
+    this.#decisions = new DecisionRunner({
+      own: this.#own,
+      jobs: this.#jobs,
+      claims: this.#claims,
+      knownWorkers: options.knownWorkers,
+      isStoreDown: options.isStoreDown ?? (() => false),
+    });
   }
 
   /** Rebuilds the view, settles what is found half-way, and starts deciding. */
@@ -140,10 +144,11 @@
     if (this.#open) this.#jobs.adopt({ row, version });
   }
 
-  /** Cancels a job whose row says so. */
-  async cancelJob(key: string): Promise<'not-run' | 'ran' | 'unknown'> {
+  /** Cancels a job whose row says so. True once it is surely written that it never ran. */
+  async cancelJob(key: string): Promise<boolean> {
+    if (await this.cancelQueued(key)) return true;
     await this.#jobs.cancel(key);
-    return this.#jobs.ran(key);
+    return false;
   }
 
   /** Cancels a job of which nothing is reserved. False if it isn't one. */
@@ -167,7 +172,7 @@
     if (this.#jobs.memberEnded(end) || this.#claims.memberEnded(end)) return;
     if (!this.#open) return;
     const to = { guard, incarnation: end.incarnation };
-    void this.#own.orders.send(to, 'gang.forget', { ref: end.ref });
+    this.#own.background('forget', this.#own.orders.send(to, 'gang.forget', { ref: end.ref }));
   }
 
   /** Lagged usage of running tasks. */
@@ -203,9 +208,17 @@
       watch,
       signal: this.#closing.signal,
       post,
+      background: (what, work) => this.#inBackground(what, work),
     };
   }
 
+  #inBackground(what: string, work: Promise<unknown>): void {
+    work.catch((err: unknown) => {
+      this.#ctx.metrics.count('owner.internal-error', 1, { what });
+      this.#ctx.log.error({ what, failureDomain: this.failureDomain, err }, 'owner failed');
+    });
+  }
+
   async #begin(bundle: Bundle): Promise<void> {
     const { createScheduler, failureDomain } = this.#options;
     this.#scheduler = createScheduler({ failureDomain, bundle });
@@ -225,13 +238,14 @@
   #bundleChanged(): void {
     const bundle = this.#options.bundles.current?.bundle;
     if (bundle === undefined || this.#closing.signal.aborted) return;
-    if (this.#scheduler === undefined) void this.#begin(bundle);
+    if (this.#scheduler === undefined) this.#own.background('opening', this.#begin(bundle));
     else this.#post({ type: 'bundle', bundle });
   }
 
   #guardChanged(guard: string): void {
     this.#jobs.guardChanged(guard);
-    if (this.#open) void reconcile(this.#own, this.#jobs, this.#claims, guard);
+    if (!this.#open) return;
+    this.#own.background('reconcile', reconcile(this.#own, this.#jobs, this.#claims, guard));
   }
 
   #post(event: SchedulerEvent): void {
@@ -255,102 +269,12 @@
     if (this.#closing.signal.aborted || this.#scheduler === undefined) return;
     this.#cancelTimer?.();
     const now = this.#ctx.clock.wall();
-    const decisions = [...this.#deferred, ...this.#scheduler.decide(now)];
-    this.#deferred = [];
-    decisions.forEach((decision) => this.#carryOut(decision));
+    this.#decisions.run(this.#scheduler.decide(now));
     const next = this.#scheduler.nextDecisionAt(now);
     if (next === undefined) return;
     this.#cancelTimer = this.#timers.after(Math.max(1, next - now), () => this.#wake());
   }
 
-  #carryOut(decision: Decision): void {
-    this.#ctx.metrics.count(`decision.${decision.type}`);
-    switch (decision.type) {
-      case 'place':
-      case 'hold':
-      case 'evict':
-      case 'refuse':
-        if (this.#options.isStoreDown?.() === true) this.#deferred.push(decision);
-        else this.#act(decision);
-        break;
-      case 'throttle':
-        void this.#jobs.runner(decision.key)?.throttle(decision.member, decision.cores);
-        break;
-      default:
-        this.#announce(decision);
-    }
-  }
-
-  #act(decision: Extract<Decision, { type: 'place' | 'hold' | 'evict' | 'refuse' }>): void {
-    switch (decision.type) {
-      case 'place':
-        this.#place(decision);
-        break;
-      case 'hold':
-        this.#claims.hold(decision);
-        break;
-      case 'evict':
-        this.#jobs.evict(decision);
-        break;
-      case 'refuse':
-        this.#refuse(decision);
-        break;
-      default:
-        decision satisfies never;
-    }
-  }
-
-  #place(decision: Extract<Decision, { type: 'place' }>): void {
-    const { key, within } = decision;
-    if (within === undefined || this.#claims.isOpen(within)) {
-      this.#jobs.place(decision);
-      return;
-    }
-    this.#own.post({ type: 'job-unplaced', key });
-    void this.#jobs.refuse(key, claimReleased(within));
-  }
-
-  /** A refusal is final, so one that rests on the workers known is checked against those seen lately. */
-  #refuse({ key, problem }: Extract<Decision, { type: 'refuse' }>): void {
-    if (this.#claims.has(key)) {
-      void this.#claims.refuse(key, problem.detail);
-      return;
-    }
-    const shape = this.#jobs.shape(key);
-    const { knownWorkers, failureDomain } = this.#options;
-    const doubtful = problem.kind === 'never-fits' && shape !== undefined;
-    if (doubtful && knownWorkers.mayFit(failureDomain, shape)) {
-      this.#timers.after(RECONSIDER_MS, () => this.#jobs.enqueueAgain(key));
-      return;
-    }
-    void this.#jobs.refuse(key, problem);
-  }
-
-  #announce(
-    decision: Extract<Decision, { type: 'quarantine' | 'late' | 'guarantee-broken' }>,
-  ): void {
-    const { timeline, log } = this.#ctx;
-    switch (decision.type) {
-      case 'quarantine':
-        timeline.record('worker.quarantined', decision.worker, { why: decision.why });
-        log.warn({ worker: decision.worker, why: decision.why }, 'worker quarantined');
-        break;
-      case 'late':
-        timeline.record('job.late', decision.key, {
-          job: decision.key,
-          expectedAt: decision.expectedAt,
-          contractAt: decision.contractAt,
-        });
-        break;
-      case 'guarantee-broken':
-        timeline.record('guarantee.broken', decision.guarantee, { why: decision.why });
-        log.warn({ guarantee: decision.guarantee, why: decision.why }, 'guarantee broken');
-        break;
-      default:
-        decision satisfies never;
-    }
-  }
-
   #planRescan(): void {
     this.#cancelRescan = this.#timers.after(RESCAN_MS, () => {
       void this.#rescan();
@@ -368,12 +292,3 @@
     if (!this.#closing.signal.aborted) this.#planRescan();
   }
 }
-
-function claimReleased(claim: string) {
-  return {
-    kind: 'conflict' as const,
-    ran: 'not-run' as const,
-    detail: `Its claim ${claim} is released.`,
-    remedy: 'Claim the shape again and submit the job with the new claim.',
-  };
-}
--- a/packages/entry/src/owner/fake-guard.support.ts
+++ b/packages/entry/src/owner/fake-guard.support.ts
@@ -16,7 +16,10 @@
   type Worker,
 } from '@zincspan/core';
 
-interface Orders { order: Order; ref: AttemptRef }
+interface Orders {
+  order: Order;
+  ref: AttemptRef;
+}
 
 export class FakeGuard implements Peer {
   readonly worker: Worker;
--- a/packages/entry/src/owner/job-events.ts
+++ b/packages/entry/src/owner/job-events.ts
@@ -1,5 +1,6 @@
 /** What the scheduler is told of a job. */
 import {
+  claimKey,
   jobKey,
   type AttemptConclusion,
   type JobRow,
@@ -7,6 +8,7 @@
   type SchedulerEvent,
 } from '@zincspan/core';
 import type { AttemptRunner } from './attempt-runner.js';
+import type { JobEntry } from './job-entry.js';
 
 /** A job as the scheduler knows it. */
 export function queuedJob(
@@ -24,22 +26,35 @@
   };
 }
 
+/** A started job that a new owner has found. */
+export function foundJob(row: JobRow): Extract<SchedulerEvent, { type: 'job-found' }> {
+  const { members, submittedAt, startedAt = submittedAt, spec, account } = row;
+  return {
+    type: 'job-found',
+    job: queuedJob(row),
+    members,
+    startedAt,
+    ...(spec.claim === undefined ? {} : { within: claimKey(account, spec.claim) }),
+  };
+}
+
 /** Tells the scheduler how an attempt came out, by what the row says afterwards. */
 export function tellConclusion(
   { post }: { post: (event: SchedulerEvent) => void },
   {
-    row,
+    entry,
     runner,
     conclusion,
-  }: { row: JobRow; runner: AttemptRunner; conclusion: AttemptConclusion },
+  }: { entry: JobEntry; runner: AttemptRunner; conclusion: AttemptConclusion },
 ): void {
   const { key } = runner;
+  const { state } = entry.record.row;
   const member = conclusion.member === undefined ? undefined : runner.members[conclusion.member];
   const worker = member === undefined ? {} : { worker: member.worker };
   if (conclusion.type === 'released') {
     post({ type: 'job-unplaced', key, ...worker });
     // The row was withdrawn, or it belongs to another attempt now.
-    if (row.state !== 'queued') post({ type: 'job-cancelled', key });
+    if (state !== 'queued') post({ type: 'job-cancelled', key });
     return;
   }
   const { end, ranMs, checkpoint } = conclusion;
@@ -48,8 +63,8 @@
     key,
     end,
     ranMs,
-    requeue: row.state === 'queued',
+    requeue: state === 'queued',
     ...worker,
-    ...(checkpoint === undefined ? {} : { savedMs: ranMs }),
+    ...(checkpoint === undefined ? {} : { savedMs: entry.savedMs }),
   });
 }
--- a/packages/entry/src/owner/member-driver.ts
+++ b/packages/entry/src/owner/member-driver.ts
@@ -48,6 +48,9 @@
 
   #started = false;
 
+  /** The guard may hold something: a reservation was sent. */
+  #mayBeReserved = false;
+
   #stopping: { checkpoint: boolean; limitMs: number } | undefined;
 
   #silentSince: number | undefined;
@@ -154,6 +157,9 @@
     if (signal.aborted) return 'over';
     this.#noteSilence(result);
     if (result.type === 'refused') return this.#drop(result.problem.detail);
+    if (result.type === 'not-sent' && !this.#mayBeReserved)
+      { return this.#drop('No link to its guard.'); }
+    this.#mayBeReserved = true;
     if (result.type !== 'done') return 'again';
     const { state } = result.res;
     if (state === 'preparing') return 'renew';
@@ -169,7 +175,8 @@
     const result = await orders.send(placed, 'gang.start', { ref });
     if (signal.aborted) return 'over';
     this.#noteSilence(result);
-    // Whatever the reason: once it is surely stopped the attempt can go on with its end.
+    // The guard may be about to learn that it started; other refusals end it for sure.
+    if (result.type === 'refused' && result.problem.ran === 'unknown') return 'again';
     if (result.type === 'refused') return this.#tryStop(placed.incarnation);
     if (result.type !== 'done') return 'again';
     const { state, end } = result.res;
--- a/packages/entry/src/owner/owner.steps.ts
+++ b/packages/entry/src/owner/owner.steps.ts
@@ -21,12 +21,16 @@
   return list.split(', ').filter(Boolean);
 }
 
-export async function setUpOwner(world: OwnerSteps, workers: string): Promise<void> {
+export async function setUpOwner(
+  world: OwnerSteps,
+  workers: string,
+  { start = true }: { start?: boolean } = {},
+): Promise<void> {
   Object.setPrototypeOf(world, OwnerSteps.prototype);
   Object.assign(world, new OwnerSteps());
   world.addEntry('entry-a');
   names(workers).forEach((name) => world.addWorker(name));
-  await world.own('entry-a');
+  if (start) await world.own('entry-a');
 }
 
 Given('an owner with workers {string}', async function (this: OwnerSteps, workers: string) {
--- a/packages/entry/src/owner/owners.ts
+++ b/packages/entry/src/owner/owners.ts
@@ -23,6 +23,9 @@
 /** Calls between entries may take this long, in ms: they only hurry what a rescan would find. */
 const NOTIFY_MS = 2000;
 
+/** An owner that failed to open is made anew after this long, in ms. */
+const REOPEN_MS = 5000;
+
 /** What is needed of the links to other entries. */
 export interface OwnerMesh {
   peer(id: string): Peer | undefined;
@@ -119,8 +122,8 @@
   /** Cancels a job for another entry, if one of this entry's owners has it. */
   async cancelHere(account: string, id: string): Promise<Ran> {
     const key = jobKey(account, id);
-    const answers = await Promise.all(this.all().map((owner) => owner.cancelJob(key)));
-    return answers.find((ran) => ran !== 'unknown') ?? 'unknown';
+    const withdrawn = await Promise.all(this.all().map((owner) => owner.cancelJob(key)));
+    return withdrawn.includes(true) ? 'not-run' : 'unknown';
   }
 
   /** Tells the owner of a claim that its row has changed. */
@@ -196,7 +199,10 @@
     this.#broadcast(failureDomain, term, ctx.self.id);
     owner.open().catch((err: unknown) => {
       ctx.log.error({ failureDomain, term, err }, 'taking over a failure domain failed');
-      void keeper?.release();
+      owner.close();
+      this.#timers.after(REOPEN_MS, () => {
+        if (keeper?.term === term) this.#gained(failureDomain, term);
+      });
     });
   }
 
--- a/packages/entry/src/owner/ownership.ts
+++ b/packages/entry/src/owner/ownership.ts
@@ -38,6 +38,8 @@
   readonly signal: AbortSignal;
   /** Tells the scheduler, and has it decide soon. */
   post(event: SchedulerEvent): void;
+  /** Lets work go on by itself; an unexpected failure of it is logged. */
+  background(what: string, work: Promise<unknown>): void;
 }
 
 /** The kind as the bundle in force has it; one that is gone is taken as the strictest. */
