Run the whole path as separate processes

Cause: the parts had landed but nothing put them together. Change: the daemon builds an entry or a guard from its settings by tsyringe factories and loads only that role's code; esbuild bundles both binaries (tsyringe is taken as CommonJS: as an ES module it ran before reflect-metadata; jsonc-parser as an ES module: its UMD hides its requires); a harness lays out a deployment on loopback addresses, one IP a VM.

--- a/packages/core/src/process/metrics.ts
+++ b/packages/core/src/process/metrics.ts
@@ -22,7 +22,8 @@
     this.gauges.set(name, value);
   }
 
-  timing(name: string): void {
+  timing(name: string, ms: number, _tags?: Record<string, string>): void {
     this.count(name);
+    this.count(`${name}.ms`, ms);
   }
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,5 @@
 /** `zincspand`: an entry or a guard, as its settings say. */
+import 'reflect-metadata';
 import { cac } from 'cac';
 import { toProblem, type Settings } from '@zincspan/core';
 import { createContainer } from './container/container.js';
--- a/packages/daemon/src/metrics/statsd-metrics.ts
+++ b/packages/daemon/src/metrics/statsd-metrics.ts
@@ -33,7 +33,7 @@
   }
 
   override timing(name: string, ms: number, tags: Tags = {}): void {
-    super.timing(name);
+    super.timing(name, ms);
     this.#client.timing(name, ms, tags);
   }
 
--- a/packages/e2e/src/deployment/credentials.ts
+++ b/packages/e2e/src/deployment/credentials.ts
@@ -1,20 +1,5 @@
 /** Keys and tokens of a pretended deployment, made anew for each run. */
-import { createHash, generateKeyPairSync, randomBytes, type KeyObject } from 'node:crypto';
-
-/** An operator's key pair; `publicKey` is base64url of the raw 32 bytes. */
-export interface OperatorKey {
-  name: string;
-  publicKey: string;
-  privateKey: KeyObject;
-}
-
-/** A fresh Ed25519 key pair. */
-export function createOperatorKey(name: string): OperatorKey {
-  const { publicKey, privateKey } = generateKeyPairSync('ed25519');
-  const { x } = publicKey.export({ format: 'jwk' });
-  if (x === undefined) throw new Error('An Ed25519 public key has an x coordinate.');
-  return { name, publicKey: x, privateKey };
-}
+import { createHash, randomBytes } from 'node:crypto';
 
 /** A bearer token of a client account, and how the bundle knows it. */
 export interface AccountToken {
--- a/packages/e2e/src/deployment/loopback-vm.ts
+++ b/packages/e2e/src/deployment/loopback-vm.ts
@@ -23,7 +23,12 @@
   nextVm(): LoopbackVm {
     this.#last += 1;
     const ip = `${this.#prefix}.${this.#last}`;
-    return { ip, link: `${ip}:${LINK_PORT}`, http: `${ip}:${HTTP_PORT}`, upstream: `${ip}:${UPSTREAM_PORT}` };
+    return {
+      ip,
+      link: `${ip}:${LINK_PORT}`,
+      http: `${ip}:${HTTP_PORT}`,
+      upstream: `${ip}:${UPSTREAM_PORT}`,
+    };
   }
 }
 
--- a/packages/e2e/src/deployment/vm-process.ts
+++ b/packages/e2e/src/deployment/vm-process.ts
@@ -1,6 +1,6 @@
 /** One process of a deployment, started and watched by the harness. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { once } from 'node:events';
+import { EventEmitter, on, once } from 'node:events';
 import { createInterface } from 'node:readline';
 
 /** What to start. `main` is a JavaScript file. */
@@ -21,7 +21,7 @@
 
   #child: ChildProcess | undefined;
 
-  #watchers = new Set<(line: string) => void>();
+  readonly #output = new EventEmitter();
 
   readonly #options: VmProcessOptions;
 
@@ -36,40 +36,49 @@
   }
 
   get running(): boolean {
-    return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
+    return (
+      this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null
+    );
   }
 
   /** Starts the process and resolves once a line of its output satisfies `ready`. */
   async start(ready: (line: string) => boolean, timeoutMs = 20_000): Promise<string> {
-    const { main, args, nodeArgs = [] } = this.#options;
-    this.#child = spawn(process.execPath, [...nodeArgs, main, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
-    [this.#child.stdout, this.#child.stderr].forEach((stream) => {
-      if (stream !== null) createInterface({ input: stream }).on('line', (line) => this.#onLine(line));
-    });
+    this.#spawn();
     return this.line(ready, timeoutMs);
   }
 
   /** Resolves with the first line, from now on, that satisfies `matches`. */
-  line(matches: (line: string) => boolean, timeoutMs = 20_000): Promise<string> {
-    return new Promise((resolve, reject) => {
-      const child = this.#child;
-      const finish = (settle: () => void): void => {
-        clearTimeout(timer);
-        this.#watchers.delete(watch);
-        child?.off('exit', onExit);
-        settle();
-      };
-      const watch = (line: string): void => {
-        if (matches(line)) finish(() => resolve(line));
-      };
-      const fail = (why: string): void => {
-        finish(() => reject(new Error(`${this.name} ${why}:\n${this.lines.slice(-20).join('\n')}`)));
-      };
-      const onExit = (): void => fail('exited early');
-      const timer = setTimeout(() => fail(`said nothing awaited within ${timeoutMs} ms`), timeoutMs);
-      this.#watchers.add(watch);
-      child?.once('exit', onExit);
-    });
+  async line(matches: (line: string) => boolean, timeoutMs = 20_000): Promise<string> {
+    const done = new AbortController();
+    const signal = AbortSignal.any([done.signal, AbortSignal.timeout(timeoutMs)]);
+    try {
+      return await Promise.race([this.#matching(matches, signal), this.#exit(signal)]);
+    } catch (err) {
+      const why =
+        (err as Error).name === 'AbortError' ? `nothing awaited within ${timeoutMs} ms` : `${err}`;
+      throw new Error(`${this.name}: ${why}:\n${this.lines.slice(-20).join('\n')}`);
+    } finally {
+      done.abort();
+    }
+  }
+
+  async #matching(matches: (line: string) => boolean, signal: AbortSignal): Promise<string> {
+    for await (const [line] of on(this.#output, 'line', { signal })) {
+      if (matches(line)) return line;
+    }
+    throw new Error('output ended');
+  }
+
+  async #exit(signal: AbortSignal): Promise<never> {
+    if (this.#child !== undefined) await once(this.#child, 'exit', { signal });
+    throw new Error('exited early');
+  }
+
+  /** Runs the process to its end. */
+  async complete(): Promise<{ code: number | null; lines: string[] }> {
+    const child = this.#spawn();
+    await once(child, 'close');
+    return { code: child.exitCode, lines: this.lines };
   }
 
   kill(): Promise<void> {
@@ -90,6 +99,18 @@
     process.kill(this.pid, 'SIGCONT');
   }
 
+  #spawn(): ChildProcess {
+    const { main, args, nodeArgs = [] } = this.#options;
+    const child = spawn(process.execPath, [...nodeArgs, main, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    [child.stdout, child.stderr].forEach((stream) => {
+      createInterface({ input: stream }).on('line', (line) => this.#onLine(line));
+    });
+    this.#child = child;
+    return child;
+  }
+
   async #signal(signal: NodeJS.Signals): Promise<void> {
     const child = this.#child;
     if (child === undefined || !this.running) return;
@@ -101,6 +122,6 @@
   #onLine(line: string): void {
     this.lines.push(line);
     if (this.lines.length > KEPT_LINES) this.lines.shift();
-    [...this.#watchers].forEach((watch) => watch(line));
+    this.#output.emit('line', line);
   }
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,8 +5,8 @@
 import { build } from 'esbuild';
 
 const BINARIES = [
-  { entry: 'packages/daemon/dist/main.js', outdir: 'packages/daemon/dist/bundle' },
-  { entry: 'packages/cli/dist/main.js', outdir: 'packages/cli/dist/bundle' },
+  { entry: 'packages/daemon/dist/main.js', outdir: 'packages/daemon/dist/bin' },
+  { entry: 'packages/cli/dist/main.js', outdir: 'packages/cli/dist/bin' },
 ];
 
 /** CommonJS libraries in an ES module bundle still ask for `require`. */
@@ -23,8 +23,9 @@
       platform: 'node',
       target: 'node20',
       format: 'esm',
-      minify: true,
-      keepNames: true,
+      // Its "main" is UMD, whose inner requires no bundler sees. Elsewhere "main" keeps the order of imports that
+      // reflect-metadata and tsyringe need.
+      alias: { 'jsonc-parser': 'jsonc-parser/lib/esm/main.js' },
       legalComments: 'none',
       // Optional native extras: the libraries do without them.
       external: [
