Make callers' own retries of non-idempotent requests safe by key

A caller that lost its answer could only guess whether to send again. A row per account and Idempotency-Key now claims the key for one request id at one guard incarnation before the request is sent; a repeat, at any entry, is settled there. A home guard by rendezvous hashing was ruled out: after a change of membership it can't vouch for what another guard ran. Rows of requests that didn't run are marked free, not deleted, so that a late write over an old version can't pass for a new one. Rows go after 24 h.

--- a/packages/entry/src/request/app.ts
+++ b/packages/entry/src/request/app.ts
@@ -1,6 +1,10 @@
 /** The request path as a part of an entry. */
 import type { EntryApp, EntryDeps } from '../app.js';
 import { RequestAdmission } from './admission.js';
+import { KeyRows } from './key-rows.js';
+import { KeySweeper } from './key-sweeper.js';
+import { KeyedRequests } from './keyed-requests.js';
+import { RefusalNotes } from './refusal-notes.js';
 import { RequestIds } from './request-ids.js';
 import { registerRequestRoute } from './request-route.js';
 import { RequestRouter } from './request-router.js';
@@ -10,26 +14,45 @@
 
 /** Makes the request path. */
 export function requestApp(deps: EntryDeps): EntryApp {
-  const { ctx, settings, bundles, upstreams, mesh } = deps;
+  const { ctx, settings, bundles, upstreams, mesh, table } = deps;
   const entries = (): number => mesh.peers().length + 1;
   const most = settings.limits.requestsInProgress;
   const admission = new RequestAdmission({ ctx, bundles, most, entries });
   const ids = new RequestIds({ incarnation: ctx.self.incarnation });
   const pool = new RunnerPool({ ctx, bundles, upstreams, entries });
   const router = new RequestRouter({ ctx, upstreams, pool });
+  const keyed = new KeyedRequests({ ctx, upstreams, router, rows: new KeyRows({ table }) });
+  const isMyTurn = (): boolean => mesh.peers().every(({ process }) => process.id > settings.id);
+  const sweeper = new KeySweeper({ ctx, table, isMyTurn });
+  const refusals = new RefusalNotes({ ctx });
   let timer: NodeJS.Timeout | undefined;
   return {
     name: 'request',
     routes: (server) =>
-      registerRequestRoute(server, { ctx, settings, bundles, admission, router, ids }),
+      registerRequestRoute(server, {
+        ctx,
+        settings,
+        bundles,
+        admission,
+        router,
+        keyed,
+        ids,
+        refusals,
+      }),
     start: () => {
+      sweeper.start();
       timer = setInterval(() => {
         pool.checkSilence();
         admission.setCapacity(pool.capacity());
         ctx.metrics.gauge('request.in-progress', admission.inProgress);
       }, REVIEW_EVERY_MS);
     },
-    stop: () => clearInterval(timer),
+    drain: () => keyed.whenWritten(),
+    stop: async () => {
+      clearInterval(timer);
+      sweeper.stop();
+      await keyed.whenWritten();
+    },
     status: () => ({ inProgress: admission.inProgress, ejected: pool.ejected() }),
   };
 }
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -50,7 +50,9 @@
   { life, settleWithinMs }: { life: RequestLife; settleWithinMs?: number },
 ): Promise<AttemptEnd> {
   try {
-    const call = peer.call('request.run', run, { timeoutMs: run.timeLeftMs });
+    const call = peer.call('request.run', run, {
+      timeoutMs: Math.max(1, life.timeLeftMs()),
+    });
     const result = await life.within(call);
     return result === LIFE_OVER ? { type: 'life-over', sent: true } : resultEnd(result);
   } catch (err) {
--- a/packages/entry/src/request/request-order.ts
+++ b/packages/entry/src/request/request-order.ts
@@ -11,6 +11,13 @@
   body: RequestRun['body'];
 }
 
+/** The guard's own deadline comes this much earlier, so that its word on whether it ran arrives in time. */
+const ANSWER_MARGIN_MS = 10;
+
+function timeForGuard(timeLeftMs: number): number {
+  return timeLeftMs - Math.min(ANSWER_MARGIN_MS, timeLeftMs / 10);
+}
+
 /** The message that runs the order, with the time that is left now. */
 export function toRequestRun(order: RequestOrder, life: RequestLife): RequestRun {
   const { requestId, account, kind, contentType, body } = order;
@@ -20,7 +27,7 @@
     kind: kind.name,
     idempotent: kind.idempotent,
     urgent: kind.urgency === 'urgent',
-    timeLeftMs: life.timeLeftMs(),
+    timeLeftMs: timeForGuard(life.timeLeftMs()),
     contentType,
     body,
   };
--- a/packages/entry/src/request/request-route.ts
+++ b/packages/entry/src/request/request-route.ts
@@ -3,6 +3,7 @@
 import {
   ProblemError,
   problem,
+  toProblem,
   type EntrySettings,
   type Kind,
   type ProcessContext,
@@ -11,6 +12,8 @@
 import { callingAccount } from '../http/auth.js';
 import type { RequestAdmission } from './admission.js';
 import type { Answer } from './attempt.js';
+import type { KeyedAnswer, KeyedRequests } from './keyed-requests.js';
+import type { RefusalNotes } from './refusal-notes.js';
 import type { RequestIds } from './request-ids.js';
 import { RequestLife } from './request-life.js';
 import type { RequestOrder } from './request-order.js';
@@ -23,12 +26,16 @@
   bundles: BundleSource;
   admission: RequestAdmission;
   router: RequestRouter;
+  keyed: KeyedRequests;
   ids: RequestIds;
+  refusals: RefusalNotes;
 }
 
 const REQUEST_ID_HEADER = 'zincspan-request-id';
 const DEADLINE_HEADER = 'zincspan-deadline-ms';
+const KEY_HEADER = 'idempotency-key';
 const MAX_CONTENT_TYPE = 200;
+const MAX_KEY = 255;
 
 /** Adds the route. */
 export function registerRequestRoute(server: Server, deps: RequestRouteDeps): void {
@@ -54,17 +61,21 @@
   h: ResponseToolkit,
   deps: RequestRouteDeps,
 ): Promise<ResponseObject> {
-  const { ctx, admission, ids, settings } = deps;
+  const { ctx, ids, settings } = deps;
   const order = readOrder(req, deps.bundles, ids);
   const deadlineMs = readDeadline(req, settings.limits);
-  const leave = admission.enter(order.account);
+  const key = readKey(req);
+  const leave = enter(order, deps);
   const life = new RequestLife({ clock: ctx.clock, deadlineMs });
   endWithCaller(req, life);
   const startedAt = ctx.clock.now();
   try {
-    const answer = await deps.router.run(order, { life });
+    const { answer, requestId } = await run(order, key, life, deps);
     ctx.metrics.count('request.answered');
-    return answerResponse(h, answer, order.requestId);
+    return answerResponse(h, answer, requestId);
+  } catch (err) {
+    deps.refusals.note(order, toProblem(err));
+    throw err;
   } finally {
     life.end();
     leave();
@@ -72,6 +83,26 @@
   }
 }
 
+/** Idempotent kinds need no key: running them again does no harm. */
+async function run(
+  order: RequestOrder,
+  key: string | undefined,
+  life: RequestLife,
+  { router, keyed }: RequestRouteDeps,
+): Promise<KeyedAnswer> {
+  if (key !== undefined && !order.kind.idempotent) return keyed.run(key, order, life);
+  return { answer: await router.run(order, { life }), requestId: order.requestId };
+}
+
+function enter({ account, kind, requestId }: RequestOrder, deps: RequestRouteDeps): () => void {
+  try {
+    return deps.admission.enter(account);
+  } catch (err) {
+    deps.refusals.note({ account, kind, requestId }, toProblem(err));
+    throw err;
+  }
+}
+
 /** hapi tells of a lost caller only while the body is still arriving; the response's end tells always. */
 function endWithCaller({ raw: { res } }: Request, life: RequestLife): void {
   res.once('close', () => {
@@ -127,6 +158,13 @@
   return Math.min(Number(text), limits.maxDeadlineMs);
 }
 
+function readKey(req: Request): string | undefined {
+  const key = req.raw.req.headers[KEY_HEADER];
+  if (key === undefined) return undefined;
+  if (typeof key === 'string' && key.length > 0 && key.length <= MAX_KEY) return key;
+  throw badInput('The Idempotency-Key is unusable.', `Give one of 1 to ${MAX_KEY} characters.`);
+}
+
 function badInput(detail: string, remedy: string): ProblemError {
   return new ProblemError(problem('bad-input', { detail, remedy }));
 }
--- a/packages/entry/src/testing/entry-world.support.ts
+++ b/packages/entry/src/testing/entry-world.support.ts
@@ -129,10 +129,12 @@
   /** Links a guard and announces its runner; `answer` makes the runner answer at once. */
   addRunner(
     name: string,
-    { answer, incarnation }: { answer?: string; incarnation?: string } = {},
+    {
+      answer,
+      peer = new FakePeer({ id: `guard-${name}` }),
+    }: { answer?: string; peer?: FakePeer } = {},
   ): FakePeer {
-    const guard = `guard-${name}`;
-    const peer = new FakePeer({ id: guard, ...(incarnation === undefined ? {} : { incarnation }) });
+    const guard = peer.process.id;
     if (answer !== undefined) peer.answers.set('request.run', () => answered(answer));
     this.guards.set(name, peer);
     this.entry.upstreams.linkUp(peer);
