--- a/packages/core/src/scheduler/job-failures.ts
+++ b/packages/core/src/scheduler/job-failures.ts
@@ -6,6 +6,8 @@
   worker: string;
   group: string;
   at: number;
+  /** It has been counted against its worker. */
+  counted?: boolean;
 }
 
 const MAX_JOBS = 5000;
@@ -31,12 +33,22 @@
     return failures.filter((failure) => failure.worker !== worker);
   }
 
-  /** Failures of one group, of jobs not suspect, on workers other than this one. */
+  /** Failures of one group not yet counted, of jobs not suspect, on workers other than this one. */
   waitingIn(group: string, worker: string): JobFailure[] {
     return [...this.#failures.values()]
       .filter((failures) => failures.length < SUSPECT_AFTER)
       .flat()
-      .filter((failure) => failure.group === group && failure.worker !== worker);
+      .filter((failure) => failure.group === group && failure.worker !== worker)
+      .filter(({ counted = false }) => !counted);
+  }
+
+  /** Notes that a job's failure on a worker was counted against it: that happens once. */
+  count(job: string, worker: string): void {
+    const failures = this.#failures.get(job) ?? [];
+    const marked = failures.map((failure) =>
+      failure.worker === worker ? { ...failure, counted: true } : failure,
+    );
+    if (marked.length > 0) this.#failures.set(job, marked);
   }
 
   /** Has the job failed on several workers? */
--- a/packages/core/src/scheduler/worker-health.ts
+++ b/packages/core/src/scheduler/worker-health.ts
@@ -21,7 +21,7 @@
   accelerators: number;
 }
 
-/** A quarantine to announce. Times in ms of the clock passed in. */
+/** A quarantine to announce, or to lift: then `until` is now. Times in ms of the clock passed in. */
 export interface Quarantine {
   worker: string;
   until: number;
@@ -88,7 +88,7 @@
     this.#workers.delete(worker);
   }
 
-  /** Notes a task's end; returns the quarantines that follow from it. */
+  /** Notes a task's end; returns the quarantines that follow from it, or are lifted by it. */
   taskEnded(verdict: TaskVerdict, now: number): Quarantine[] {
     this.add(verdict.worker);
     this.#kinds.note(verdict, now);
@@ -163,10 +163,10 @@
   #failed({ worker, job, account, kind }: TaskVerdict, now: number): Quarantine[] {
     const group = `${account}/${kind}`;
     const cleared = this.#jobs.failed({ job, worker, group, at: now });
-    cleared.forEach((id) => this.#clear(id, job, now));
+    const lifted = cleared.filter((id) => this.#clear(id, job, now));
     if (this.#jobs.isSuspect(job)) {
       this.released(worker, job);
-      return [];
+      return lifted.map((id) => ({ worker: id, until: now, why: `${job} fails elsewhere too` }));
     }
     if (this.#relapsed(worker, job)) return [this.#quarantine(worker, now, 'failed on probation')];
     if (!this.#kinds.finishesElsewhere({ account, kind, worker }, now)) return [];
@@ -176,6 +176,7 @@
 
   #blame(worker: string, job: string, group: string, now: number): void {
     this.#workers.get(worker)?.evidence.set(job, { group, at: now });
+    this.#jobs.count(job, worker);
   }
 
   /** Work of one kind done well takes back one failure of it. */
@@ -185,18 +186,19 @@
     if (found) evidence?.delete(found[0]);
   }
 
-  /** The job turned out to be at fault: what it counted against a worker is taken back. */
-  #clear(worker: string, job: string, now: number): void {
+  /** The job turned out to be at fault: what it counted against a worker is taken back. True if that frees it. */
+  #clear(worker: string, job: string, now: number): boolean {
     const record = this.#workers.get(worker);
-    if (record === undefined) return;
+    if (record === undefined) return false;
     const counted = record.evidence.delete(job);
     const relapse = record.trial === job;
-    if (record.state !== 'quarantined' || (!counted && !relapse)) return;
-    if (record.evidence.size >= this.#quarantineAfter) return;
+    if (record.state !== 'quarantined' || (!counted && !relapse)) return false;
+    if (!relapse && record.evidence.size >= this.#quarantineAfter) return false;
     record.until = now;
     record.trial = undefined;
     if (relapse) record.durationMs = Math.max(this.#probationMs, record.durationMs / 2);
     if (!relapse) record.state = 'healthy';
+    return true;
   }
 
   #passTrial(worker: string, job: string): void {
--- a/packages/core/src/statistics/decayed-histogram.ts
+++ b/packages/core/src/statistics/decayed-histogram.ts
@@ -53,7 +53,7 @@
    */
   quantile(
     q: number,
-    { above = 0, running = [] }: { above?: number; running?: Iterable<Censored> } = {},
+    { above = 0, running = [] }: { above?: number; running?: readonly Censored[] } = {},
   ): number | undefined {
     if (this.#total === 0) return undefined;
     const lapsed = this.#withRunning(running);
@@ -71,7 +71,9 @@
         return this.#within(i, before, survival, base * (1 - q), above);
       }
     }
-    return base === undefined ? undefined : this.#edge(this.#first + this.#weights.length) * 2;
+    // The quantile lies beyond all that has ended: at least as far as the longest still growing.
+    const longest = Math.max(this.#edge(this.#first + this.#weights.length), ...running);
+    return base === undefined ? undefined : longest * 2;
   }
 
   #within(i: number, before: number, after: number, target: number, above: number): number {
@@ -81,9 +83,9 @@
     return Math.max(above, lower * (upper / lower) ** Math.min(1, Math.max(0, part)));
   }
 
-  #withRunning(running: Iterable<Censored>): number[] {
+  #withRunning(running: readonly Censored[]): number[] {
     const lapsed = [...this.#lapsed];
-    [...running].forEach((value) => {
+    running.forEach((value) => {
       const at = Math.min(this.#weights.length - 1, this.#bucket(value) - this.#first);
       if (at >= 0) lapsed[at] = (lapsed[at] ?? 0) + this.#step;
     });
