Give up waiting store calls once the store is seen to fail

With a store that hangs, 2,000 writes at once kept 512 of them waiting for two seconds although the breaker had opened after one: the calls in progress hold their turns while they settle. The breaker now dismisses the line when it opens.

--- a/packages/platform/src/http/call-limit.ts
+++ b/packages/platform/src/http/call-limit.ts
@@ -1,13 +1,14 @@
 /** Bound on calls at once, with a bounded line of waiting ones. */
 
+/** Why a call couldn't get its turn. */
+export type LimitRefusal = 'full' | 'waited-too-long' | 'dismissed';
+
 interface Waiting {
-  proceed(): void;
+  /** Ends the wait: with a turn, or with a refusal. */
+  end(refusal?: LimitRefusal): void;
   timer: NodeJS.Timeout;
 }
 
-/** Why a call couldn't get its turn. */
-export type LimitRefusal = 'full' | 'waited-too-long';
-
 /** First come, first served. */
 export class CallLimit {
   readonly #concurrency: number;
@@ -48,19 +49,25 @@
       this.#running -= 1;
       return;
     }
-    this.#waiting.delete(first);
-    clearTimeout(first.timer);
-    first.proceed();
+    this.#end(first);
+  }
+
+  /** Refuses every call that waits. */
+  dismiss(): void {
+    [...this.#waiting].forEach((waiting) => this.#end(waiting, 'dismissed'));
+  }
+
+  #end(waiting: Waiting, refusal?: LimitRefusal): void {
+    this.#waiting.delete(waiting);
+    clearTimeout(waiting.timer);
+    waiting.end(refusal);
   }
 
   async #wait(limitMs: number): Promise<LimitRefusal | undefined> {
     return new Promise((resolve) => {
       const waiting: Waiting = {
-        proceed: () => resolve(undefined),
-        timer: setTimeout(() => {
-          this.#waiting.delete(waiting);
-          resolve('waited-too-long');
-        }, limitMs),
+        end: resolve,
+        timer: setTimeout(() => this.#end(waiting, 'waited-too-long'), limitMs),
       };
       this.#waiting.add(waiting);
     });
--- a/packages/platform/src/http/http-table.feature
+++ b/packages/platform/src/http/http-table.feature
@@ -74,6 +74,13 @@
     And the scripted store got 2 calls
     And the table client tells when to come back
 
+  Scenario: a write that waits for its turn is given up once the store is seen to fail
+    Given a table client with room for 1 calls that leaves a store alone after 1 failures
+    And the scripted store meets writes with "hold"
+    And the scripted store meets settling with "hold"
+    When the table client starts 2 writes
+    Then the table client ends the second first, as its last calls failed
+
   Scenario: a store that isn't there surely did nothing
     Given the scripted store is gone
     When the table client writes a row
--- a/packages/platform/src/http/http-table.steps.ts
+++ b/packages/platform/src/http/http-table.steps.ts
@@ -12,6 +12,7 @@
   written: WriteResult | Problem;
   read: Row | Problem;
   reads: Promise<Row | Problem>[];
+  writes: Promise<WriteResult | Problem>[];
 }
 
 const KEY = 'jobs/tuul/a b%';
@@ -58,6 +59,13 @@
   },
 );
 
+Given(
+  'a table client with room for {int} calls that leaves a store alone after {int} failures',
+  function (this: TableWorld, concurrency: number, failuresToOpen: number) {
+    newTable(this, { concurrency, failuresToOpen, totalMs: 1500 });
+  },
+);
+
 Given(
   /^the scripted store meets (writes|reads) with "(.*)"$/,
   function (this: TableWorld, sort: 'writes' | 'reads', faults: string) {
@@ -96,6 +104,12 @@
   );
 });
 
+When('the table client starts {int} writes', function (this: TableWorld, count: number) {
+  this.writes = Array.from({ length: count }, async (_, i) =>
+    this.tables![0]!.write([{ key: `${KEY}/${i}`, ifVersion: 0, value: i }]).catch(toProblem),
+  );
+});
+
 When("the scripted store's held writes arrive", function (this: TableWorld) {
   this.scripted!.release();
 });
@@ -137,6 +151,15 @@
   },
 );
 
+Then(
+  'the table client ends the second first, as its last calls failed',
+  async function (this: TableWorld) {
+    const first = (await Promise.race(this.writes)) as Problem;
+    assert.equal(first, await this.writes[1]);
+    assert.match(first.detail, /its last calls failed/);
+  },
+);
+
 Then(
   "the table client's reads all end as {string}",
   async function (this: TableWorld, kind: string) {
--- a/packages/platform/src/http/store-caller.ts
+++ b/packages/platform/src/http/store-caller.ts
@@ -1,7 +1,7 @@
 /** Calls to the platform under bounds: attempts, time, concurrency, and a circuit breaker. */
 import { ProblemError, type Clock } from '@zincspan/core';
 import { fullJitterMs, pause } from './backoff.js';
-import { CallLimit } from './call-limit.js';
+import { CallLimit, type LimitRefusal } from './call-limit.js';
 import { CircuitBreaker } from './circuit-breaker.js';
 import { HttpConnection, type AttemptResult, type HttpCall } from './http-attempt.js';
 import { withDefaults, type StoreOptions } from './store-options.js';
@@ -10,6 +10,13 @@
 /** Shortest pause between attempts that are limited by time alone, in ms. */
 const MIN_INSIST_PAUSE_MS = 10;
 
+/** Why a call wasn't made, in words. */
+const REFUSALS: Record<LimitRefusal, string> = {
+  full: 'too many calls wait for it',
+  'waited-too-long': 'other calls kept it busy',
+  dismissed: 'its last calls failed',
+};
+
 /** An answer of the service, whatever its status. */
 export type Answer = Extract<AttemptResult, { outcome: 'answered' }>;
 
@@ -48,7 +55,7 @@
     this.#limit = new CallLimit(this.#options);
     this.#breaker = new CircuitBreaker({
       ...this.#options,
-      onChange: (state) => this.#reportBreaker(state),
+      onChange: (state) => this.#breakerChanged(state),
     });
   }
 
@@ -63,7 +70,7 @@
     const deadline = this.#clock.now() + this.#options.totalMs;
     this.#refuseIfOpen(this.#breaker.waitMs);
     const refusal = await this.#limit.acquire(this.#options.totalMs - reserveMs);
-    if (refusal !== undefined) throw this.#refused(`calls are waiting for it already (${refusal})`);
+    if (refusal !== undefined) throw this.#refused(REFUSALS[refusal]);
     try {
       this.#refuseIfOpen(this.#breaker.enter());
       return await call({ deadline, reserveMs });
@@ -133,12 +140,14 @@
   }
 
   #refuseIfOpen(waitMs: number): void {
-    if (waitMs > 0) throw this.#refused('its last calls failed');
+    if (waitMs > 0) throw this.#refused(REFUSALS.dismissed);
   }
 
-  #reportBreaker(state: 'open' | 'closed'): void {
+  #breakerChanged(state: 'open' | 'closed'): void {
     const { metrics, log, address } = this.#options;
     metrics.count(`store.breaker-${state}`);
+    // Whoever waits for a turn is given up at once, rather than when its time has run out.
+    if (state === 'open') this.#limit.dismiss();
     if (state === 'open') log.warn({ address }, 'store failing, calls refused');
     else log.info({ address }, 'store answering again');
   }
--- a/packages/stand-ins/src/worker/task-set.ts
+++ b/packages/stand-ins/src/worker/task-set.ts
@@ -28,10 +28,12 @@
 
   readonly #watchers = new Set<() => void>();
 
-  #events = 0;
+  /** Number of the last event. A later life starts with higher numbers, so that no poll misses its tasks. */
+  #events: number;
 
   constructor(options: TaskSetOptions) {
     this.#options = options;
+    this.#events = Math.floor(options.clock.wall());
   }
 
   /** Prepares a task, or finds it prepared; undefined if its accelerators aren't free. */
@@ -77,7 +79,7 @@
     });
   }
 
-  /** Tasks whose state changed after event `after`. A number from an earlier life counts as 0. */
+  /** Tasks whose state changed after event `after`. A number that is still to come counts as 0. */
   changedSince(after: number): { next: number; tasks: WorkerTaskStatus[] } {
     const since = after > this.#events ? 0 : after;
     const changed = [...this.#tasks.values()].filter(({ changedBy }) => changedBy > since);
