--- a/packages/core/src/lease/reservation-book.ts
+++ b/packages/core/src/lease/reservation-book.ts
@@ -39,6 +39,9 @@
 } from './reservation-problem.js';
 import { Tombstones } from './tombstones.js';
 
+/** Reservations held, and ends that no owner has acknowledged. */
+const MAX_ENTRIES = 4096;
+
 /** Reservations of one worker in one life of its guard. Times are monotonic ms, passed in. */
 export class ReservationBook {
   readonly #incarnation: string;
@@ -85,7 +88,7 @@
     const known = this.#entries.get(idOf(req.ref));
     if (known && holds(known)) return repeat(known, req, now);
     if (known || this.#tombstones.has(req.ref)) throw refuseEnded(req.ref);
-    if (this.#tombstones.isFull(now)) throw refuseFull();
+    if (this.#entries.size >= MAX_ENTRIES || this.#tombstones.isFull(now)) throw refuseFull();
     const entry = newEntry(req, now);
     const holdings = [...this.#entries.values()].filter(holds).map(toHolding);
     const why = whyTaken({ worker, wanted: toHolding(entry), holdings });
@@ -106,7 +109,9 @@
   start(ref: AttemptRef, order: Order, now: number): StartAnswer {
     this.admit(order);
     const entry = this.#entries.get(idOf(ref));
-    if (!entry) return { todo: 'nothing', state: 'ended', end: this.#endOfUnknown(ref, now) };
+    if (!entry) {
+      return { todo: 'nothing', res: { state: 'ended', end: this.#endOfUnknown(ref, now) } };
+    }
     if (entry.state === 'preparing' || entry.state === 'held') throw refuseUnready(ref);
     if (entry.state !== 'ready' && entry.state !== 'starting') return nothingToStart(entry);
     if (now >= entry.expiresAt || this.#tombstones.hasAttempt(ref)) throw refuseEnded(ref);
--- a/packages/core/src/lease/reservation-entry.ts
+++ b/packages/core/src/lease/reservation-entry.ts
@@ -35,7 +35,7 @@
 
 /** What the guard is to do about a start. */
 export type StartAnswer =
-  { todo: 'start-task' } | { todo: 'nothing'; state: ReservationState; end?: TaskEnd };
+  { todo: 'start-task' } | { todo: 'nothing'; res: { state: ReservationState; end?: TaskEnd } };
 
 /** Key of a reservation. */
 export function idOf({ key, attempt, member }: AttemptRef): string {
@@ -108,7 +108,8 @@
 /** The answer to a repeated start. */
 export function nothingToStart(entry: Entry): StartAnswer {
   const state = asReported(entry);
-  return { todo: 'nothing', state, ...(entry.end === undefined ? {} : { end: entry.end }) };
+  const end = entry.end === undefined ? {} : { end: entry.end };
+  return { todo: 'nothing', res: { state, ...end } };
 }
 
 /** A repeated reserve: answers where it stands and, before the start, grants the time again. */
--- a/packages/core/src/request/request-ledger.ts
+++ b/packages/core/src/request/request-ledger.ts
@@ -18,7 +18,6 @@
   | { state: 'forgotten' }
   | { state: 'full' };
 
-
 interface Entry {
   state: 'running' | 'ended' | 'barred';
   result?: RequestResult;
--- a/packages/core/src/request/slot-queue.ts
+++ b/packages/core/src/request/slot-queue.ts
@@ -34,6 +34,8 @@
 
   readonly #running = new Map<string, QueuedRequest & { startedAt: number }>();
 
+  readonly #perAccount = new Map<string, number>();
+
   #queue: QueuedRequest[] = [];
 
   #meanServiceMs = FIRST_GUESS_MS;
@@ -70,6 +72,7 @@
     const ended = this.#running.get(id);
     if (ended) {
       this.#running.delete(id);
+      this.#countRunning(ended.account, -1);
       this.#observe(ended.kind, now - ended.startedAt);
     }
     return this.advance(now);
@@ -130,7 +133,7 @@
   }
 
   #runningOf(account: string): number {
-    return [...this.#running.values()].filter((req) => req.account === account).length;
+    return this.#perAccount.get(account) ?? 0;
   }
 
   /** Frees a place for `req`; throws if its account holds as many as any other. */
@@ -139,13 +142,20 @@
     const largest = [...places.values()].sort((a, b) => b.length - a.length)[0];
     const own = places.get(req.account)?.length ?? 0;
     if (!largest || own + 1 >= largest.length) throw new ProblemError(this.#overloaded());
-    const last = largest.reduce((worst, other) => (this.#before(worst, other) ? other : worst));
+    const last = largest.reduce((worst, other) => (this.#before(other, worst) ? worst : other));
     this.remove(last.id);
     return last;
   }
 
   #start(req: QueuedRequest, now: number): void {
     this.#running.set(req.id, { ...req, startedAt: now });
+    this.#countRunning(req.account, 1);
+  }
+
+  #countRunning(account: string, by: number): void {
+    const count = this.#runningOf(account) + by;
+    if (count === 0) this.#perAccount.delete(account);
+    else this.#perAccount.set(account, count);
   }
 
   #shortest(kind: string): number {
--- a/packages/guard/src/gang/gang-keeper.ts
+++ b/packages/guard/src/gang/gang-keeper.ts
@@ -15,14 +15,14 @@
   type Worker,
   type WorkerTaskStatus,
 } from '@zincspan/core';
+import { AdoptedWorker } from './adopted-worker.js';
+import { EndWaiters } from './end-waiters.js';
 import { draining, noWorker, startLost, taskUnknown } from './gang-problem.js';
 import { GuardedTask } from './guarded-task.js';
 import { Leftovers } from './leftovers.js';
 import type { PlainEnd } from './task-end.js';
-import { WorkerClient } from './worker-client.js';
-import { WorkerWatch } from './worker-watch.js';
-
-const ADOPT_RETRY_MS = 500;
+import { jobOf, toRef, toTaskOrder } from './task-order.js';
+import type { WorkerClient } from './worker-client.js';
 
 /** What the keeper needs. */
 export interface GangKeeperOptions {
@@ -44,15 +44,11 @@
 
   readonly #tasks = new Map<string, GuardedTask>();
 
-  readonly #waiters = new Map<string, ((end: TaskEnd) => void)[]>();
-
-  readonly #starting = new Map<string, Promise<MethodRes<'gang.start'>>>();
+  readonly #adopted: AdoptedWorker;
 
-  #worker: Worker | undefined;
+  readonly #waiters = new EndWaiters();
 
-  #client: WorkerClient | undefined;
-
-  #watch: WorkerWatch | undefined;
+  readonly #starting = new Map<string, Promise<MethodRes<'gang.start'>>>();
 
   #draining = false;
 
@@ -68,28 +64,22 @@
     this.#options = options;
     this.#book = new ReservationBook(self);
     this.#leftovers = new Leftovers({ ctx: options.ctx });
+    this.#adopted = new AdoptedWorker({
+      ctx: options.ctx,
+      leftovers: this.#leftovers,
+      isKnown: (name) => this.#isKnown(name),
+      onStatus: (status) => this.#tasks.get(status.task)?.noteStatus(status),
+    });
   }
 
-  /** Takes a worker on: clears what an earlier life left there. Resolves once it may be offered. */
-  async adopt(worker: Worker): Promise<void> {
-    if (this.#client?.address !== worker.address) this.#connect(worker);
-    const client = this.#client!;
-    while (!this.#stopped && client === this.#client) {
-      try {
-        await this.#leftovers.clear(client, (name) => this.#tasks.has(name));
-        this.#worker = worker;
-        return;
-      } catch (err) {
-        this.#ctx.metrics.count('worker.adopt.failed');
-        this.#ctx.timeline.record('worker.silent', worker.id, { detail: (err as Error).message });
-        await pause(ADOPT_RETRY_MS);
-      }
-    }
+  /** Takes a worker on; true once it may be offered. */
+  async adopt(worker: Worker): Promise<boolean> {
+    return this.#adopted.adopt(worker);
   }
 
   /** The worker leaves: nothing new is reserved, what runs goes on. */
   leave(): void {
-    this.#worker = undefined;
+    this.#adopted.leave();
   }
 
   get draining(): boolean {
@@ -108,9 +98,8 @@
   stop(): void {
     this.#stopped = true;
     clearTimeout(this.#timer);
-    this.#watch?.stop();
     this.#tasks.forEach((task) => task.close());
-    this.#client?.close();
+    this.#adopted.stop();
   }
 
   /** Throws ProblemError if the order is stale. */
@@ -130,10 +119,11 @@
   reserve(req: GangReserve): MethodRes<'gang.reserve'> {
     const known = this.#book.find(req.ref);
     if (!known && this.#draining) throw draining();
-    if (!this.#worker || !this.#client) throw noWorker();
+    const { worker, client } = this.#adopted;
+    if (!worker || !client) throw noWorker();
     if (!known && this.#leftovers.find(req.ref)) this.#book.stop(req.ref, req.order, this.#now());
-    const { state, isNew } = this.#book.reserve(req, this.#worker, this.#now());
-    if (isNew && req.task) this.#prepare(req, this.#client);
+    const { state, isNew } = this.#book.reserve(req, worker, this.#now());
+    if (isNew && req.task) this.#prepare(req, client);
     else if (!isNew) this.#tasks.get(taskName(req.ref))?.renew();
     if (isNew) this.#ctx.timeline.record('gang.reserved', req.ref.key, jobOf(req.ref));
     this.#arm();
@@ -148,7 +138,7 @@
       return { state: 'ended', end: left };
     }
     const answer = this.#book.start(ref, order, this.#now());
-    if (answer.todo === 'nothing') return pick(answer);
+    if (answer.todo === 'nothing') return answer.res;
     const task = this.#tasks.get(name);
     if (!task) throw taskUnknown();
     const underWay = this.#starting.get(name) ?? this.#startTask(task);
@@ -170,7 +160,9 @@
     const task = this.#tasks.get(taskName(ref));
     if (!task) throw taskUnknown();
     const ended = this.#whenEnded(task);
-    if (checkpoint && wasRunning && limitMs > 0) await task.checkpoint(limitMs);
+    if (checkpoint && limitMs > 0 && (wasRunning || task.isCheckpointing)) {
+      await task.checkpoint(limitMs);
+    }
     void task.stop();
     return ended;
   }
@@ -186,13 +178,13 @@
     this.#book.forget(ref, order);
     this.#leftovers.forget(ref);
     // Best effort: what stays is cleared as a leftover by the next life of this guard.
-    if (!this.#book.find(ref)) this.#client?.forget(taskName(ref)).catch(() => undefined);
+    if (!this.#book.find(ref)) this.#adopted.client?.forget(taskName(ref)).catch(() => undefined);
   }
 
   inventory(order: Order): { reservations: Reservation[]; highestTerm: number } {
     this.#book.admit(order);
     const { highestTerm } = this.#book;
-    const left = this.#leftovers.inventory(this.#worker?.id ?? 'unknown', highestTerm);
+    const left = this.#leftovers.inventory(this.#adopted.worker?.id ?? 'unknown', highestTerm);
     return { reservations: [...this.#book.inventory(), ...left], highestTerm };
   }
 
@@ -203,29 +195,19 @@
     );
   }
 
-  #connect(worker: Worker): void {
-    this.#watch?.stop();
-    this.#client = new WorkerClient({ address: worker.address });
-    this.#watch = new WorkerWatch({
-      worker: this.#client,
-      onStatus: (status) => this.#tasks.get(status.task)?.noteStatus(status),
-    });
-    this.#watch.start();
+  #isKnown(name: string): boolean {
+    const ref = toRef(name);
+    return ref !== undefined && this.#book.find(ref) !== undefined;
   }
 
-  #prepare({ ref, member, task, order }: GangReserve, worker: WorkerClient): void {
+  #prepare(req: GangReserve, worker: WorkerClient): void {
+    const { ref, order, task } = req;
     const { taskLeaseMs, clockMargin } = this.#options.settings;
-    const { tasks, kind, params, checkpoint, checkpointable, maxRunMs } = task!;
-    const { accelerators, cores, memoryMb } = member;
     const name = taskName(ref);
     const guarded = new GuardedTask({
       ref,
-      order: {
-        ...{ task: name, member: ref.member, accelerators, cores, memoryMb },
-        ...{ tasks, kind, params, checkpointable },
-        ...(checkpoint === undefined ? {} : { checkpoint }),
-      },
-      maxRunMs,
+      order: toTaskOrder(req),
+      maxRunMs: task!.maxRunMs,
       worker,
       clock: this.#ctx.clock,
       leaseMs: taskLeaseMs,
@@ -273,18 +255,13 @@
       outcome: end.outcome,
       ranMs: Math.round(end.ranMs),
     });
-    this.#waiters.get(task.name)?.forEach((resolve) => resolve(end));
-    this.#waiters.delete(task.name);
+    this.#waiters.settle(task.name, end);
     this.#options.onEnded(end);
     if (this.#tasks.size === 0) this.#onIdle?.();
   }
 
   async #whenEnded(task: GuardedTask): Promise<TaskEnd> {
-    const known = this.#book.find(task.ref)?.end;
-    if (known) return known;
-    return new Promise((resolve) => {
-      this.#waiters.set(task.name, [...(this.#waiters.get(task.name) ?? []), resolve]);
-    });
+    return this.#book.find(task.ref)?.end ?? this.#waiters.wait(task.name);
   }
 
   /** Sets the alarm for the next reservation that runs out. */
@@ -307,21 +284,3 @@
     return this.#ctx.clock.now();
   }
 }
-
-function jobOf({ key, attempt, member }: AttemptRef): {
-  job: string;
-  attempt: number;
-  member: number;
-} {
-  return { job: key, attempt, member };
-}
-
-function pick({ state, end }: MethodRes<'gang.start'>): MethodRes<'gang.start'> {
-  return { state, ...(end === undefined ? {} : { end }) };
-}
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/guard/src/gang/guarded-task.ts
+++ b/packages/guard/src/gang/guarded-task.ts
@@ -56,6 +56,8 @@
 
   #checkpoint: string | undefined;
 
+  #checkpointing: Promise<boolean> | undefined;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: GuardedTaskOptions) {
@@ -103,13 +105,13 @@
 
   /** Asks for a checkpoint; the lease is renewed meanwhile. True if there is one now. */
   async checkpoint(limitMs: number): Promise<boolean> {
-    try {
-      const answer = await this.#options.worker.checkpoint(this.name, limitMs);
-      if (answer.outcome === 'done') this.#checkpoint = answer.checkpoint;
-      return answer.outcome === 'done';
-    } catch {
-      return false;
-    }
+    // A repeated order must not cut the checkpoint that is under way.
+    this.#checkpointing ??= this.#takeCheckpoint(limitMs);
+    return this.#checkpointing;
+  }
+
+  get isCheckpointing(): boolean {
+    return this.#checkpointing !== undefined;
   }
 
   async throttle(cores: number): Promise<boolean> {
@@ -159,6 +161,18 @@
     this.#state = 'ended';
   }
 
+  async #takeCheckpoint(limitMs: number): Promise<boolean> {
+    try {
+      const answer = await this.#options.worker.checkpoint(this.name, limitMs);
+      if (answer.outcome === 'done') this.#checkpoint = answer.checkpoint;
+      return answer.outcome === 'done';
+    } catch {
+      return false;
+    } finally {
+      this.#checkpointing = undefined;
+    }
+  }
+
   async #renew(): Promise<void> {
     clearTimeout(this.#timer);
     if (this.#state !== 'alive') return;
--- a/packages/guard/src/gang/leftovers.ts
+++ b/packages/guard/src/gang/leftovers.ts
@@ -11,11 +11,11 @@
   type WorkerTaskStatus,
 } from '@zincspan/core';
 import { isEnded, toEnd } from './task-end.js';
+import { toRef } from './task-order.js';
 import type { WorkerClient } from './worker-client.js';
 
 const RETRY_MS = 200;
 const KEPT = 1000;
-const NAME_PATTERN = /^(.+)~(\d+)~(\d+)$/;
 
 /** Ends of leftover tasks, by the name on the worker. */
 export class Leftovers {
@@ -77,13 +77,6 @@
   }
 }
 
-function toRef(name: string): AttemptRef | undefined {
-  const match = NAME_PATTERN.exec(name);
-  if (!match) return undefined;
-  const [, key = '', attempt, member] = match;
-  return { key: key.replaceAll('~', '/'), attempt: Number(attempt), member: Number(member) };
-}
-
 async function pause(): Promise<void> {
   await new Promise((resolve) => {
     setTimeout(resolve, RETRY_MS);
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -132,15 +132,10 @@
   }
 
   async #offer(upstream: Upstream | undefined): Promise<void> {
-    const state = this.#draining ? 'draining' : 'ready';
-    if (upstream?.type === 'worker') {
-      await this.#keeper.adopt(upstream);
-    } else {
-      this.#keeper.leave();
-    }
     this.#runner.setRunner(upstream?.type === 'runner' ? upstream : undefined);
-    // It may have gone while its worker was being cleared.
-    if (this.#holder.upstream !== upstream) return;
+    if (upstream?.type !== 'worker') this.#keeper.leave();
+    else if (!(await this.#keeper.adopt(upstream))) return;
+    const state = this.#draining ? 'draining' : 'ready';
     await this.#announcer.announce(upstream, upstream ? state : 'withdrawn');
   }
 
--- a/packages/link/src/dialer.ts
+++ b/packages/link/src/dialer.ts
@@ -44,6 +44,8 @@
 
   #failures = 0;
 
+  #upSince = 0;
+
   #closed = false;
 
   constructor(options: DialerOptions) {
@@ -120,7 +122,7 @@
   }
 
   #open(socket: FrameSocket, process: ProcessId): void {
-    this.#failures = 0;
+    this.#upSince = this.#options.ctx.clock.now();
     this.#link = new Link({ options: this.#options, limits: this.#limits, socket, process });
     this.#options.ctx.metrics.count('link.dialled');
     this.#options.onPeer?.(this.#link);
@@ -133,12 +135,17 @@
     this.#link = undefined;
     link?.handleEnd(fault);
     if (this.#closed) return;
-    this.#timer = setTimeout(() => this.#dial(), this.#nextWaitMs(link !== undefined));
+    const upMs = link === undefined ? 0 : this.#options.ctx.clock.now() - this.#upSince;
+    this.#timer = setTimeout(() => this.#dial(), this.#nextWaitMs(upMs));
   }
 
-  #nextWaitMs(wasUp: boolean): number {
-    if (wasUp) return 0;
+  /** A link that held is redialled at once; one that falls again and again is not. */
+  #nextWaitMs(upMs: number): number {
     const { firstMs, maxMs } = this.#backoff;
+    if (upMs > maxMs) {
+      this.#failures = 0;
+      return 0;
+    }
     const ceiling = Math.min(maxMs, firstMs * 2 ** Math.min(this.#failures, 16));
     this.#failures += 1;
     return ceiling * (0.5 + (this.#options.random ?? Math.random)() / 2);
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -7,15 +7,16 @@
   type MethodReq,
   type MethodRes,
   type Peer,
+  type Problem,
   type ProcessId,
   problem,
   toProblem,
 } from '@zincspan/core';
 import { PendingCalls } from './pending-calls.js';
-import { frameSchema, type Frame } from './frame.js';
+import { MAX_FRAME_BYTES, frameSchema, type Frame } from './frame.js';
 import { LinkFault, type CloseReason, type LinkLimits, type LinkOptions } from './options.js';
 import { SilenceWatch } from './silence-watch.js';
-import type { FrameSocket } from './socket.js';
+import type { FrameSocket, SendResult } from './socket.js';
 
 /** A handler whose request was checked against its method's schema. */
 type AnyHandler = (req: unknown, peer: Peer) => unknown;
@@ -87,9 +88,8 @@
   ): Promise<MethodRes<M>> {
     if (this.closed) throw new LinkError('not-sent', 'The link is closed.');
     const { id, answer } = this.#pending.open(timeoutMs);
-    if (!this.#send({ t: method, id, body: req })) {
-      this.#pending.reject(id, new LinkError('not-sent', 'The outgoing buffer is full.'));
-    }
+    const sent = this.#send({ t: method, id, body: req });
+    if (sent !== 'sent') this.#pending.reject(id, unsent(method, sent));
     const body = await answer;
     const checked = METHODS[method].res.safeParse(body);
     if (checked.success) return checked.data as MethodRes<M>;
@@ -115,11 +115,11 @@
     this.#resolveEnded(fault.reason);
   }
 
-  #send(frame: { t: string } & Record<string, unknown>): boolean {
-    const sent = this.#socket.send({ ...frame, hlc: this.#options.ctx.hybrid.tick() });
-    if (sent) this.#watch.sent();
-    else this.#options.ctx.metrics.count('link.unsent');
-    return sent;
+  #send(frame: { t: string } & Record<string, unknown>): SendResult {
+    const result = this.#socket.send({ ...frame, hlc: this.#options.ctx.hybrid.tick() });
+    if (result === 'sent') this.#watch.sent();
+    else this.#options.ctx.metrics.count(`link.unsent.${result}`);
+    return result;
   }
 
   #beat(): void {
@@ -157,9 +157,11 @@
     this.#answering += 1;
     const answer = await this.#run(t, body).catch((err: unknown) => this.#refuse(t, err));
     this.#answering -= 1;
-    if (this.closed || this.#send({ t, re: id, ...answer })) return;
+    let sent = this.#send({ t, re: id, ...answer });
+    if (sent === 'too-long')
+      sent = this.#send({ t, re: id, problem: tooLong('answer', t, 'unknown') });
     // An answer that can't be written would leave its caller waiting: end the link, so that it settles.
-    if (!this.closed) this.close('overflow', 'Answers fill the outgoing buffer.');
+    if (sent === 'full') this.close('overflow', 'Answers fill the outgoing buffer.');
   }
 
   async #run(method: string, body: unknown): Promise<{ body: unknown }> {
@@ -181,6 +183,20 @@
   }
 }
 
+function unsent(method: string, result: SendResult): Error {
+  if (result === 'too-long') return new ProblemError(tooLong('call', method, 'not-run'));
+  return new LinkError('not-sent', 'The outgoing buffer is full.');
+}
+
+function tooLong(what: string, method: string, ran: 'not-run' | 'unknown'): Problem {
+  return problem('too-large', {
+    detail: `The ${what} of ${method} exceeds ${MAX_FRAME_BYTES} bytes.`,
+    remedy: 'Send less at once.',
+    ran,
+    facts: { bound: MAX_FRAME_BYTES },
+  });
+}
+
 function isMethod(method: string): method is Method {
   return Object.keys(METHODS).includes(method);
 }
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -1,7 +1,7 @@
 /** One WebSocket with frames on it: bounded both ways, its end reported once. */
 import type { Duplex } from 'node:stream';
 import type { WebSocket } from 'ws';
-import { decode, encode } from './frame.js';
+import { MAX_FRAME_BYTES, decode, encode } from './frame.js';
 import { LinkFault } from './options.js';
 
 /** `outgoingBytes` bounds what is written but not yet taken by the network. */
@@ -13,6 +13,9 @@
   onEnd: (fault: LinkFault) => void;
 }
 
+/** What became of a frame. `full`: the outgoing bound is reached. */
+export type SendResult = 'sent' | 'closed' | 'full' | 'too-long';
+
 /** Error codes of ws for frames over its `maxPayload`. */
 const TOO_LONG = 'WS_ERR_UNSUPPORTED_MESSAGE_LENGTH';
 
@@ -56,12 +59,14 @@
     this.#onFrame = onFrame;
   }
 
-  /** Writes a frame; false if it surely wasn't, as the outgoing bound is reached or the socket has ended. */
-  send(frame: object): boolean {
-    if (this.#ended || this.#socket.readyState !== this.#socket.OPEN) return false;
-    if (this.#socket.bufferedAmount > this.#outgoingBytes) return false;
-    this.#socket.send(encode(frame));
-    return true;
+  /** Writes a frame. Anything but `sent` means that it surely wasn't. */
+  send(frame: object): SendResult {
+    if (this.#ended || this.#socket.readyState !== this.#socket.OPEN) return 'closed';
+    if (this.#socket.bufferedAmount > this.#outgoingBytes) return 'full';
+    const bytes = encode(frame);
+    if (bytes.byteLength > MAX_FRAME_BYTES) return 'too-long';
+    this.#socket.send(bytes);
+    return 'sent';
   }
 
   /** Ends it at once, without waiting for the peer. */
