--- a/packages/entry/src/owner/fake-guard.support.ts
+++ b/packages/entry/src/owner/fake-guard.support.ts
@@ -117,8 +117,8 @@
   }
 
   #start({ ref, order }: Orders): unknown {
-    const { todo, ...answer } = this.book.start(ref, order, this.#clock.now());
-    if (todo === 'nothing') return answer;
+    const answer = this.book.start(ref, order, this.#clock.now());
+    if (answer.todo === 'nothing') return answer.res;
     this.ran.push(`${ref.key}#${ref.attempt}#${ref.member}`);
     this.book.started(ref, this.#clock.now());
     return { state: 'running' };
--- a/packages/entry/src/owner/member-driver.ts
+++ b/packages/entry/src/owner/member-driver.ts
@@ -157,8 +157,9 @@
     if (signal.aborted) return 'over';
     this.#noteSilence(result);
     if (result.type === 'refused') return this.#drop(result.problem.detail);
-    if (result.type === 'not-sent' && !this.#mayBeReserved)
-      { return this.#drop('No link to its guard.'); }
+    if (result.type === 'not-sent' && !this.#mayBeReserved) {
+      return this.#drop('No link to its guard.');
+    }
     this.#mayBeReserved = true;
     if (result.type !== 'done') return 'again';
     const { state } = result.res;
