Tell guards of drained upstreams; narrow the status table

DrainedWatch follows the bundle's drained list for one upstream; without it a drain that was rolled out changed nothing at the guard. Status had one row per process, wider than any terminal; now one per part. JSON is one line, so that a program can read it line by line.

--- a/packages/cli/src/cli.feature
+++ b/packages/cli/src/cli.feature
@@ -11,7 +11,7 @@
     And after "bundle status" the client prints "Version 1 is in force in 1 of 1 processes"
     And after "bundle history" the client prints "bat, anu"
     And after "bundle diff @bundle.jsonc" the client prints "No difference."
-    And after "status" the client prints "bundle: version 1"
+    And after "status" the client prints "version 1, platformReachable true"
     And after "timeline" the client prints "bundle.rolled-out"
 
   Scenario: a rollout can be repeated
--- a/packages/cli/src/output/output.ts
+++ b/packages/cli/src/output/output.ts
@@ -23,9 +23,9 @@
     this.#json = json;
   }
 
-  /** A command's result: `value` as JSON, or the text that `render` makes of it. */
+  /** A command's result: `value` as one line of JSON, or the text that `render` makes of it. */
   result(value: unknown, render: () => string): void {
-    this.#io.out(this.#json ? JSON.stringify(value, null, 2) : render());
+    this.#io.out(this.#json ? JSON.stringify(value) : render());
   }
 
   /** Something to know besides; not part of the JSON. */
--- a/packages/cli/src/report/report-commands.ts
+++ b/packages/cli/src/report/report-commands.ts
@@ -4,13 +4,8 @@
 import { countFlag, textFlag, type Command, type Flags } from '../command/command.js';
 import { CLIENT, OUTPUT } from '../container/container.js';
 import { formatTable, formatTime } from '../output/table.js';
-import {
-  readJobs,
-  readProcesses,
-  readUpstreams,
-  type ProcessReport,
-  type UpstreamReport,
-} from './report-calls.js';
+import { formatProcess } from './format-process.js';
+import { readJobs, readProcesses, readUpstreams, type UpstreamReport } from './report-calls.js';
 
 /** They change nothing. */
 export const REPORT_COMMANDS: readonly Command[] = [
@@ -39,36 +34,17 @@
 
 async function status(c: DependencyContainer): Promise<void> {
   const answer = await readProcesses(c.resolve(CLIENT));
-  const rows = answer.processes.map((one) => [
-    one.process,
-    one.role,
-    one.failureDomain,
-    formatParts(one),
-  ]);
-  const lost = answer.unreachable.map(({ process, why }) => [
-    process,
-    '-',
-    '-',
-    `no answer: ${why}`,
-  ]);
-  c.resolve(OUTPUT).result(answer, () =>
-    formatTable(['PROCESS', 'ROLE', 'FAILURE DOMAIN', 'STATUS'], [...rows, ...lost]),
-  );
-}
-
-/** `part: key value, key value; part: …`, with what isn't a plain value as JSON. */
-function formatParts({ status: parts }: ProcessReport): string {
-  return Object.entries(parts)
-    .map(([name, value]) => `${name}: ${formatPart(value)}`)
-    .join('; ');
-}
-
-function formatPart(value: unknown): string {
-  if (typeof value !== 'object' || value === null) return String(value);
-  if (Array.isArray(value)) return JSON.stringify(value);
-  return Object.entries(value)
-    .map(([key, one]) => `${key} ${typeof one === 'object' ? JSON.stringify(one) : String(one)}`)
-    .join(', ');
+  c.resolve(OUTPUT).result(answer, () => {
+    const rows = answer.processes.flatMap(formatProcess);
+    const lost = answer.unreachable.map(({ process, why }) => [
+      process,
+      '-',
+      '-',
+      'no answer',
+      why,
+    ]);
+    return formatTable(['PROCESS', 'ROLE', 'FAILURE DOMAIN', 'PART', 'STATUS'], [...rows, ...lost]);
+  });
 }
 
 async function jobs(c: DependencyContainer, _args: string[], flags: Flags): Promise<void> {
--- a/packages/core/src/bundle/bundle.feature
+++ b/packages/core/src/bundle/bundle.feature
@@ -81,3 +81,13 @@
       | a guarantee of an account not there   | guarantees[0].account        |
       | guarantees too large with a loss      | guarantees                   |
       | guarantees too large for what's left  | guarantees                   |
+
+  Scenario: a guard follows whether its upstream is drained
+    Given a bundle keeper at version 1
+    When a guard of "w1" follows bundles that drain "w1", then "w2", then "w1"
+    Then the guard was told "true, false, true"
+
+  Scenario: a guard whose upstream announces itself late is told then
+    Given a bundle keeper at version 1
+    When a guard learns that it guards "w1" after a bundle that drains "w1"
+    Then the guard was told "true"
--- a/packages/core/src/bundle/bundle.steps.ts
+++ b/packages/core/src/bundle/bundle.steps.ts
@@ -4,6 +4,7 @@
 import type { Bundle, BundleHead } from './bundle.js';
 import { account, bundleOf, bundles, headOf, keys, operators } from './bundle.support.js';
 import { applyDelta, makeDelta } from './delta.js';
+import { DrainedWatch } from './drained-watch.js';
 import { BundleKeeper, type OfferResult } from './keeper.js';
 import { normalizeBundle } from './sections.js';
 import { digestBundle } from './section-set.js';
@@ -13,6 +14,7 @@
   bundle: Bundle;
   next: Bundle;
   result: OfferResult;
+  told: boolean[];
 }
 
 const someHead = headOf(bundleOf(), 1);
@@ -146,3 +148,39 @@
 Then('the bundle delta is under {int} bytes', function (this: KeeperWorld, limit: number) {
   assert.ok(JSON.stringify(this.keeper.deltaSince(1)).length < limit);
 });
+
+function takeDrained(world: KeeperWorld, drained: string[], version: number): void {
+  const bundle = bundleOf({ drained });
+  assert.equal(world.keeper.offerBundle(headOf(bundle, version), bundle), 'taken');
+}
+
+When(
+  /^a guard of "(.*)" follows bundles that drain (.*)$/,
+  function (this: KeeperWorld, id: string, list: string) {
+    this.told = [];
+    const onChange = (drained: boolean): number => this.told.push(drained);
+    const watch = new DrainedWatch({ keeper: this.keeper, upstream: () => id, onChange });
+    const names = list.split(', then ').map((name) => name.replaceAll('"', ''));
+    names.forEach((name, i) => takeDrained(this, [name], i + 2));
+    watch.stop();
+    takeDrained(this, [], 9);
+  },
+);
+
+When(
+  'a guard learns that it guards {string} after a bundle that drains {string}',
+  function (this: KeeperWorld, id: string, drained: string) {
+    this.told = [];
+    let upstream: string | undefined;
+    const onChange = (on: boolean): number => this.told.push(on);
+    const watch = new DrainedWatch({ keeper: this.keeper, upstream: () => upstream, onChange });
+    takeDrained(this, [drained], 2);
+    upstream = id;
+    watch.check();
+    watch.check();
+  },
+);
+
+Then('the guard was told {string}', function (this: KeeperWorld, told: string) {
+  assert.equal(this.told.join(', '), told);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -77,3 +77,4 @@
 export * from './bundle/canonical.js';
 export * from './scheduler/contract-scheduler.js';
 export * from './scheduler/bundle-view.js';
+export * from './bundle/drained-watch.js';
