--- a/packages/platform/src/http/http-table.feature
+++ b/packages/platform/src/http/http-table.feature
@@ -22,6 +22,12 @@
       | cut,cut,cut    | not-run | 0       |
       | cut,down,down  | not-run | 0       |
 
+  Scenario: whatever befalls a write, its end is true
+    When the table client writes under every three faults in a row and every fault of settling
+    Then every write that ended as written is there
+    And no write that ended as not-run is there, or arrives later
+    And each end was seen
+
   Scenario: a write that arrives after it was settled has no effect
     Given the scripted store meets writes with "hold,cut,cut"
     When the table client writes a row
--- a/packages/platform/src/http/scripted-store.support.ts
+++ b/packages/platform/src/http/scripted-store.support.ts
@@ -9,7 +9,8 @@
  * `serve` as it should; `down` answers 503; `cut` has no effect, `lose` has, and both cut the connection; `fail`
  * has effect and answers 500; `hold` never answers, and has its effect when released.
  */
-export type ScriptAction = 'serve' | 'down' | 'cut' | 'lose' | 'fail' | 'hold';
+export const SCRIPT_ACTIONS = ['serve', 'down', 'cut', 'lose', 'fail', 'hold'] as const;
+export type ScriptAction = (typeof SCRIPT_ACTIONS)[number];
 
 /** Serves rows; everything beyond the script is served as it should. */
 export class ScriptedStore {
