--- a/packages/core/src/scheduler/contract-scheduler.ts
+++ b/packages/core/src/scheduler/contract-scheduler.ts
@@ -252,7 +252,7 @@
 
   #learn({ job }: RunningJob, { end, ranMs }: Ended): void {
     if (end === 'lost' || ranMs <= 0) return;
-    this.#state.estimator.observe({
+    this.#state.observe({
       ...estimateQuery(job),
       key: job.key,
       ranMs: ranMs + (job.savedMs ?? 0),
@@ -322,7 +322,7 @@
     if (!full && fresh.length === 0) return [];
     const jobs = full ? queue.inOrder(now) : fresh.filter(({ key }) => queue.has(key));
     const placed: QueuedJob[] = [];
-    const { decisions, clearing } = this.#pass.run(jobs, now, (found) => {
+    const { decisions, clearing } = this.#pass.run({ jobs, all: full }, now, (found) => {
       placed.push(found.job);
       return this.#run(found, now);
     });
--- a/packages/core/src/scheduler/domain-state.ts
+++ b/packages/core/src/scheduler/domain-state.ts
@@ -8,7 +8,12 @@
 import type { Worker } from '../upstream/upstream.js';
 import { BundleView } from './bundle-view.js';
 import { Clearings } from './clearings.js';
-import { RunTimeEstimator, type EstimateQuery } from './estimate.js';
+import {
+  RunTimeEstimator,
+  type EstimateQuery,
+  type RunEstimate,
+  type RunObservation,
+} from './estimate.js';
 import { FairShare } from './fair-share.js';
 import { QueueOrder } from './queue-order.js';
 import { RunningJobs, type RunningJob } from './running-jobs.js';
@@ -16,6 +21,9 @@
 import { WorkerHealth } from './worker-health.js';
 import { WorkerStates } from './worker-states.js';
 
+/** Observations between two revisions of the estimates of queued jobs. */
+const REVISE_AFTER = 64;
+
 /** What an estimate of a queued job is about. */
 export function estimateQuery({ account, spec, savedMs }: QueuedJob): EstimateQuery {
   return {
@@ -56,6 +64,13 @@
 
   readonly queue: QueueOrder;
 
+  /** Estimates of queued jobs, made anew after every REVISE_AFTER observations. */
+  readonly #estimates = new WeakMap<QueuedJob, { estimate: RunEstimate; madeAt: number }>();
+
+  #observations = 0;
+
+  #observed = 0;
+
   /** Accelerators held by claims, by account. */
   readonly claimed = new Map<string, number>();
 
@@ -70,7 +85,7 @@
           const { urgency, contract } = this.view.kind(kind);
           return { urgent: urgency === 'urgent', withinMs: contract?.withinMs };
         },
-        runMs: (job) => this.estimator.estimate(estimateQuery(job)).p90Ms,
+        runMs: (job) => this.runMs(job).p90Ms,
         priority: (account, now) => this.fairShare.priority(account, now),
         overuse: (account, competing) => this.fairShare.overuse(account, competing),
       },
@@ -168,9 +183,20 @@
     });
   }
 
-  /** Expected run time still to go of a queued job, in ms. */
-  runMs(job: QueuedJob): { p50Ms: number; p90Ms: number } {
-    return this.estimator.estimate(estimateQuery(job));
+  /** Expected run time still to go of a queued job, in ms; up to some observations old. */
+  runMs(job: QueuedJob): RunEstimate {
+    const known = this.#estimates.get(job);
+    if (known !== undefined && known.madeAt === this.#observed) return known.estimate;
+    const estimate = this.estimator.estimate(estimateQuery(job));
+    this.#estimates.set(job, { estimate, madeAt: this.#observed });
+    return estimate;
+  }
+
+  /** Learns from a run. */
+  observe(run: RunObservation): void {
+    this.estimator.observe(run);
+    this.#observations += 1;
+    if (this.#observations % REVISE_AFTER === 0) this.#observed = this.#observations;
   }
 
   #countCapacity(): void {
--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -54,14 +54,17 @@
 
   #blocked = 0;
 
+  /** Jobs that couldn't be placed in the last pass through the whole queue. */
+  #blockedInAll = 0;
+
   constructor(parts: PassParts) {
     this.#parts = parts;
     this.#placer = new Placer(parts);
   }
 
-  /** Jobs that couldn't be placed in the last pass. */
+  /** Jobs that couldn't be placed of late. */
   get blocked(): number {
-    return this.#blocked;
+    return this.#blocked + this.#blockedInAll;
   }
 
   /** Whether a job would be placed at once. */
@@ -76,7 +79,7 @@
 
   /** Goes through `jobs` in order. `place` is called for each job placed, before the next is looked at. */
   run(
-    jobs: Iterable<QueuedJob>,
+    { jobs, all }: { jobs: Iterable<QueuedJob>; all: boolean },
     now: number,
     place: (placed: Placed) => Decision,
   ): { decisions: Decision[]; clearing: QueuedJob[] } {
@@ -90,6 +93,7 @@
       if (placed !== undefined) decisions.push(place(placed));
       else if (!this.#block(job, now, decisions)) break;
     }
+    if (all) this.#blockedInAll = this.#blocked;
     return { decisions, clearing: this.#clearing };
   }
 
@@ -139,7 +143,7 @@
     if (now >= job.submittedAt + patience && this.#urgentLeft > 0) {
       this.#urgentLeft -= 1;
       const evictions = this.#parts.rooms.forUrgent(job, now);
-      if (evictions.length > 0) {
+      if (evictions !== undefined) {
         this.#clearing.push(job);
         return evictions;
       }
@@ -167,10 +171,9 @@
     const waitMs =
       reservation === undefined ? defragmentAfterMs : Math.max(0, reservation.at - now);
     const moves = rooms.forGang(job, waitMs, now);
-    if (moves.length > 0) {
-      this.#clearing.push(job);
-      reservations.drop(job.key);
-    }
+    if (moves === undefined) return [];
+    this.#clearing.push(job);
+    reservations.drop(job.key);
     return moves;
   }
 }
--- a/packages/core/src/scheduler/room-making.ts
+++ b/packages/core/src/scheduler/room-making.ts
@@ -30,26 +30,25 @@
     return this.#moving.size;
   }
 
-  /** Evicts jobs of waiting kinds for an urgent one; no decisions if there is no such place. */
-  forUrgent(job: QueuedJob, now: number): Decision[] {
+  /** Evicts jobs of waiting kinds for an urgent one; undefined if there is no such place. */
+  forUrgent(job: QueuedJob, now: number): Decision[] | undefined {
     const cost = memoized(this.#state.evictionCost(job.account, 'urgent', now));
     const clearance = this.#cheapest(job, cost);
-    if (clearance === undefined) return [];
-    return this.#evict(job, clearance, 'urgent');
+    return clearance && this.#evict(job, clearance, 'urgent');
   }
 
   /** Moves checkpointable jobs away for a gang if that costs less than its wait of `waitMs`. */
-  forGang(job: QueuedJob, waitMs: number, now: number): Decision[] {
+  forGang(job: QueuedJob, waitMs: number, now: number): Decision[] | undefined {
     const { capacity, view } = this.#state;
     const { checkpointLimitMs, fragmentationWeight } = view.policy;
     const size = sizeOf(job.spec.shape);
-    if (capacity.free < size) return [];
+    if (capacity.free < size) return undefined;
     const cost = memoized(this.#state.evictionCost(job.account, 'defragment', now));
     const clearance = this.#cheapest(job, cost);
-    if (clearance === undefined || !this.#canMove(clearance)) return [];
+    if (clearance === undefined || !this.#canMove(clearance)) return undefined;
     const moved = clearance.victims.reduce((sum, { members }) => sum + acceleratorsOf(members), 0);
     const moveCost = clearance.cost + moved * checkpointLimitMs;
-    if (moveCost > size * waitMs * 2 * fragmentationWeight) return [];
+    if (moveCost > size * waitMs * 2 * fragmentationWeight) return undefined;
     this.#moving.add(job.key);
     return this.#evict(job, clearance, 'defragment');
   }
