Wake callers who wait at an entry that isn't the owner

Cause: such a wait read the table twice a second, so a thousand callers would have used all its reads, and heard of the end up to half a second late. Conclusion: a wait ends with the job at any entry.

--- a/packages/core/src/message/message.ts
+++ b/packages/core/src/message/message.ts
@@ -229,6 +229,11 @@
     res: z.strictObject({ ran: ranSchema }),
   },
   'claim.changed': { req: z.strictObject({ account: nameSchema, id: nameSchema }), res: none },
+  /** Answers once the owner has changed the row, or `changed: false` after `timeoutMs`. */
+  'row.wait': {
+    req: z.strictObject({ key: z.string().max(200), timeoutMs: z.int().min(0).max(60_000) }),
+    res: z.strictObject({ changed: z.boolean() }),
+  },
   // Any to any.
   'bundle.fetch': {
     req: z.strictObject({ have: z.int().min(0) }),
--- a/packages/entry/src/claim/routes.ts
+++ b/packages/entry/src/claim/routes.ts
@@ -7,6 +7,7 @@
 import { longPoll } from '../job/long-poll.js';
 import { idempotencyKeySchema, idParamSchema, waitQuerySchema } from '../job/routes.js';
 import type { RowWatch } from '../job/row-watch.js';
+import type { Owners } from '../owner/owners.js';
 import type { Timers } from '../owner/timers.js';
 import { isSettledClaim, type ClaimService } from './claim-service.js';
 import type { ClaimStore } from './claim-store.js';
@@ -22,6 +23,7 @@
 export interface ClaimRouteDeps {
   ctx: ProcessContext;
   service: ClaimService;
+  owners: Owners;
   store: ClaimStore;
   watch: RowWatch;
   timers: Timers;
@@ -66,19 +68,21 @@
 }
 
 async function wait(
-  { ctx, service, watch, timers }: ClaimRouteDeps,
+  { ctx, service, owners, watch, timers }: ClaimRouteDeps,
   req: Request,
   h: ResponseToolkit,
 ): Promise<ResponseObject> {
   const { id } = parseInput(idParamSchema, req.params);
   const { timeoutMs } = parseInput(waitQuerySchema, req.query);
   const { name } = callingAccount(req);
+  const key = claimKey(name, id);
   const row = await longPoll({
-    key: claimKey(name, id),
+    key,
     timeoutMs,
     read: () => service.read(name, id),
     isDone: isSettledClaim,
     watch,
+    whenChanged: ({ failureDomain }, ms) => owners.whenChanged(failureDomain, key, ms),
     timers,
     clock: ctx.clock,
   });
--- a/packages/entry/src/job/job-api.feature
+++ b/packages/entry/src/job/job-api.feature
@@ -93,3 +93,13 @@
     And the caller queues 50 jobs
     When the caller cancels all of them at once
     Then all of them are cancelled and not run
+
+  Scenario: waiting at another entry ends with the job as well
+    Given an owner with workers "w1"
+    And a second entry
+    And a caller submits a "entry" gang of 1 tasks with 1 accelerators
+    And the submitted job gets "started"
+    When the caller waits for the submitted job at the second entry
+    And 20000 ms pass for the owner
+    And the worker "w1" ends its tasks as "succeeded"
+    Then the caller's wait ends with "succeeded" before its time
--- a/packages/entry/src/job/job-api.steps.ts
+++ b/packages/entry/src/job/job-api.steps.ts
@@ -53,14 +53,18 @@
   },
 );
 
-When('the caller waits for the submitted job', async function (this: JobApiWorld) {
-  const url = `/v1/jobs/${this.job}/wait?timeoutMs=60000`;
-  this.waited = this.http('GET', url).then(() => ({
-    state: String(this.last.body.state),
-    at: this.timers.clock.now(),
-  }));
-  await ManualTimers.settle();
-});
+When(
+  /^the caller waits for the submitted job( at the second entry)?$/,
+  async function (this: JobApiWorld, second: string | null) {
+    const url = `/v1/jobs/${this.job}/wait?timeoutMs=60000`;
+    const entry = second === null ? 'entry-a' : 'entry-b';
+    this.waited = this.http('GET', url, { entry }).then(() => ({
+      state: String(this.last.body.state),
+      at: this.timers.clock.now(),
+    }));
+    await ManualTimers.settle();
+  },
+);
 
 When(
   'the caller lists its {string} jobs by pages of {int}',
--- a/packages/entry/src/job/routes.ts
+++ b/packages/entry/src/job/routes.ts
@@ -11,6 +11,7 @@
 } from '@zincspan/core';
 import { z } from 'zod';
 import { callingAccount } from '../http/auth.js';
+import type { Owners } from '../owner/owners.js';
 import type { Timers } from '../owner/timers.js';
 import { parseInput, reading } from './body.js';
 import type { JobService } from './job-service.js';
@@ -40,6 +41,7 @@
 export interface JobRouteDeps {
   ctx: ProcessContext;
   service: JobService;
+  owners: Owners;
   store: JobStore;
   watch: RowWatch;
   timers: Timers;
@@ -105,19 +107,21 @@
 }
 
 async function wait(
-  { ctx, service, watch, timers }: JobRouteDeps,
+  { ctx, service, owners, watch, timers }: JobRouteDeps,
   req: Request,
   h: ResponseToolkit,
 ): Promise<ResponseObject> {
   const { id } = parseInput(idParamSchema, req.params);
   const { timeoutMs } = parseInput(waitQuerySchema, req.query);
   const { name } = callingAccount(req);
+  const key = jobKey(name, id);
   const row = await longPoll({
-    key: jobKey(name, id),
+    key,
     timeoutMs,
     read: () => service.read(name, id),
     isDone: isFinal,
     watch,
+    whenChanged: ({ failureDomain }, ms) => owners.whenChanged(failureDomain, key, ms),
     timers,
     clock: ctx.clock,
   });
--- a/packages/entry/src/owner/app.ts
+++ b/packages/entry/src/owner/app.ts
@@ -67,8 +67,9 @@
     name: 'owner',
     handlers: ownerHandlers(owners),
     routes: (server) => {
-      registerJobRoutes(server, { ctx, service: jobService, store: jobs, watch, timers });
-      registerClaimRoutes(server, { ctx, service: claimService, store: claims, watch, timers });
+      const waiting = { ctx, owners, watch, timers };
+      registerJobRoutes(server, { ...waiting, service: jobService, store: jobs });
+      registerClaimRoutes(server, { ...waiting, service: claimService, store: claims });
     },
     start: () => owners.start(),
     drain: () => owners.handOver(),
--- a/packages/entry/src/owner/handlers.ts
+++ b/packages/entry/src/owner/handlers.ts
@@ -27,6 +27,9 @@
       await Promise.all(owners.all().map((owner) => owner.claimChanged(account, id)));
       return {};
     },
+    'row.wait': async ({ key, timeoutMs }) => ({
+      changed: await owners.waitForChange(key, timeoutMs),
+    }),
     'owner.changed': async ({ failureDomain }) => {
       await owners.ownerChanged(failureDomain);
       return {};
--- a/packages/entry/src/owner/owners.ts
+++ b/packages/entry/src/owner/owners.ts
@@ -133,6 +133,35 @@
     else await this.#tell(failureDomain, 'claim.changed', { account, id });
   }
 
+  /** Resolves true once the owner, if that is another entry, says that a row has changed. Never rejects. */
+  async whenChanged(failureDomain: string, key: string, timeoutMs: number): Promise<boolean> {
+    const holder = this.holder(failureDomain);
+    const peer = holder === undefined ? undefined : this.#options.mesh.peer(holder);
+    if (peer === undefined) return false;
+    try {
+      const options = { timeoutMs: timeoutMs + NOTIFY_MS };
+      return (await peer.call('row.wait', { key, timeoutMs }, options)).changed;
+    } catch {
+      this.#missed('row.wait');
+      return false;
+    }
+  }
+
+  /** Another entry waits for a row to be changed here. */
+  async waitForChange(key: string, timeoutMs: number): Promise<boolean> {
+    return new Promise((resolve) => {
+      let cancelTimer = (): void => {};
+      const forget = this.#options.watch.next(key, () => {
+        cancelTimer();
+        resolve(true);
+      });
+      cancelTimer = this.#timers.after(timeoutMs, () => {
+        forget();
+        resolve(false);
+      });
+    });
+  }
+
   /** Another entry says that a failure domain changed hands. */
   async ownerChanged(failureDomain: string): Promise<void> {
     await this.#keepers.get(failureDomain)?.step();
--- a/packages/entry/src/owner/recovery.ts
+++ b/packages/entry/src/owner/recovery.ts
@@ -10,11 +10,17 @@
 /** Rows read at once. */
 const READS_AT_ONCE = 16;
 
+/** Guards asked at once: a failure domain may have a thousand. */
+const GUARDS_AT_ONCE = 64;
+
 /** Reads and settles everything, then returns. Guards that can't be reached are settled once they are. */
 export async function recover(own: Ownership, jobs: JobKeeper, claims: ClaimKeeper): Promise<void> {
   // Guards first: from their answer on they refuse the owner before, so the rows no longer change under us.
-  const answers = await Promise.all(own.workers.guards().map((to) => askInventory(own.orders, to)));
-  const found = byKey(answers.flatMap((reservations) => reservations ?? []));
+  const answers: FoundReservation[] = [];
+  await inParallel(GUARDS_AT_ONCE, own.workers.guards(), async (to) => {
+    answers.push(...((await askInventory(own.orders, to)) ?? []));
+  });
+  const found = byKey(answers);
   await untilRead(own, () => recoverClaims(own, claims, found));
   await untilRead(own, () => recoverJobs(own, jobs, found));
   await settleOrphans(own, jobs, claims, [...found.values()].flat());
@@ -111,10 +117,19 @@
   }
 }
 
-async function readEach<T>(items: T[], read: (item: T) => Promise<void>): Promise<void> {
+function readEach<T>(items: T[], read: (item: T) => Promise<void>): Promise<void> {
+  return inParallel(READS_AT_ONCE, items, read);
+}
+
+/** Does something with each item, `limit` at a time. */
+async function inParallel<T>(
+  limit: number,
+  items: T[],
+  work: (item: T) => Promise<void>,
+): Promise<void> {
   const rest = items.values();
   const worker = async (): Promise<void> => {
-    for (const item of rest) await read(item);
+    for (const item of rest) await work(item);
   };
-  await Promise.all(Array.from({ length: READS_AT_ONCE }, worker));
+  await Promise.all(Array.from({ length: limit }, worker));
 }
