Test choice, ejection, hedging and account limits; keep the busy margin also from a lone account

Found: an account alone took the whole capacity, so that the next one found no room at first; an ejection that had run out became half-open only when asked.

--- a/packages/core/src/request/account-limiter.ts
+++ b/packages/core/src/request/account-limiter.ts
@@ -100,7 +100,9 @@
     const weights = [...this.#accounts.values()]
       .filter(({ inProgress, askedAt }) => inProgress > 0 || now - askedAt < ACTIVE_MS)
       .reduce((total, { weight }) => total + weight, 0);
-    return Math.max(1, Math.floor((this.#capacity * load.weight) / weights));
+    // Alone it still leaves the busy margin, so that others find room when they come.
+    const share = Math.min(this.#busyShare, load.weight / weights);
+    return Math.max(1, Math.floor(this.#capacity * share));
   }
 
   #refuse(
--- a/packages/core/src/request/ejector.ts
+++ b/packages/core/src/request/ejector.ts
@@ -96,6 +96,7 @@
 
   /** A request was sent. */
   started(runner: string, now: number): void {
+    this.health(runner, now);
     this.#records.get(runner)?.started(now);
   }
 
--- /dev/null
+++ b/packages/core/src/request/hedge-policy.steps.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import { Given, Then } from '@cucumber/cucumber';
+import { HedgePolicy } from './hedge-policy.js';
+import { LatencyTracker } from './latency-tracker.js';
+
+interface World {
+  hedging: HedgePolicy;
+}
+
+Given(
+  'a hedge policy that saw {int} latencies from 1 to {int} ms',
+  function (this: World, count: number, longest: number) {
+    const latency = new LatencyTracker();
+    for (let i = 0; i < count; i += 1) {
+      latency.observe({ runner: 'r', kind: 'match', ms: 1 + ((i * 37) % longest) });
+    }
+    let left = 2;
+    const take = (): boolean => {
+      left -= 1;
+      return left >= 0;
+    };
+    this.hedging = new HedgePolicy({ latency, budget: { take } });
+  },
+);
+
+Then(
+  'the hedge policy waits between {int} and {int} ms for an idempotent request',
+  function (this: World, least: number, most: number) {
+    const query = { kind: 'match', idempotent: true, timeLeftMs: 2000 };
+    const delayMs = this.hedging.delayMs(query) ?? 0;
+    assert.ok(delayMs >= least && delayMs <= most, `${delayMs}`);
+  },
+);
+
+Then('the hedge policy never copies a non-idempotent request', function (this: World) {
+  const query = { kind: 'match', idempotent: false, timeLeftMs: 2000 };
+  assert.equal(this.hedging.delayMs(query), undefined);
+});
+
+Then(
+  'the hedge policy never copies a request with {int} ms left',
+  function (this: World, ms: number) {
+    const query = { kind: 'match', idempotent: true, timeLeftMs: ms };
+    assert.equal(this.hedging.delayMs(query), undefined);
+  },
+);
+
+Then(
+  'the hedge policy sends {int} copies of {int} at utilisation {float}',
+  function (this: World, wanted: number, count: number, utilisation: number) {
+    const asked = Array.from({ length: count }, () =>
+      this.hedging.mayHedge({ account: 'a', utilisation }),
+    );
+    assert.equal(asked.filter(Boolean).length, wanted);
+  },
+);
--- /dev/null
+++ b/packages/core/src/request/runner-chooser.feature
@@ -0,0 +1,24 @@
+Feature: runner chooser
+
+  Scenario: bounds and membership hold for any course of events
+    Then a runner chooser keeps its bounds for any course of events
+
+  Scenario: when all are full each refused caller gets a time of its own
+    Given a runner chooser over 2 runners of 8 slots
+    When the runner chooser is asked until it refuses 3 times
+    Then those refusals are "overloaded" with growing times to come back
+
+  Scenario: a draining runner gets nothing new
+    Given a runner chooser over 2 runners of 8 slots
+    When runner "r0" drains
+    Then the runner chooser picks "r1" only
+
+  Scenario: a kind that no runner serves is refused with the reason
+    Given a runner chooser over 0 runners of 8 slots
+    When the runner chooser is asked until it refuses 1 times
+    Then that refusal is "no-upstream"
+
+  Scenario: a slow runner gets little before it is ejected
+    Given a runner chooser over 4 runners of 8 slots
+    When runner "r0" takes 200 ms and the others 40 ms
+    Then the runner chooser gives "r0" less than 15 percent of 400 requests
