--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -158,8 +158,9 @@
     const answer = await this.#run(t, body).catch((err: unknown) => this.#refuse(t, err));
     this.#answering -= 1;
     let sent = this.#send({ t, re: id, ...answer });
-    if (sent === 'too-long')
+    if (sent === 'too-long') {
       sent = this.#send({ t, re: id, problem: tooLong('answer', t, 'unknown') });
+    }
     // An answer that can't be written would leave its caller waiting: end the link, so that it settles.
     if (sent === 'full') this.close('overflow', 'Answers fill the outgoing buffer.');
   }
