--- a/packages/core/src/bundle/bundle.ts
+++ b/packages/core/src/bundle/bundle.ts
@@ -22,6 +22,9 @@
 });
 export type Policy = z.infer<typeof policySchema>;
 
+/** Longest body of a bundle as canonical JSON, in bytes: a daemon that starts fetches it in one message. */
+export const MAX_BUNDLE_BYTES = 900_000;
+
 /** Body of a bundle. Its version and signatures live in the head that points at it. */
 export const bundleSchema = z.strictObject({
   accounts: z.array(clientAccountSchema).max(2000),
--- a/packages/entry/src/operator/operator.feature
+++ b/packages/entry/src/operator/operator.feature
@@ -67,3 +67,9 @@
     Given an operator entry with 7 jobs of 2 accounts
     When an operator lists jobs 3 at a time
     Then the operator has seen 7 jobs once each
+
+  Scenario: a bundle that no message could carry is refused with the bound
+    Given an operator entry
+    When an operator proposes 1900 accounts with 16 tokens each
+    Then the operator call answers 413
+    And the operator is told "at most 900000 are allowed"
--- a/packages/entry/src/operator/operator.steps.ts
+++ b/packages/entry/src/operator/operator.steps.ts
@@ -193,6 +193,22 @@
   },
 );
 
+When(
+  'an operator proposes {int} accounts with {int} tokens each',
+  async function (this: OperatorWorld, count: number, tokens: number) {
+    const digest = (n: number): string => n.toString(16).padStart(64, '0');
+    const accounts = Array.from({ length: count }, (_, i) => ({
+      name: `account-${i}`,
+      tokens: Array.from({ length: tokens }, (_t, j) => ({
+        id: `t${j}`,
+        sha256: digest(i * tokens + j),
+      })),
+    }));
+    const payload = { bundle: { accounts, kinds: [] } };
+    this.answer = await this.entry.call('POST', PROPOSALS, { payload });
+  },
+);
+
 Then('the operator is told {string}', function (this: OperatorWorld, text: string) {
   assert.ok(String(this.answer.body.detail).includes(text), String(this.answer.body.detail));
 });
--- a/packages/entry/src/operator/proposals.ts
+++ b/packages/entry/src/operator/proposals.ts
@@ -1,6 +1,7 @@
 /** Proposals: a checked body in the object store, and the head that operators are to sign. */
 import {
   FindingsError,
+  MAX_BUNDLE_BYTES,
   ProblemError,
   bundleObjectKey,
   canonicalJson,
@@ -56,7 +57,9 @@
     const changes = diffBundles(current?.bundle, body);
     if (changes.length === 0) throw nothingChanged(current?.head.version ?? 0);
     const digest = digestBundle(body);
-    await this.#options.objectStore.put(bundleObjectKey(digest), Buffer.from(canonicalJson(body)));
+    const bytes = Buffer.from(canonicalJson(body));
+    if (bytes.length > MAX_BUNDLE_BYTES) throw tooLarge(bytes.length);
+    await this.#options.objectStore.put(bundleObjectKey(digest), bytes);
     const parent = current?.head.version ?? 0;
     const head = { version: parent + 1, parent, digest, note, signatures: [] };
     return { head, bundle: body, changes, warnings };
@@ -81,6 +84,16 @@
   return canonicalJson(sorted);
 }
 
+function tooLarge(bytes: number): ProblemError {
+  return new ProblemError(
+    problem('too-large', {
+      detail: `The bundle is ${bytes} bytes of canonical JSON; at most ${MAX_BUNDLE_BYTES} are allowed.`,
+      remedy: 'Remove accounts, kinds, guarantees or drained upstreams that are no longer there.',
+      facts: { bytes, limit: MAX_BUNDLE_BYTES },
+    }),
+  );
+}
+
 function nothingChanged(version: number): ProblemError {
   return new ProblemError(
     problem('conflict', {
