Say when to come back; survive a table that lost its rows

The client showed a refusal's remedy but not its Retry-After. A table that lost its rows left the bundle in force, as it should, but then refused every rollout: the version in force here now counts where it leads the table's, the next rollout writes the rows anew, and bundle.table-behind tells.

--- a/packages/cli/src/cli.feature
+++ b/packages/cli/src/cli.feature
@@ -34,6 +34,12 @@
     When two drains are proposed and signed, and the first is rolled out
     Then "bundle rollout @second.json" exits with 4 and says "bat rolled it out"
 
+  Scenario: while the table is down the client tells when to come back
+    Given an operators' desk with version 1 in force
+    When the client's table is down
+    Then "bundle rollout @bundle.v1.proposal.json" exits with 1 and says "Try again in"
+    And after "bundle status" the client prints "Version 1 is in force in 1 of 1 processes"
+
   Scenario: the next entry is tried when one is down
     Given an operators' desk with 1 entry after 1 dead address
     Then after "bundle status" the client prints "no bundle yet"
--- a/packages/cli/src/cli.steps.ts
+++ b/packages/cli/src/cli.steps.ts
@@ -77,6 +77,10 @@
   this.desk!.writeConfig(JSON.parse(json) as object);
 });
 
+When("the client's table is down", function (this: ClientWorld) {
+  this.desk!.tableDown(true);
+});
+
 Then('the client prints {string}', function (this: ClientWorld, text: string) {
   assert.ok(this.desk!.out.includes(text), this.desk!.out);
 });
--- a/packages/cli/src/cli.support.ts
+++ b/packages/cli/src/cli.support.ts
@@ -28,7 +28,7 @@
 
   readonly #entries: Entry[] = [];
 
-  readonly #store = new RowStore();
+  readonly #table = new MemoryTable({ store: new RowStore() });
 
   readonly #objectStore = new MemoryObjectStore();
 
@@ -89,6 +89,11 @@
     return runCli([...words, '--config', this.file('zincspan-client.jsonc')], { io });
   }
 
+  /** Takes the table down or up again. */
+  tableDown(down: boolean): void {
+    this.#table.faults.down = down;
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.#entries.map((entry) => entry.stop()));
     rmSync(this.dir, { recursive: true });
@@ -112,7 +117,7 @@
     const entry = new Entry({
       ctx,
       settings,
-      table: new MemoryTable({ store: this.#store }),
+      table: this.#table,
       objectStore: this.#objectStore,
       bundles: bundles.keeper,
       apps: [bundles.app, operatorApp(bundles)],
--- a/packages/cli/src/client/entry-client.ts
+++ b/packages/cli/src/client/entry-client.ts
@@ -1,4 +1,5 @@
 /** Calls the operators' API of the first entry that answers. */
+import type { IncomingMessage } from 'node:http';
 import Wreck from '@hapi/wreck';
 import {
   ProblemError,
@@ -76,19 +77,25 @@
         ...(payload === undefined ? {} : { payload: JSON.stringify(payload) }),
       });
       const body = await Wreck.read(res, { timeout, maxBytes: MAX_ANSWER_BYTES });
-      return readAnswer<T>(res.statusCode ?? 0, body.toString());
+      return readAnswer<T>(res, body.toString());
     } catch (err) {
       return { why: (err as Error).message };
     }
   }
 }
 
-function readAnswer<T>(status: number, text: string): Outcome<T> {
+function readAnswer<T>({ statusCode = 0, headers }: IncomingMessage, text: string): Outcome<T> {
   const body: unknown = JSON.parse(text);
-  if (status >= 200 && status < 300) return { answer: body as T };
+  if (statusCode >= 200 && statusCode < 300) return { answer: body as T };
   const parsed = problemSchema.strip().safeParse(body);
-  if (parsed.success) return { why: parsed.data.detail, problem: parsed.data };
-  const detail = `The entry answers ${status}: ${text.slice(0, 200)}`;
+  if (!parsed.success) return notAnEntry(statusCode, text);
+  const seconds = Number(headers['retry-after']);
+  const retry = Number.isNaN(seconds) ? {} : { retryAfterMs: seconds * 1000 };
+  return { why: parsed.data.detail, problem: { ...parsed.data, ...retry } };
+}
+
+function notAnEntry<T>(statusCode: number, text: string): Outcome<T> {
+  const detail = `The entry answers ${statusCode}: ${text.slice(0, 200)}`;
   const remedy = 'Check that the address is that of an entry of the same version.';
   return { why: detail, problem: problem('internal', { detail, remedy, ran: 'unknown' }) };
 }
--- a/packages/cli/src/exit-code.ts
+++ b/packages/cli/src/exit-code.ts
@@ -1,5 +1,6 @@
 /** Exit codes of `zincspan`. */
 import { ProblemError, toProblem } from '@zincspan/core';
+import type { ErrorReport } from './output/output.js';
 import { UnreachableError } from './client/unreachable-error.js';
 import { UsageError } from './usage-error.js';
 
@@ -25,7 +26,7 @@
 }
 
 /** What an error says to its reader: what happened, then the remedy. */
-export function describeError(err: unknown): { detail: string; remedy: string } {
+export function describeError(err: unknown): ErrorReport {
   if (err instanceof ProblemError) return err.problem;
   if (err instanceof UsageError || err instanceof UnreachableError) {
     return { detail: err.detail, remedy: err.remedy };
--- a/packages/cli/src/output/output.ts
+++ b/packages/cli/src/output/output.ts
@@ -12,6 +12,13 @@
   err: (text) => process.stderr.write(`${text}\n`),
 };
 
+/** What an error tells its reader. */
+export interface ErrorReport {
+  detail: string;
+  remedy: string;
+  retryAfterMs?: number | undefined;
+}
+
 /** Writes results as the caller asked. */
 export class Output {
   readonly #io: Io;
@@ -34,9 +41,13 @@
     else this.#io.out(text);
   }
 
-  /** An error with its remedy. */
-  error({ detail, remedy, ...more }: { detail: string; remedy: string }): void {
-    if (this.#json) this.#io.err(JSON.stringify({ ...more, detail, remedy }));
-    else this.#io.err(`zincspan: ${detail}\n${remedy}`);
+  /** An error with its remedy, and when to come back if that is known. */
+  error({ detail, remedy, retryAfterMs, ...more }: ErrorReport): void {
+    if (this.#json) {
+      this.#io.err(JSON.stringify({ ...more, detail, remedy, retryAfterMs }));
+      return;
+    }
+    const retry = retryAfterMs === undefined ? '' : ` Try again in ${retryAfterMs / 1000} s.`;
+    this.#io.err(`zincspan: ${detail}\n${remedy}${retry}`);
   }
 }
--- a/packages/entry/src/bundle/head-watch.ts
+++ b/packages/entry/src/bundle/head-watch.ts
@@ -38,6 +38,8 @@
 
   #reachable = true;
 
+  #behind = false;
+
   constructor(options: HeadWatchOptions) {
     this.#options = { everyMs: 1000, jitter: 0.25, random: Math.random, ...options };
   }
@@ -58,9 +60,12 @@
 
   /** Reads once. Resolves when what it found has been offered; failures are counted. */
   async read(): Promise<void> {
+    // A rollout while the row is being read doesn't make the row old.
+    const inForce = this.#options.keeper.version;
     try {
       const head = await this.#readHead();
       this.#noteReachable(true);
+      this.#noteBehind(head?.version ?? 0, inForce);
       if (!head || head.version <= this.#options.keeper.version) return;
       const bundle = await readBody(this.#options.objectStore, head.digest);
       this.#options.sync.offerBundle(head, bundle, 'table');
@@ -87,6 +92,23 @@
     return checkValue(value, bundleHeadRowSchema, { source: BUNDLE_HEAD_KEY }).head;
   }
 
+  /** A table that lost its rows: what is in force stays, and the next rollout writes the row anew. */
+  #noteBehind(table: number, inForce: number): void {
+    const { ctx } = this.#options;
+    const behind = table < inForce;
+    if (behind) ctx.metrics.count('bundle.table-behind');
+    if (behind === this.#behind) return;
+    this.#behind = behind;
+    const fields = { table, inForce };
+    ctx.timeline.record(
+      behind ? 'bundle.table-behind' : 'bundle.table-level',
+      BUNDLE_HEAD_KEY,
+      fields,
+    );
+    if (behind) ctx.log.warn(fields, 'the table names an older bundle than the one in force');
+    else ctx.log.info(fields, 'the table names the bundle in force again');
+  }
+
   #noteReachable(reachable: boolean, why = ''): void {
     if (reachable === this.#reachable) return;
     this.#reachable = reachable;
--- a/packages/entry/src/operator/bundle-routes.ts
+++ b/packages/entry/src/operator/bundle-routes.ts
@@ -53,7 +53,12 @@
     const { table, objectStore, settings, ctx } = deps;
     const workers = (): ReturnType<typeof announcedWorkers> => announcedWorkers(deps);
     this.#proposals = new Proposals({ keeper: bundles.keeper, objectStore, workers });
-    this.#rollout = new Rollout({ table, operators: settings.operators, clock: ctx.clock });
+    this.#rollout = new Rollout({
+      table,
+      operators: settings.operators,
+      clock: ctx.clock,
+      inForce: () => bundles.keeper.version,
+    });
   }
 
   /** Checks and stores a proposal. */
--- a/packages/entry/src/operator/operator.feature
+++ b/packages/entry/src/operator/operator.feature
@@ -73,3 +73,11 @@
     When an operator proposes 1900 accounts with 16 tokens each
     Then the operator call answers 413
     And the operator is told "at most 900000 are allowed"
+
+  Scenario: a table that lost its rows takes the next rollout
+    Given an operator entry
+    When versions 1 and 2 are rolled out and the table loses its rows
+    And the operator entry reads the table
+    Then the operator entry counts "bundle.table-behind" and keeps version 2
+    When a bundle is rolled out as version 3
+    Then the operator call answers 200
--- a/packages/entry/src/operator/operator.steps.ts
+++ b/packages/entry/src/operator/operator.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { Bundle, BundleHead } from '@zincspan/core';
+import type { Bundle, BundleHead, CountingMetrics } from '@zincspan/core';
 import { HeadWatch } from '../bundle/head-watch.js';
 import {
   OperatorEntry,
@@ -146,17 +146,46 @@
   },
 );
 
+async function readTable({ ctx, table, objectStore, bundles }: OperatorEntry): Promise<void> {
+  const { keeper, sync } = bundles;
+  await new HeadWatch({ ctx, table, objectStore, keeper, sync }).read();
+}
+
 When(
   'the first rolls out a bundle and the second reads the table',
   async function (this: OperatorWorld) {
     await rollOut(this.entry, bundleWith('tuul'), 1);
-    const { table, objectStore, bundles } = this.other;
-    const { ctx } = this.other;
-    const { keeper, sync } = bundles;
-    await new HeadWatch({ ctx, table, objectStore, keeper, sync }).read();
+    await readTable(this.other);
+  },
+);
+
+When(
+  'versions 1 and 2 are rolled out and the table loses its rows',
+  async function (this: OperatorWorld) {
+    await rollOut(this.entry, bundleWith('tuul'), 1);
+    await rollOut(this.entry, bundleWith('tuul', 'malabar'), 2);
+    const { table } = this.entry;
+    const rows = await table.scan('bundle');
+    await table.write(rows.map(({ key, version }) => ({ key, ifVersion: version, value: null })));
   },
 );
 
+When('the operator entry reads the table', function (this: OperatorWorld) {
+  return readTable(this.entry);
+});
+
+Then(
+  'the operator entry counts {string} and keeps version {int}',
+  function (this: OperatorWorld, counter: string, version: number) {
+    assert.equal((this.entry.ctx.metrics as CountingMetrics).counters.get(counter), 1);
+    assert.equal(this.entry.bundles.keeper.version, version);
+  },
+);
+
+When('a bundle is rolled out as version {int}', async function (this: OperatorWorld, v: number) {
+  this.answer = await rollOut(this.entry, bundleWith('tuul'), v);
+});
+
 Then(
   'the second operator entry has version {int}',
   function (this: OperatorWorld, version: number) {
--- a/packages/entry/src/operator/rollout.ts
+++ b/packages/entry/src/operator/rollout.ts
@@ -27,6 +27,8 @@
   table: Table;
   operators: readonly Operator[];
   clock: Clock;
+  /** Version in force here. It leads the table's only if the table lost rows; the next rollout mends that. */
+  inForce: () => number;
 }
 
 interface HeadInTable {
@@ -90,7 +92,7 @@
   }
 
   #refuseUnlessNext(head: BundleHead, row: BundleHeadRow | undefined): void {
-    const inForce = row?.head.version ?? 0;
+    const inForce = Math.max(row?.head.version ?? 0, this.#options.inForce());
     if (head.version === inForce + 1 && head.parent === inForce) return;
     throw this.#lost(head, row);
   }
