Make the quiet process context one thing

Three scenarios' worlds built the same context by hand; core now offers it beside ManualClock and CountingMetrics.

--- a/packages/cli/src/cli.support.ts
+++ b/packages/cli/src/cli.support.ts
@@ -1,16 +1,8 @@
 /** Entries over one in-memory platform, and operators with key files in a directory of their own. */
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { randomUUID } from 'node:crypto';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import {
-  CountingMetrics,
-  HybridClock,
-  SystemClock,
-  Timeline,
-  entrySettingsSchema,
-  type ProcessContext,
-} from '@zincspan/core';
+import { entrySettingsSchema, quietContext } from '@zincspan/core';
 import { Entry, EntryBundles, operatorApp } from '@zincspan/entry';
 import { MemoryObjectStore, MemoryTable, RowStore } from '@zincspan/platform';
 import { runCli } from './run.js';
@@ -112,7 +104,7 @@
       table: { address: UNUSED_ADDRESS },
       objectStore: { address: UNUSED_ADDRESS },
     });
-    const ctx = contextOf(id);
+    const ctx = quietContext({ id });
     const bundles = new EntryBundles({ ctx, settings });
     const entry = new Entry({
       ctx,
@@ -126,16 +118,3 @@
     this.#entries.push(entry);
   }
 }
-
-function contextOf(id: string): ProcessContext {
-  const clock = new SystemClock();
-  const hybrid = new HybridClock({ clock });
-  return {
-    self: { id, role: 'entry', incarnation: randomUUID(), failureDomain: 'ernakulam' },
-    clock,
-    hybrid,
-    timeline: new Timeline({ process: id, hybrid }),
-    metrics: new CountingMetrics(),
-    log: { info: () => {}, warn: () => {}, error: () => {} },
-  };
-}
--- a/packages/core/src/bundle/bundle.support.ts
+++ b/packages/core/src/bundle/bundle.support.ts
@@ -1,11 +1,8 @@
 /** Bundles, keys and processes for scenarios. */
 import fc from 'fast-check';
-import { HybridClock } from '../clock/hybrid-clock.js';
-import { ManualClock } from '../clock/manual-clock.js';
 import type { Peer } from '../message/peer.js';
-import type { ProcessContext } from '../process/context.js';
-import { CountingMetrics } from '../process/metrics.js';
-import { Timeline } from '../timeline/timeline.js';
+import type { CountingMetrics } from '../process/metrics.js';
+import { quietContext } from '../process/quiet-context.js';
 import { bundleSchema, type Bundle, type BundleHead } from './bundle.js';
 import { BundleKeeper } from './keeper.js';
 import { digestBundle } from './section-set.js';
@@ -62,18 +59,14 @@
     }),
   );
 
-const silent = { info: () => {}, warn: () => {}, error: () => {} };
-
 /** One process with a keeper and its sync; `links` are its peers. */
 export class SyncProcess {
   readonly links: Peer[] = [];
 
-  readonly metrics = new CountingMetrics();
+  readonly metrics: CountingMetrics;
 
   readonly keeper = new BundleKeeper({ operators });
 
-  readonly clock = new ManualClock();
-
   readonly sync: BundleSync;
 
   readonly id: string;
@@ -82,15 +75,8 @@
 
   constructor(id: string) {
     this.id = id;
-    const hybrid = new HybridClock({ clock: this.clock });
-    const ctx: ProcessContext = {
-      self: { id, role: 'entry', incarnation: `${id}-incarnation`, failureDomain: 'ernakulam' },
-      clock: this.clock,
-      hybrid,
-      timeline: new Timeline({ process: id, hybrid }),
-      metrics: this.metrics,
-      log: silent,
-    };
+    const ctx = quietContext({ id });
+    this.metrics = ctx.metrics;
     this.sync = new BundleSync({ ctx, keeper: this.keeper, peers: () => this.links });
   }
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -78,3 +78,4 @@
 export * from './scheduler/contract-scheduler.js';
 export * from './scheduler/bundle-view.js';
 export * from './bundle/drained-watch.js';
+export * from './process/quiet-context.js';
--- a/packages/entry/src/operator/operator.steps.ts
+++ b/packages/entry/src/operator/operator.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { Bundle, BundleHead, CountingMetrics } from '@zincspan/core';
+import type { Bundle, BundleHead } from '@zincspan/core';
 import { HeadWatch } from '../bundle/head-watch.js';
 import {
   OperatorEntry,
@@ -177,7 +177,7 @@
 Then(
   'the operator entry counts {string} and keeps version {int}',
   function (this: OperatorWorld, counter: string, version: number) {
-    assert.equal((this.entry.ctx.metrics as CountingMetrics).counters.get(counter), 1);
+    assert.equal(this.entry.ctx.metrics.counters.get(counter), 1);
     assert.equal(this.entry.bundles.keeper.version, version);
   },
 );
--- a/packages/entry/src/operator/operator.support.ts
+++ b/packages/entry/src/operator/operator.support.ts
@@ -1,19 +1,15 @@
 /** An entry over an in-memory platform, and operators who call it. */
 import {
-  CountingMetrics,
-  HybridClock,
-  SystemClock,
-  Timeline,
   bundleSchema,
   canonicalJson,
   digestBundle,
   newOperatorKey,
+  quietContext,
   entrySettingsSchema,
   signHead,
   type Bundle,
   type BundleHead,
   type OperatorKey,
-  type ProcessContext,
 } from '@zincspan/core';
 import { MemoryObjectStore, MemoryTable, RowStore } from '@zincspan/platform';
 import { SignJWT, importJWK } from 'jose';
@@ -68,13 +64,13 @@
 
   readonly entry: Entry;
 
-  readonly ctx: ProcessContext;
+  readonly ctx: ReturnType<typeof quietContext>;
 
   constructor({ store = new RowStore(), objectStore = new MemoryObjectStore() } = {}) {
     this.table = new MemoryTable({ store });
     this.objectStore = objectStore;
     const settings = settingsOf();
-    const ctx = contextOf(settings.id);
+    const ctx = quietContext({ id: settings.id });
     this.ctx = ctx;
     this.bundles = new EntryBundles({ ctx, settings });
     this.entry = new Entry({
@@ -142,17 +138,3 @@
     objectStore: { address: '127.0.0.1:1' },
   });
 }
-
-function contextOf(id: string): ProcessContext {
-  const clock = new SystemClock();
-  const hybrid = new HybridClock({ clock });
-  const silent = { info: () => {}, warn: () => {}, error: () => {} };
-  return {
-    self: { id, role: 'entry', incarnation: randomUUID(), failureDomain: 'ernakulam' },
-    clock,
-    hybrid,
-    timeline: new Timeline({ process: id, hybrid }),
-    metrics: new CountingMetrics(),
-    log: silent,
-  };
-}
