--- a/packages/core/src/request/choice-policy.ts
+++ b/packages/core/src/request/choice-policy.ts
@@ -3,6 +3,8 @@
 /** A runner that may take the request. `cost` is the expected ms until its answer. */
 export interface Candidate {
   id: string;
+  /** Grows with each choice: the runner with the lowest was left alone for longest. */
+  turn: number;
   cost(): number;
 }
 
@@ -14,19 +16,33 @@
   pick(candidates: Candidate[], random: Random): Candidate;
 }
 
-/** The cheapest of `choices` drawn at random: entries with the same stale view don't all pick the same one. */
+/**
+ * The cheapest of up to `choices` drawn at random. Of those about as cheap the one left alone for longest, which
+ * spaces the requests to each runner evenly.
+ */
 export class SampledChoice implements ChoicePolicy {
   readonly #choices: number;
 
-  constructor({ choices = 2 }: { choices?: number } = {}) {
+  readonly #tolerance: number;
+
+  constructor({
+    choices = 12,
+    tolerance = 0.05,
+  }: {
+    choices?: number;
+    /** Costs within this share of the least count as equal. */
+    tolerance?: number;
+  } = {}) {
     this.#choices = choices;
+    this.#tolerance = tolerance;
   }
 
   pick(candidates: Candidate[], random: Random): Candidate {
     const sample = draw(candidates, this.#choices, random);
     const costs = sample.map((candidate) => candidate.cost());
-    const least = Math.min(...costs);
-    return sample[costs.indexOf(least)] as Candidate;
+    const least = Math.min(...costs) * (1 + this.#tolerance);
+    const cheap = sample.filter((_, i) => (costs[i] as number) <= least);
+    return cheap.reduce((best, next) => (next.turn < best.turn ? next : best));
   }
 }
 
--- a/packages/core/src/request/runner-chooser.ts
+++ b/packages/core/src/request/runner-chooser.ts
@@ -36,9 +36,14 @@
   load?: RunnerLoad | undefined;
 }
 
+/** Weight of one report in the usual load of other entries. */
+const USUAL_WEIGHT = 0.02;
+
 interface Known {
   runner: ChoosableRunner;
   draining: boolean;
+  /** Number of the choice that it was last picked by. */
+  turn: number;
   occupancy: RunnerOccupancy;
 }
 
@@ -62,6 +67,13 @@
 
   readonly #known = new Map<string, Known>();
 
+  readonly #reportLifeMs: number;
+
+  /** Other entries' requests per slot, over all runners of late. */
+  #othersPerSlot = 0;
+
+  #turn = 0;
+
   readonly #pacer = new RetryPacer();
 
   constructor({
@@ -73,6 +85,7 @@
     policy = new SampledChoice(),
     queuePerSlot = 0.5,
     domainCostMs = 2,
+    reportLifeMs = 2000,
   }: {
     random: Random;
     /** Where this entry is. */
@@ -86,6 +99,8 @@
     queuePerSlot?: number;
     /** Round trip to another failure domain. */
     domainCostMs?: number;
+    /** How fast a runner's report of its load loses its worth. */
+    reportLifeMs?: number;
   }) {
     this.#random = random;
     this.#failureDomain = failureDomain;
@@ -95,12 +110,15 @@
     this.#policy = policy;
     this.#queuePerSlot = queuePerSlot;
     this.#domainCostMs = domainCostMs;
+    this.#reportLifeMs = reportLifeMs;
   }
 
   /** A runner is there, or has changed. Draining ones get nothing new. */
   announce(runner: ChoosableRunner, { draining = false } = {}): void {
-    const occupancy = this.#known.get(runner.id)?.occupancy ?? new RunnerOccupancy();
-    this.#known.set(runner.id, { runner, draining, occupancy });
+    const turn = this.#known.get(runner.id)?.turn ?? 0;
+    const occupancy =
+      this.#known.get(runner.id)?.occupancy ?? new RunnerOccupancy({ lifeMs: this.#reportLifeMs });
+    this.#known.set(runner.id, { runner, draining, turn, occupancy });
     this.#ejector.add(runner.id);
   }
 
@@ -126,16 +144,20 @@
   /** A request goes to a runner. */
   started(id: string, now: number): void {
     const known = this.#known.get(id);
-    if (known) known.occupancy.inFlight += 1;
+    if (known) {
+      this.#turn += 1;
+      Object.assign(known, { turn: this.#turn });
+      known.occupancy.inFlight += 1;
+    }
     this.#ejector.started(id, now);
   }
 
   /** That request has ended. */
   ended(id: string, { kind, how, ms, load }: RequestEnd, now: number): void {
-    const occupancy = this.#known.get(id)?.occupancy;
-    if (occupancy === undefined) return;
-    occupancy.inFlight = Math.max(0, occupancy.inFlight - 1);
-    if (load) occupancy.report(load, now);
+    const known = this.#known.get(id);
+    if (known === undefined) return;
+    known.occupancy.inFlight = Math.max(0, known.occupancy.inFlight - 1);
+    if (load) this.#report(known, load, now);
     if (how === 'answered' && ms !== undefined) this.#latency.observe({ runner: id, kind, ms });
     this.#ejector.ended(id, how, now);
   }
@@ -151,7 +173,7 @@
   utilisation(kind: string, now: number): number {
     const serving = this.#serving({ kind });
     const slots = serving.reduce((total, { runner }) => total + runner.slots, 0);
-    const used = serving.reduce((total, { occupancy }) => total + occupancy.total(now), 0);
+    const used = serving.reduce((total, known) => total + this.#total(known, now), 0);
     return slots === 0 ? 1 : used / slots;
   }
 
@@ -168,11 +190,25 @@
     );
   }
 
+  #report({ runner, occupancy }: Known, load: RunnerLoad, now: number): void {
+    const perSlot = occupancy.report(load, now) / runner.slots;
+    this.#othersPerSlot += USUAL_WEIGHT * (perSlot - this.#othersPerSlot);
+  }
+
+  #others({ runner, occupancy }: Known, now: number): number {
+    return occupancy.others(now, this.#othersPerSlot * runner.slots);
+  }
+
+  #total(known: Known, now: number): number {
+    return known.occupancy.inFlight + this.#others(known, now);
+  }
+
   /** This entry's part of the slots, or what the others leave, and its part of the queue. */
-  #bound({ runner, occupancy }: Known, now: number): number {
+  #bound(known: Known, now: number): number {
+    const { runner } = known;
     const entries = Math.max(1, this.#entries());
     const part = Math.ceil(runner.slots / entries);
-    const left = Math.floor(runner.slots - occupancy.others(now));
+    const left = Math.floor(runner.slots - this.#others(known, now));
     const queue = Math.ceil((runner.slots * this.#queuePerSlot) / entries);
     return Math.max(part, left) + queue;
   }
@@ -188,13 +224,14 @@
   }
 
   #candidate(known: Known, kind: string, now: number): Candidate {
-    return { id: known.runner.id, cost: () => this.#cost(known, kind, now) };
+    return { id: known.runner.id, turn: known.turn, cost: () => this.#cost(known, kind, now) };
   }
 
   /** Expected ms to the answer: service, waiting for a slot, and the way there. */
-  #cost({ runner, occupancy }: Known, kind: string, now: number): number {
+  #cost(known: Known, kind: string, now: number): number {
+    const { runner } = known;
     const serviceMs = this.#latency.typicalMs(kind) * this.#latency.slowness(runner.id);
-    const load = occupancy.total(now) / runner.slots;
+    const load = this.#total(known, now) / runner.slots;
     const excess = Math.max(0, load + 1 / runner.slots - 1);
     const farMs = runner.failureDomain === this.#failureDomain ? 0 : this.#domainCostMs;
     return serviceMs * (1 + excess + 0.2 * load) + farMs;
--- a/packages/core/src/request/runner-load.ts
+++ b/packages/core/src/request/runner-load.ts
@@ -1,31 +1,33 @@
 /** Load of one runner as one entry sees it: its own requests, and what the guard last said of all others'. */
 import type { RunnerLoad } from '../message/message.js';
 
-/** What the guard says ages: after this long, in ms, it counts for little. */
-const REPORT_LIFE_MS = 2000;
-
-/** Requests on one runner. */
+/** Requests on one runner. Times in ms. */
 export class RunnerOccupancy {
+  readonly #lifeMs: number;
+
   /** Sent by this entry and not yet ended. */
   inFlight = 0;
 
-  #others = 0;
+  #others: number | undefined;
 
   #reportedAt = 0;
 
-  /** Notes the load told with an answer, after that answer's own request has ended. */
-  report({ inUse, queued }: RunnerLoad, now: number): void {
-    this.#others = Math.max(0, inUse + queued - this.inFlight);
-    this.#reportedAt = now;
+  /** `lifeMs`: a report that old counts for a third of a fresh one. */
+  constructor({ lifeMs }: { lifeMs: number }) {
+    this.#lifeMs = lifeMs;
   }
 
-  /** Other entries' requests there, as far as known. */
-  others(now: number): number {
-    return this.#others * Math.exp(-Math.max(0, now - this.#reportedAt) / REPORT_LIFE_MS);
+  /** Notes the load told with an answer, that answer's own request not counted; returns the others' part. */
+  report({ inUse, queued }: RunnerLoad, now: number): number {
+    this.#others = Math.max(0, inUse + queued - this.inFlight);
+    this.#reportedAt = now;
+    return this.#others;
   }
 
-  /** All requests there, as far as known. */
-  total(now: number): number {
-    return this.inFlight + this.others(now);
+  /** Other entries' requests there: what was last told, fading to what is `usual`. */
+  others(now: number, usual: number): number {
+    if (this.#others === undefined) return usual;
+    const fresh = Math.exp(-Math.max(0, now - this.#reportedAt) / this.#lifeMs);
+    return usual + (this.#others - usual) * fresh;
   }
 }
