Say how long a task may have run when its lease lapsed unseen

Cause: an end without the worker's word told a run time of 0 although the task had been started, which an owner could read as "never ran". Change: such an end tells the time since the start was tried. Wreck is imported the plain way, so that a bundle takes it in.

--- a/packages/guard/src/gang/guarded-task.ts
+++ b/packages/guard/src/gang/guarded-task.ts
@@ -7,7 +7,7 @@
  * has run out, with a margin for a slow clock.
  */
 import type { AttemptRef, Clock, WorkerTask, WorkerTaskStatus } from '@zincspan/core';
-import { isEnded, lapsedEnd, toEnd, type PlainEnd } from './task-end.js';
+import { isEnded, toEnd, type PlainEnd } from './task-end.js';
 import type { TaskAnswer, WorkerClient } from './worker-client.js';
 
 /** What a task needs. Times in ms. */
@@ -49,6 +49,8 @@
 
   #trying = 0;
 
+  #startTriedAt: number | undefined;
+
   /** Longest lease that the worker may have been given. */
   #grantedMs = 0;
 
@@ -93,6 +95,7 @@
 
   /** Passes the barrier. `unknown`: it may or may not have started. */
   async start(): Promise<'started' | 'refused' | 'unknown'> {
+    this.#startTriedAt ??= this.#options.clock.now();
     try {
       const answer = await this.#options.worker.start(this.name);
       if (answer.outcome !== 'done') return 'refused';
@@ -132,7 +135,8 @@
       try {
         this.#noteStopped(await this.#options.worker.stop(this.name));
       } catch {
-        if (this.#surelyLapsed()) this.#end(lapsedEnd('The worker is silent and the lease over.'));
+        if (this.#surelyLapsed())
+          this.#end(this.#lapsed('The worker is silent and the lease over.'));
       }
       if (!this.ended) await this.#pause(RETRY_MS);
     }
@@ -186,7 +190,7 @@
       const answer = await this.#try(leaseMs, () => this.#options.worker.renew(this.name, leaseMs));
       // A task that is still being prepared may be unknown yet.
       if (answer.outcome !== 'done' && this.status) {
-        this.#end(lapsedEnd('The worker does not know it any more.', this.status.ranMs));
+        this.#end(this.#lapsed('The worker does not know it any more.'));
       }
     } catch {
       if (this.#options.clock.now() - this.#lastOkAt > this.#options.leaseMs) void this.stop();
@@ -235,7 +239,7 @@
   #noteStopped(answer: TaskAnswer): void {
     if (answer.outcome === 'done') this.noteStatus(answer.status);
     else if (answer.outcome === 'unknown-task') {
-      this.#end(lapsedEnd('The worker does not know it any more.', this.status?.ranMs ?? 0));
+      this.#end(this.#lapsed('The worker does not know it any more.'));
     }
   }
 
@@ -245,6 +249,13 @@
     return clock.now() - this.#lastTryEndedAt > this.#grantedMs * (1 + clockMargin);
   }
 
+  /** Over without the worker's word: it may have run for as long as it was started. */
+  #lapsed(detail: string): PlainEnd {
+    const started = this.#startTriedAt;
+    const ranMs = started === undefined ? 0 : Math.max(1, this.#options.clock.now() - started);
+    return { outcome: 'lease-lapsed', detail, ranMs };
+  }
+
   #withCheckpoint(end: PlainEnd): PlainEnd {
     if (!this.#checkpoint) return end;
     const outcome = end.outcome === 'stopped' ? 'checkpointed' : end.outcome;
--- a/packages/guard/src/gang/task-end.ts
+++ b/packages/guard/src/gang/task-end.ts
@@ -29,8 +29,3 @@
     ...(result === undefined ? {} : { result }),
   };
 }
-
-/** The end of a task whose lease is surely over, though the worker doesn't say so. */
-export function lapsedEnd(detail: string, ranMs = 0): PlainEnd {
-  return { outcome: 'lease-lapsed', detail, ranMs };
-}
--- a/packages/guard/src/http/http-call.ts
+++ b/packages/guard/src/http/http-call.ts
@@ -4,11 +4,7 @@
  * Wreck over an agent of its own, which bounds the sockets; beside plain node:http it cost no measurable memory.
  */
 import { Agent, type IncomingMessage } from 'node:http';
-import { createRequire } from 'node:module';
-import type WreckModule from '@hapi/wreck';
-
-// Wreck is CommonJS; requiring it keeps its own default export apart from the module wrapper's.
-const Wreck = createRequire(import.meta.url)('@hapi/wreck') as typeof WreckModule;
+import Wreck from '@hapi/wreck';
 
 /**
  * How a call failed. `not-connected`: the upstream surely never got it. `silent`: no whole answer in time.
