Prove that versions spread and never go back on any network

A property test loses calls, repeats heartbeats, tells versions that aren't there and replays old heads; what is quiet in the end has converged.

--- a/packages/cli/src/cli.feature
+++ b/packages/cli/src/cli.feature
@@ -58,6 +58,8 @@
       | 1       | bundle sign @tampered.json    | 2    | was changed after it was proposed   |
       | 1       | jobs --state asleep           | 1    | state: expected "queued"            |
       | 1       | timeline --since yesterday    | 2    | Write 90s                           |
+      | 1       | jobs --limit 0                | 2    | whole number above 0                |
+      | 1       | jobs --state 007              | 1    | state: expected "queued"            |
       | 1       | keys new BAT                  | 2    | is no name                          |
       | 1       | keys new bat --out @bat.key.json | 2 | can't be written                    |
       | 0       | status                        | 3    | No entry answers                    |
@@ -74,6 +76,12 @@
       | {"entries":["1.1.1.1:1"],"operator":"anu","keyFile":"bat.key.json"}         | belongs to "bat"                         |
       | {"entries":["1.1.1.1:1"],"operator":"bat","keyFile":"absent.json"}          | zincspan keys new                        |
 
+  Scenario: a name of digits stays as it was written
+    Given an operators' desk with 1 entry
+    When the client runs "keys new 007 --out @007"
+    And the client runs "timeline --job 007 --limit 5 --json"
+    Then the client's call asked for job "007"
+
   Scenario: a token's entry is the digest of the token
     Given an operators' desk with 1 entry
     When the client runs "token new main --json"
--- a/packages/cli/src/cli.steps.ts
+++ b/packages/cli/src/cli.steps.ts
@@ -102,6 +102,10 @@
   },
 );
 
+Then("the client's call asked for job {string}", function (this: ClientWorld, job: string) {
+  assert.equal(this.desk!.lastQuery.get('job'), job);
+});
+
 Then("the client's token hashes to its entry", function (this: ClientWorld) {
   const { token, entry } = JSON.parse(this.desk!.out) as {
     token: string;
--- a/packages/cli/src/cli.support.ts
+++ b/packages/cli/src/cli.support.ts
@@ -26,6 +26,9 @@
 
   readonly #operators: OperatorEntry[] = [];
 
+  /** Query of the last call that an entry got. */
+  lastQuery = new URLSearchParams();
+
   out = '';
 
   err = '';
@@ -114,6 +117,10 @@
       bundles: bundles.keeper,
       apps: [bundles.app, operatorApp(bundles)],
     });
+    entry.server.ext('onRequest', (req, h) => {
+      this.lastQuery = req.url.searchParams;
+      return h.continue;
+    });
     await entry.start();
     this.#entries.push(entry);
   }
--- a/packages/cli/src/command/command.ts
+++ b/packages/cli/src/command/command.ts
@@ -2,7 +2,7 @@
 import type { DependencyContainer } from 'tsyringe';
 import { UsageError } from '../usage-error.js';
 
-/** Options as given; cac turns what looks like a number into one. */
+/** Options as given. */
 export type Flags = Record<string, unknown>;
 
 /** One command. The name is one word or two, then its arguments: `bundle check <file>`. */
@@ -18,7 +18,7 @@
 export function textFlag(flags: Flags, name: string): string | undefined {
   const value = flags[name];
   if (value === undefined) return undefined;
-  if (typeof value === 'string' || typeof value === 'number') return String(value);
+  if (typeof value === 'string') return value;
   throw new UsageError(`--${name} needs a value, once.`, 'See "zincspan --help".');
 }
 
@@ -26,6 +26,6 @@
 export function countFlag(flags: Flags, name: string): number | undefined {
   const value = flags[name];
   if (value === undefined) return undefined;
-  if (typeof value === 'number' && Number.isInteger(value) && value > 0) return value;
+  if (typeof value === 'string' && /^[1-9]\d{0,8}$/.test(value)) return Number(value);
   throw new UsageError(`--${name} needs a whole number above 0.`, 'See "zincspan --help".');
 }
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -82,12 +82,23 @@
   options.forEach(([flag, text]) => command.option(flag, text));
   examples.forEach((example) => command.example(example));
   command.action((...given: unknown[]) => {
-    const flags = given.pop() as Flags;
+    const flags = withRawText(given.pop() as Flags, cli.rawArgs);
     const args = given.map((arg) => (arg === undefined ? undefined : String(arg)));
     return run(containerFor(String(flags.config)), args as string[], flags);
   });
 }
 
+/** cac turns what looks like a number into one; a job or account "007" must stay as it was written. */
+function withRawText(flags: Flags, args: readonly string[]): Flags {
+  const entries = Object.entries(flags).map(([name, value]) => {
+    if (typeof value !== 'number') return [name, value];
+    const at = args.findIndex((arg) => arg === `--${name}` || arg.startsWith(`--${name}=`));
+    const [, inline] = /^[^=]*=(.*)$/.exec(args[at] ?? '') ?? [];
+    return [name, inline ?? args[at + 1]];
+  });
+  return Object.fromEntries(entries) as Flags;
+}
+
 /** The list "run any command with --help" only repeats the list of commands. */
 function shorten(sections: { title?: string; body: string }[]): { title?: string; body: string }[] {
   return sections.filter(({ title }) => !title?.startsWith('For more info'));
--- a/packages/core/src/bundle/bundle.feature
+++ b/packages/core/src/bundle/bundle.feature
@@ -56,6 +56,9 @@
     When bundle process a takes version 1
     Then bundle process c has version 1
 
+  Scenario: versions spread whatever is lost, late, repeated or forged, and never go back
+    Then bundle processes on any network converge on the newest version once it is quiet
+
   Scenario: a daemon that starts fetches once from one of its peers
     Given bundle processes a, b and c linked in a row
     When bundle process a takes version 1
--- a/packages/core/src/bundle/bundle.support.ts
+++ b/packages/core/src/bundle/bundle.support.ts
@@ -1,6 +1,6 @@
 /** Bundles, keys and processes for scenarios. */
 import fc from 'fast-check';
-import type { Peer } from '../message/peer.js';
+import { LinkError, type Peer } from '../message/peer.js';
 import type { CountingMetrics } from '../process/metrics.js';
 import { quietContext } from '../process/quiet-context.js';
 import { bundleSchema, type Bundle, type BundleHead } from './bundle.js';
@@ -73,6 +73,9 @@
 
   fetches = 0;
 
+  /** So many calls to this process are lost. */
+  loseNext = 0;
+
   constructor(id: string) {
     this.id = id;
     const ctx = quietContext({ id });
@@ -93,6 +96,10 @@
 
   /** Answers a call that came over `peer`. */
   async answer(method: string, req: unknown, peer: Peer): Promise<unknown> {
+    if (this.loseNext > 0) {
+      this.loseNext -= 1;
+      throw new LinkError('lost', 'The call was lost.');
+    }
     if (method === 'bundle.fetch') this.fetches += 1;
     return this.sync.handlers[method as 'bundle.fetch']?.(req as { have: number }, peer);
   }
--- a/packages/core/src/bundle/sync.steps.ts
+++ b/packages/core/src/bundle/sync.steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import type { Bundle } from './bundle.js';
 import { account, bundleOf, headOf, SyncProcess, settled } from './bundle.support.js';
 import { checkBundle } from './check.js';
 import type { Finding } from '../settings/finding.js';
@@ -49,6 +51,59 @@
   assert.equal(this.a.fetches + this.c.fetches, 2);
 });
 
+const SIZE = 4;
+const anyProcess = fc.nat(SIZE - 1);
+const networkEvents = fc.array(
+  fc.record({
+    type: fc.constantFrom('rollout', 'replay', 'heartbeat', 'lose'),
+    at: anyProcess,
+  }),
+  { maxLength: 20 },
+);
+
+const bodyOf = (version: number): Bundle => bundleOf({ drained: [`w${version}`] });
+
+/** Every peer of a process tells it the version that it has, or `extra` more than that. */
+function heartbeat(to: SyncProcess, all: SyncProcess[], extra = 0): void {
+  to.links.forEach((peer) => {
+    const version = all.find(({ id }) => id === peer.process.id)?.keeper.version ?? 0;
+    to.sync.onVersion(peer, version + extra);
+  });
+}
+
+Then(
+  'bundle processes on any network converge on the newest version once it is quiet',
+  async function () {
+    const property = fc.asyncProperty(networkEvents, async (events) => {
+      const all = Array.from({ length: SIZE }, (_, i) => new SyncProcess(`p${i}`));
+      all.slice(1).forEach((process, i) => process.link(all[i]!));
+      let newest = 0;
+      for (const { type, at } of events) {
+        const process = all[at]!;
+        const before = all.map(({ keeper }) => keeper.version);
+        if (type === 'lose') process.loseNext = 2;
+        if (type === 'heartbeat') heartbeat(process, all, at % 2);
+        if (type === 'replay') process.sync.offerBundle(headOf(bodyOf(1), 1), bodyOf(1), 'replay');
+        if (type === 'rollout') {
+          newest += 1;
+          const body = bodyOf(newest);
+          process.sync.offerBundle(headOf(body, newest), body, 'rollout');
+        }
+        if (type !== 'lose') await settled();
+        all.forEach(({ keeper }, i) => assert.ok(keeper.version >= before[i]!));
+      }
+      for (let round = 0; round < SIZE + 2; round += 1) {
+        all.forEach((process) => heartbeat(process, all));
+        await settled();
+      }
+      const highest = Math.max(...all.map(({ keeper }) => keeper.version));
+      assert.ok(highest >= newest);
+      all.forEach(({ keeper }) => assert.equal(keeper.version, highest));
+    });
+    await fc.assert(property, { numRuns: 100 });
+  },
+);
+
 Given('a bundle process whose peer tells a version with a forged body', function (this: SyncWorld) {
   this.d = new SyncProcess('d');
   this.fetched = 0;
--- a/packages/entry/src/operator/operator-auth.ts
+++ b/packages/entry/src/operator/operator-auth.ts
@@ -40,12 +40,17 @@
   const used = new UsedTokens();
   server.auth.scheme('operator-token', () => ({
     authenticate: async (req, h) => {
-      const claims = await verifyToken(bearerToken(req), operators);
-      checkBinding(claims, req);
-      if (!used.use(claims.jti, claims.exp * 1000, ctx.clock.wall())) {
-        throw refused('The token was used before.');
+      try {
+        const claims = await verifyToken(bearerToken(req), operators);
+        checkBinding(claims, req);
+        if (!used.use(claims.jti, claims.exp * 1000, ctx.clock.wall())) {
+          throw refused('The token was used before.');
+        }
+        return h.authenticated({ credentials: { operator: claims.sub } });
+      } catch (err) {
+        ctx.metrics.count('operator.not-authenticated');
+        throw err;
       }
-      return h.authenticated({ credentials: { operator: claims.sub } });
     },
   }));
   server.auth.strategy('operator', 'operator-token');
