Keep the request ledger small

Cause: a guard has 64 MB. After load its ledger held far more than its bounds said: small answers kept 8 KB slabs of Node's buffer pool alive, and an object per id cost about 700 bytes of heap. Change: answers are copied into buffers of their own; ids are kept bare in one map, results in another, with an honest overhead. Reports to the owner wake up only when one is due.

--- a/packages/core/src/request/request-ledger.steps.ts
+++ b/packages/core/src/request/request-ledger.steps.ts
@@ -25,7 +25,7 @@
 }
 
 function newLedger(entries: number): RequestLedger {
-  return new RequestLedger({ entries, bytes: 1500, ageMs: 1000, series: 3 });
+  return new RequestLedger({ entries, bytes: 2300, ageMs: 1000, series: 3 });
 }
 
 Given('a request ledger of {int} entries', function (this: LedgerWorld, entries: number) {
--- a/packages/core/src/request/request-ledger.ts
+++ b/packages/core/src/request/request-ledger.ts
@@ -18,20 +18,14 @@
   | { state: 'forgotten' }
   | { state: 'full' };
 
-interface Entry {
-  state: 'running' | 'ended' | 'barred';
-  result?: RequestResult;
-  bytes: number;
-  endedAt: number;
-}
-
 interface Series {
   floor: number;
   /** Ids of this series in the ledger; a series without any may be dropped. */
   kept: number;
 }
 
-const ENTRY_OVERHEAD_BYTES = 200;
+/** What a kept result costs beside its body. */
+const RESULT_OVERHEAD_BYTES = 600;
 const ID_PATTERN = /^(.+)-(\d{1,15})$/;
 
 /** Id of a request, made by the entry that sends it. `sequence` grows with each one. */
@@ -51,6 +45,11 @@
   return { series: match[1]!, sequence: Number(match[2]) };
 }
 
+function bytesOf(result: RequestResult): number {
+  const body = result.outcome === 'answered' ? result.body.byteLength : 0;
+  return body + RESULT_OVERHEAD_BYTES;
+}
+
 /** Bounded memory of request ids and their results. Times are monotonic ms, passed in. */
 export class RequestLedger {
   readonly #maxEntries: number;
@@ -61,13 +60,15 @@
 
   readonly #maxSeries: number;
 
-  readonly #running = new Map<string, Entry>();
+  readonly #running = new Set<string>();
+
+  /** Ended and barred ids with the time of it, oldest first. Kept bare, as there are many. */
+  readonly #settled = new Map<string, number>();
 
-  /** Ended and barred ids, oldest first. */
-  readonly #settled = new Map<string, Entry>();
+  readonly #barred = new Set<string>();
 
-  /** Settled ids that still have their result, oldest first. */
-  readonly #withResult = new Map<string, Entry>();
+  /** Results of settled ids, oldest first. */
+  readonly #results = new Map<string, RequestResult>();
 
   readonly #series = new Map<string, Series>();
 
@@ -98,7 +99,7 @@
     const known = this.#known(id);
     if (known) return known;
     if (this.#running.size >= this.#maxEntries) return { state: 'full' };
-    this.#running.set(id, { state: 'running', bytes: 0, endedAt: 0 });
+    this.#running.add(id);
     this.#seriesOf(id).kept += 1;
     this.#trim(now);
     return { state: 'recorded' };
@@ -107,13 +108,9 @@
   /** Keeps the result of a recorded id. The first result stands. */
   end(id: string, result: RequestResult, now: number): void {
     if (!this.#running.delete(id)) return;
-    const body = result.outcome === 'answered' ? result.body.byteLength : 0;
-    this.#settle(id, {
-      state: 'ended',
-      result,
-      bytes: body + ENTRY_OVERHEAD_BYTES,
-      endedAt: now,
-    });
+    this.#settled.set(id, now);
+    this.#results.set(id, result);
+    this.#bytes += bytesOf(result);
     this.#trim(now);
   }
 
@@ -126,16 +123,18 @@
     if (known?.state === 'barred') return { state: 'never-seen' };
     if (known || this.#mayHaveDropped(id)) return { state: 'forgotten' };
     this.#seriesOf(id).kept += 1;
-    this.#settle(id, { state: 'barred', bytes: 0, endedAt: now });
+    this.#settled.set(id, now);
+    this.#barred.add(id);
     this.#trim(now);
     return { state: 'never-seen' };
   }
 
   #known(id: string): Exclude<RecordAnswer, { state: 'recorded' | 'full' }> | undefined {
     if (this.#running.has(id)) return { state: 'running' };
-    const entry = this.#settled.get(id);
-    if (entry?.result) return { state: 'ended', result: entry.result };
-    if (entry) return { state: entry.state === 'barred' ? 'barred' : 'forgotten' };
+    const result = this.#results.get(id);
+    if (result) return { state: 'ended', result };
+    if (this.#barred.has(id)) return { state: 'barred' };
+    if (this.#settled.has(id)) return { state: 'forgotten' };
     const { series, sequence } = parseId(id);
     const floor = this.#series.get(series)?.floor ?? -1;
     return sequence <= floor ? { state: 'forgotten' } : undefined;
@@ -154,30 +153,24 @@
     return found;
   }
 
-  #settle(id: string, entry: Entry): void {
-    this.#settled.set(id, entry);
-    if (!entry.result) return;
-    this.#withResult.set(id, entry);
-    this.#bytes += entry.bytes;
-  }
-
   #trim(now: number): void {
     let oldest = this.#settled.entries().next();
     while (!oldest.done && this.#overBounds(oldest.value[1], now)) {
-      this.#forget(...oldest.value);
+      this.#forget(oldest.value[0]);
       oldest = this.#settled.entries().next();
     }
-    while (this.#bytes > this.#maxBytes) this.#dropResult();
+    while (this.#bytes > this.#maxBytes) this.#dropOldestResult();
     if (this.#series.size > this.#maxSeries) this.#dropSeries();
   }
 
-  #overBounds(oldest: Entry, now: number): boolean {
-    return this.size > this.#maxEntries || now - oldest.endedAt > this.#maxAgeMs;
+  #overBounds(endedAt: number, now: number): boolean {
+    return this.size > this.#maxEntries || now - endedAt > this.#maxAgeMs;
   }
 
-  #forget(id: string, entry: Entry): void {
+  #forget(id: string): void {
     this.#settled.delete(id);
-    if (this.#withResult.delete(id)) this.#bytes -= entry.bytes;
+    this.#barred.delete(id);
+    this.#dropResult(id);
     const { series: name, sequence } = parseId(id);
     const series = this.#series.get(name);
     if (!series) return;
@@ -185,13 +178,16 @@
     series.floor = Math.max(series.floor, sequence);
   }
 
-  #dropResult(): void {
-    const oldest = this.#withResult.entries().next();
-    if (oldest.done) return;
-    const [id, entry] = oldest.value;
-    this.#withResult.delete(id);
-    this.#bytes -= entry.bytes;
-    delete entry.result;
+  #dropOldestResult(): void {
+    const oldest = this.#results.keys().next();
+    if (!oldest.done) this.#dropResult(oldest.value);
+  }
+
+  #dropResult(id: string): void {
+    const result = this.#results.get(id);
+    if (!result) return;
+    this.#results.delete(id);
+    this.#bytes -= bytesOf(result);
   }
 
   #dropSeries(): void {
--- a/packages/guard/src/gang/guarded-task.ts
+++ b/packages/guard/src/gang/guarded-task.ts
@@ -135,8 +135,9 @@
       try {
         this.#noteStopped(await this.#options.worker.stop(this.name));
       } catch {
-        if (this.#surelyLapsed())
+        if (this.#surelyLapsed()) {
           this.#end(this.#lapsed('The worker is silent and the lease over.'));
+        }
       }
       if (!this.ended) await this.#pause(RETRY_MS);
     }
--- a/packages/guard/src/gang/owner-reports.ts
+++ b/packages/guard/src/gang/owner-reports.ts
@@ -42,6 +42,8 @@
 
   #usageTimer: NodeJS.Timeout | undefined;
 
+  #stopped = false;
+
   constructor({
     ctx,
     links,
@@ -60,14 +62,14 @@
   }
 
   start(): void {
-    this.#timer = setInterval(() => this.#sendDue(), RETRY_MS / 2);
     this.#usageTimer = setInterval(() => {
       void this.#sendUsage();
     }, USAGE_EVERY_MS);
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    this.#stopped = true;
+    clearTimeout(this.#timer);
     clearInterval(this.#usageTimer);
   }
 
@@ -120,6 +122,14 @@
     this.#reports.forEach((report, name) => {
       if (report.dueAt <= now) void this.#send(owner, name, report);
     });
+    this.#arm(now);
+  }
+
+  /** Sets the alarm for the next report that is due. */
+  #arm(now: number): void {
+    clearTimeout(this.#timer);
+    const next = Math.min(...[...this.#reports.values()].map(({ dueAt }) => dueAt));
+    if (Number.isFinite(next)) this.#timer = setTimeout(() => this.#sendDue(), next - now);
   }
 
   async #send(owner: string, name: string, report: Report): Promise<void> {
@@ -133,6 +143,7 @@
     metrics.count(acked ? 'report.told' : 'report.failed');
     if (acked && report.once) this.#reports.delete(name);
     Object.assign(report, { dueAt: clock.now() + (acked ? RETRY_ACKED_MS : RETRY_MS) });
+    if (!this.#stopped) this.#arm(clock.now());
   }
 
   async #sendUsage(): Promise<void> {
--- a/packages/guard/src/http/http-call.ts
+++ b/packages/guard/src/http/http-call.ts
@@ -130,5 +130,19 @@
   ) {
     throw new HttpError('cut', `The answer has ${length} of ${promised ?? 'unknown'} bytes.`);
   }
-  return { status, contentType: res.headers['content-type'] ?? '', body: Buffer.concat(chunks) };
+  return {
+    status,
+    contentType: res.headers['content-type'] ?? '',
+    body: joinChunks(chunks, length),
+  };
+}
+
+/** One buffer of its own: small pooled buffers would keep far larger slabs alive for as long as they are kept. */
+function joinChunks(chunks: Buffer[], length: number): Buffer<ArrayBuffer> {
+  const joined = Buffer.from(new ArrayBuffer(length));
+  let at = 0;
+  chunks.forEach((chunk) => {
+    at += chunk.copy(joined, at);
+  });
+  return joined;
 }
