Take leases above every term that guards have seen

Cause: after the table lost its rows an owner would have begun at term 1 again and been refused once for each term that its guards had seen. Conclusion: one change of term, and no busy loop.

--- a/packages/entry/src/owner/domain-owner.ts
+++ b/packages/entry/src/owner/domain-owner.ts
@@ -51,7 +51,7 @@
   knownWorkers: KnownWorkers;
   createScheduler: SchedulerFactory;
   watch: RowWatch;
-  onStaleTerm: () => void;
+  onStaleTerm: (highestTerm: number) => void;
   /** Whether the table is known to be down: placements wait, as they couldn't be written. */
   isStoreDown?: () => boolean;
   timers?: Timers;
--- a/packages/entry/src/owner/guard-orders.ts
+++ b/packages/entry/src/owner/guard-orders.ts
@@ -35,7 +35,7 @@
   term: number;
   directory: GuardDirectory;
   /** A guard knows a higher term: this owner has been replaced. */
-  onStaleTerm: () => void;
+  onStaleTerm: (highestTerm: number) => void;
   timeoutMs?: number;
 }
 
@@ -81,12 +81,13 @@
   #failure(err: unknown): Exclude<OrderResult<never>, { type: 'done' }> {
     if (err instanceof LinkError) return { type: err.failure };
     if (!(err instanceof ProblemError)) throw err;
-    if (this.#isOutbid(err.problem)) this.#options.onStaleTerm();
+    const highestTerm = termOf(err.problem);
+    if (highestTerm > this.#options.term) this.#options.onStaleTerm(highestTerm);
     return { type: 'refused', problem: err.problem };
   }
+}
 
-  /** Guards refuse orders for another life of theirs with the same kind of problem. */
-  #isOutbid({ kind, facts }: Problem): boolean {
-    return kind === 'stale-term' && Number(facts?.highestTerm ?? 0) > this.#options.term;
-  }
+/** The term that a guard refused for. Orders for another life of it are refused with the same kind, and its own term. */
+function termOf({ kind, facts }: Problem): number {
+  return kind === 'stale-term' ? Number(facts?.highestTerm ?? 0) : 0;
 }
--- a/packages/entry/src/owner/job-keeper.ts
+++ b/packages/entry/src/owner/job-keeper.ts
@@ -232,8 +232,12 @@
       Object.assign(entry, { savedMs: entry.savedMs + conclusion.ranMs });
     }
     tellConclusion(this.#own, { entry, runner, conclusion });
-    // Otherwise another owner's attempt got into the row before this owner's term was known everywhere.
     if (row.state === 'queued') return;
+    if (row.state === 'started' && row.attempt === runner.attempt) {
+      // Resuming it would conclude it the same way for ever.
+      throw new Error(`The end of attempt ${runner.attempt} of ${entry.key} was not accepted.`);
+    }
+    // Final, or another owner's attempt got into the row before this owner's term was known everywhere.
     this.#drop(entry);
     this.adopt(entry.record, entry);
   }
--- a/packages/entry/src/owner/lease-keeper.ts
+++ b/packages/entry/src/owner/lease-keeper.ts
@@ -51,8 +51,8 @@
 
   #term: number | undefined;
 
-  /** Highest term that a guard has refused: the row may lag behind what guards have seen. */
-  #refusedTerm = 0;
+  /** Highest term that this entry knows of: a table that lost its rows lags behind what guards have seen. */
+  #highestTerm = 0;
 
   #storeDown = false;
 
@@ -100,8 +100,8 @@
   }
 
   /** A guard refused this entry's term: somebody else holds the lease, whatever the table says. */
-  staleTerm(): void {
-    this.#refusedTerm = Math.max(this.#refusedTerm, this.#term ?? 0);
+  staleTerm(highestTerm: number): void {
+    this.#highestTerm = Math.max(this.#highestTerm, highestTerm);
     this.#lose('stale-term');
   }
 
@@ -164,7 +164,7 @@
   async #look(): Promise<void> {
     this.#see(await this.#options.table.get(ownerKey(this.failureDomain)));
     const mine = this.#isMine(this.#row) ? this.#row : undefined;
-    if (mine !== undefined && mine.term > this.#refusedTerm) this.#gain(mine.term);
+    if (mine !== undefined && mine.term >= this.#highestTerm) this.#gain(mine.term);
     else if (this.#isFree()) await this.#take();
   }
 
@@ -184,7 +184,7 @@
     const row: OwnerRow = {
       failureDomain: this.failureDomain,
       holder: { id: ctx.self.id, incarnation: ctx.self.incarnation, address },
-      term: (this.#row?.term ?? 0) + 1,
+      term: this.#highestTerm + 1,
       leaseMs,
       renewals: 0,
     };
@@ -218,6 +218,7 @@
     this.#row = version === 0 ? undefined : ownerRowSchema.parse(value);
     this.#unchangedSince = this.#options.ctx.clock.now();
     if (this.#row === undefined) return;
+    this.#highestTerm = Math.max(this.#highestTerm, this.#row.term);
     const isNews = before?.term !== this.#row.term || before.holder?.id !== this.#row.holder?.id;
     if (isNews) this.#options.onSeen(this.#row);
   }
--- a/packages/entry/src/owner/owner-world.support.ts
+++ b/packages/entry/src/owner/owner-world.support.ts
@@ -2,12 +2,11 @@
 import { createHash } from 'node:crypto';
 import type { Server } from '@hapi/hapi';
 import {
-  CountingMetrics,
-  HybridClock,
-  Timeline,
   bundleSchema,
   jobRowSchema,
+  quietContext,
   type Bundle,
+  type CountingMetrics,
   type Handlers,
   type JobRow,
   type Peer,
@@ -258,17 +257,10 @@
   id: string,
   { clock }: ManualTimers,
 ): ProcessContext & { metrics: CountingMetrics } {
-  const hybrid = new HybridClock({ clock });
-  const quiet = (): void => {};
   const loud = (fields: object, msg: string): never => {
     throw new Error(`${msg}: ${JSON.stringify(fields)}`);
   };
-  return {
-    self: { id, role: 'entry', incarnation: `${id}-life-1`, failureDomain: 'hall' },
-    clock,
-    hybrid,
-    timeline: new Timeline({ process: id, hybrid }),
-    metrics: new CountingMetrics(),
-    log: { info: quiet, warn: quiet, error: loud },
-  };
+  const incarnation = `${id}-life-1`;
+  const ctx = quietContext({ id, incarnation, failureDomain: 'hall', clock });
+  return { ...ctx, log: { ...ctx.log, error: loud } };
 }
--- a/packages/entry/src/owner/owners.ts
+++ b/packages/entry/src/owner/owners.ts
@@ -220,7 +220,7 @@
       createScheduler,
       watch,
       timers: this.#timers,
-      onStaleTerm: () => keeper?.staleTerm(),
+      onStaleTerm: (highestTerm) => keeper?.staleTerm(highestTerm),
       isStoreDown: () => keeper?.isStoreDown ?? false,
       ...(limits === undefined ? {} : { limits }),
     });
--- a/packages/entry/src/owner/recovery.feature
+++ b/packages/entry/src/owner/recovery.feature
@@ -73,3 +73,12 @@
     And a second entry
     When the table is down for everybody for 60000 ms
     Then the first entry still owns the failure domain
+
+  Scenario: a table that lost its rows costs one change of term
+    Given an owner with workers "w1"
+    And the guard of "w1" has seen term 20
+    And the table has lost the lease's row
+    When 20000 ms pass for the owner
+    And a caller submits a "entry" gang of 1 tasks with 1 accelerators
+    Then the submitted job gets "started"
+    And the owner's term is 21
--- a/packages/entry/src/owner/recovery.steps.ts
+++ b/packages/entry/src/owner/recovery.steps.ts
@@ -25,6 +25,19 @@
   await this.timers.until('it is reserved', () => this.guard(worker).count('preparing') > 0);
 });
 
+Given(
+  'the guard of {string} has seen term {int}',
+  function (this: OwnerSteps, worker: string, term: number) {
+    const { book, process } = this.guard(worker);
+    book.admit({ failureDomain: 'hall', term, incarnation: process.incarnation });
+  },
+);
+
+Given("the table has lost the lease's row", function (this: OwnerSteps) {
+  const { version } = this.store.get('owners/hall');
+  this.store.write('row-is-lost', [{ key: 'owners/hall', ifVersion: version, value: null }]);
+});
+
 When('the owner is drained', async function (this: OwnerSteps) {
   await this.entryOf('entry-a').app.drain?.();
   die(this);
@@ -99,3 +112,8 @@
   assert.deepEqual(owning(this), ['entry-a']);
   assert.equal(this.entryOf('entry-a').ctx.metrics.counters.get('lease.gained'), 1);
 });
+
+Then("the owner's term is {int}", function (this: OwnerSteps, term: number) {
+  const { hall } = this.entryOf('entry-a').app.status?.() as { hall: { term: number } };
+  assert.equal(hall.term, term);
+});
--- a/packages/entry/src/owner/recovery.ts
+++ b/packages/entry/src/owner/recovery.ts
@@ -1,7 +1,6 @@
 /** Rebuilds the view of a failure domain from its guards and its rows, when its lease is gained. */
 import { jobKey, claimKey, toProblem } from '@zincspan/core';
 import type { ClaimKeeper } from '../claim/claim-keeper.js';
-import type { JobRecord } from '../job/job-store.js';
 import { askInventory, byKey, isClaim, stopOrphan, type FoundReservation } from './inventory.js';
 import type { JobKeeper } from './job-keeper.js';
 import type { Ownership } from './ownership.js';
@@ -23,6 +22,7 @@
   const found = byKey(answers);
   await untilRead(own, () => recoverClaims(own, claims, found));
   await untilRead(own, () => recoverJobs(own, jobs, found));
+  // Attempts that were reserved but not started are stopped here, before anything is placed anew.
   await settleOrphans(own, jobs, claims, [...found.values()].flat());
 }
 
@@ -66,8 +66,6 @@
     const record = await own.jobs.read(account, id);
     if (record === undefined || own.signal.aborted) return;
     const reservations = found.get(jobKey(account, id)) ?? [];
-    const halfWay = reservations.filter(({ ref }) => !isCurrent(record, ref.attempt));
-    await Promise.all(halfWay.map((each) => stopOrphan(own.orders, each)));
     const lastAttempt = Math.max(0, ...reservations.map(({ ref }) => ref.attempt));
     jobs.adopt({ ...record, activeVersion: version }, { lastAttempt });
   });
@@ -100,10 +98,6 @@
   await Promise.all(orphans.map((each) => stopOrphan(own.orders, each)));
 }
 
-function isCurrent({ row }: JobRecord, attempt: number): boolean {
-  return row.state === 'started' && row.attempt === attempt;
-}
-
 /** Repeats a reading of the table until it comes through: without it nothing can be decided. */
 async function untilRead(own: Ownership, read: () => Promise<void>): Promise<void> {
   for (let tries = 0; !own.signal.aborted; tries += 1) {
