Test bursts, lost answers, usage and repeated ends at the guard

Cause: several promises of the guard had no scenario: slots and connections under a burst, a slot kept for a runner that may be busy, an answer lost with its link, an upstream that stops announcing itself, throttle, usage, an end told until acknowledged. Change: those scenarios; hooks that throw no longer end their link; two drains at once both resolve.

--- a/packages/guard/src/gang/gang-keeper.ts
+++ b/packages/guard/src/gang/gang-keeper.ts
@@ -56,7 +56,7 @@
 
   #timer: NodeJS.Timeout | undefined;
 
-  #onIdle: (() => void) | undefined;
+  #onIdle: (() => void)[] = [];
 
   constructor(options: GangKeeperOptions) {
     const { self } = options.ctx;
@@ -111,7 +111,7 @@
   async whenIdle(): Promise<void> {
     if (this.#tasks.size === 0) return;
     await new Promise<void>((resolve) => {
-      this.#onIdle = resolve;
+      this.#onIdle.push(resolve);
     });
   }
 
@@ -257,7 +257,7 @@
     });
     this.#waiters.settle(task.name, end);
     this.#options.onEnded(end);
-    if (this.#tasks.size === 0) this.#onIdle?.();
+    if (this.#tasks.size === 0) this.#onIdle.splice(0).forEach((resolve) => resolve());
   }
 
   async #whenEnded(task: GuardedTask): Promise<TaskEnd> {
--- a/packages/guard/src/gang/gangs.feature
+++ b/packages/guard/src/gang/gangs.feature
@@ -44,6 +44,26 @@
     And the owner checkpoints and stops "a"
     Then the stop of "a" said "checkpointed"
 
+  Scenario: a running task's usage is told, and it is throttled
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a", which runs 60000 ms
+    And the owner hears that "a" is ready
+    And the owner starts "a"
+    And the owner throttles "a" to 0.5 cores
+    Then the owner hears that "a" uses 0.5 cores
+
+  Scenario: an end is told again until it is acknowledged
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a"
+    And the owner hears that "a" is ready
+    And the owner starts "a"
+    And the owner hears that "a" ended as "succeeded"
+    And the link to the guard is cut and comes back
+    And the owner has term 2
+    And the owner asks for the inventory
+    Then the owner hears again that "a" ended
+    And the owner forgets "a" and finds nothing held
+
   Scenario: a reservation that isn't started lapses
     Given a guard beside a worker
     When an owner reserves accelerators "0" for "a" during 300 ms
--- a/packages/guard/src/gang/gangs.steps.ts
+++ b/packages/guard/src/gang/gangs.steps.ts
@@ -134,6 +134,52 @@
   },
 );
 
+When(
+  'the owner throttles {string} to {float} cores',
+  async function (this: GangWorld, name: string, cores: number) {
+    const { order, guard } = this.entry;
+    await guard.call('gang.throttle', { order, ref: refOf(name), cores });
+  },
+);
+
+When('the link to the guard is cut and comes back', async function (this: GangWorld) {
+  this.entry.announcements.length = 0;
+  this.entry.guard.close('overflow');
+  await this.entry.untilReady();
+});
+
+When('the owner asks for the inventory', async function (this: GangWorld) {
+  this.entry.ends.length = 0;
+  const { order, guard } = this.entry;
+  const { reservations } = await guard.call('guard.inventory', { order });
+  assert.deepEqual(
+    reservations.map(({ state }) => state),
+    ['ended'],
+  );
+});
+
+Then(
+  'the owner hears that {string} uses {float} cores',
+  async function (this: GangWorld, name: string, cores: number) {
+    const { usages } = this.entry;
+    await this.entry.until(() => usages.some((use) => isFor(name)(use.ref) && use.cores === cores));
+  },
+);
+
+Then('the owner hears again that {string} ended', async function (this: GangWorld, name: string) {
+  await this.entry.until(() => this.entry.ends.some(({ ref }) => isFor(name)(ref)));
+});
+
+Then(
+  'the owner forgets {string} and finds nothing held',
+  async function (this: GangWorld, name: string) {
+    const { order, guard } = this.entry;
+    await guard.call('gang.forget', { order, ref: refOf(name) });
+    const { reservations } = await guard.call('guard.inventory', { order });
+    assert.deepEqual(reservations, []);
+  },
+);
+
 Then(
   'reserving accelerators {string} for {string} is refused as {string}',
   async function (this: GangWorld, accelerators: string, name: string, kind: string) {
--- a/packages/guard/src/request/request-runner.ts
+++ b/packages/guard/src/request/request-runner.ts
@@ -52,7 +52,7 @@
 
   #draining = false;
 
-  #onIdle: (() => void) | undefined;
+  #onIdle: (() => void)[] = [];
 
   constructor({ ctx, settings }: { ctx: ProcessContext; settings: GuardSettings }) {
     const { limits } = settings;
@@ -86,7 +86,7 @@
     this.#draining = true;
     if (this.#inProgress.size === 0) return;
     await new Promise<void>((resolve) => {
-      this.#onIdle = resolve;
+      this.#onIdle.push(resolve);
     });
   }
 
@@ -221,7 +221,7 @@
       result.outcome === 'answered' ? 'request.answered' : `request.${result.problem.kind}`,
     );
     entry.resolve(result);
-    if (this.#inProgress.size === 0) this.#onIdle?.();
+    if (this.#inProgress.size === 0) this.#onIdle.splice(0).forEach((resolve) => resolve());
   }
 
   #toResult(cause: Problem): RequestResult {
--- a/packages/guard/src/request/requests.feature
+++ b/packages/guard/src/request/requests.feature
@@ -43,6 +43,32 @@
     And an entry cancels "b"
     Then request "b" failed as "cancelled", ran "not-run"
 
+  Scenario: a burst never exceeds the slots or connections
+    Given a guard beside a runner with 2 slots
+    When an entry sends the guard a burst of 20 requests
+    Then the runner was never overrun with 2 slots
+
+  Scenario: a request that was given up keeps its slot while the runner may be busy
+    Given a guard beside a runner with 1 slots
+    And the guarded runner is slow by 400 ms
+    When an entry sends the guard a request "a" with 100 ms left
+    And request "a" failed as "deadline-passed", ran "unknown"
+    And an entry sends the guard a request "b"
+    Then the answer to "b" is whole and is its own
+    And the runner was never overrun with 1 slots
+
+  Scenario: an answer lost with its link is learned on the next one
+    Given a guard beside a runner with 1 slots
+    And the guarded runner is slow by 100 ms
+    When an entry has request "a" in progress as the link is cut
+    Then the guard tells on the next link that "a" ended
+    And the runner ran "a" 1 times
+
+  Scenario: an upstream that stops announcing itself expires
+    Given a guard without an upstream
+    When a runner announces itself to the guard once
+    Then the entry was told that the upstream is "withdrawn"
+
   Scenario: a draining guard finishes what it has
     Given a guard beside a runner with 1 slots
     When an entry has requests "a" and "b" in progress
--- a/packages/guard/src/request/requests.steps.ts
+++ b/packages/guard/src/request/requests.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { RequestResult } from '@zincspan/core';
+import Wreck from '@hapi/wreck';
+import { LinkError, type RequestResult } from '@zincspan/core';
 import { startRunner } from '@zincspan/stand-ins';
 import { closeLater, startGuard, type GuardWorld } from '../test/guard-world.support.js';
 
@@ -37,7 +38,7 @@
 );
 
 Given('a guard without an upstream', async function (this: RequestWorld) {
-  await startGuard(this);
+  await startGuard(this, undefined, { announceTtlMs: 500 });
 });
 
 Given('the guarded runner cuts its answers', function (this: RequestWorld) {
@@ -48,6 +49,10 @@
   this.runner!.faults.freeze = true;
 });
 
+Given('the guarded runner is slow by {int} ms', function (this: RequestWorld, slowMs: number) {
+  this.runner!.faults.slowMs = slowMs;
+});
+
 Given('the guarded runner is gone', async function (this: RequestWorld) {
   await this.runner!.close();
 });
@@ -91,6 +96,27 @@
   },
 );
 
+When(
+  'an entry has request {string} in progress as the link is cut',
+  async function (this: RequestWorld, name: string) {
+    const result = send(this, name);
+    await this.entry.guard.call('process.status', {}).catch(() => {});
+    this.entry.announcements.length = 0;
+    this.entry.guard.close('overflow');
+    await assert.rejects(result, LinkError);
+    await this.entry.untilReady();
+  },
+);
+
+When(
+  'an entry sends the guard a burst of {int} requests',
+  async function (this: RequestWorld, count: number) {
+    const names = Array.from({ length: count }, (_, index) => String.fromCharCode(65 + index));
+    const results = await Promise.all(names.map((name) => send(this, name)));
+    assert.ok(results.every(({ outcome }) => outcome === 'answered'));
+  },
+);
+
 When('an entry cancels {string}', async function (this: RequestWorld, name: string) {
   await this.entry.guard.call('request.cancel', { requestId: idOf(this, name) });
 });
@@ -104,6 +130,16 @@
   await this.entry.untilReady();
 });
 
+When('a runner announces itself to the guard once', async function (this: RequestWorld) {
+  const { address } = this.guard;
+  const body = JSON.stringify({
+    ...{ type: 'runner', id: 'runner-9', address: '127.0.0.1:1', slots: 1, connections: 1 },
+  });
+  const res = await Wreck.request('POST', `http://${address}/v1/upstream`, { payload: body });
+  assert.equal(res.statusCode, 204);
+  await this.entry.untilReady();
+});
+
 When('the runner withdraws from the guard', async function (this: RequestWorld) {
   await this.runner!.close();
 });
@@ -128,6 +164,25 @@
   },
 );
 
+Then(
+  'the guard tells on the next link that {string} ended',
+  async function (this: RequestWorld, name: string) {
+    const { guard } = this.entry;
+    const { incarnation } = guard.process;
+    const ask = async () =>
+      guard.call('request.settle', { requestId: idOf(this, name), incarnation });
+    let settled = await ask();
+    while (settled.state === 'running') settled = await ask();
+    assert.ok(settled.state === 'ended' && settled.result.outcome === 'answered');
+  },
+);
+
+Then('the runner was never overrun with {int} slots', function (this: RequestWorld, slots: number) {
+  const { maxInUse, maxConnections, violations } = this.runner!.ledger();
+  assert.equal(violations, 0);
+  assert.ok(maxInUse <= slots && maxConnections <= slots);
+});
+
 Then(
   'the runner ran {string} {int} times',
   function (this: RequestWorld, name: string, times: number) {
--- a/packages/guard/src/test/fake-entry.support.ts
+++ b/packages/guard/src/test/fake-entry.support.ts
@@ -11,6 +11,7 @@
   type Order,
   type ProcessContext,
   type TaskEnd,
+  type TaskUsage,
   type AttemptRef,
 } from '@zincspan/core';
 import { LinkServer, type Link } from '@zincspan/link';
@@ -41,6 +42,8 @@
 
   readonly readies: AttemptRef[] = [];
 
+  readonly usages: TaskUsage[] = [];
+
   term = 1;
 
   #server: LinkServer | undefined;
@@ -52,7 +55,10 @@
       'upstream.announce': (req) => this.#note(this.announcements, req, { bundleVersion: 0 }),
       'task.ready': ({ ref }) => this.#note(this.readies, ref, {}),
       'task.ended': (end) => this.#note(this.ends, end, {}),
-      'task.usage': () => ({}),
+      'task.usage': ({ usages }) => {
+        this.usages.push(...usages);
+        return this.#note([], undefined, {});
+      },
     };
     this.#server = new LinkServer({
       ctx: this.ctx,
--- a/packages/link/src/dialer.ts
+++ b/packages/link/src/dialer.ts
@@ -5,7 +5,13 @@
 import { MAX_FRAME_BYTES } from './frame.js';
 import { respond } from './handshake.js';
 import { Link } from './link.js';
-import { DEFAULT_LIMITS, LinkFault, type LinkLimits, type LinkOptions } from './options.js';
+import {
+  DEFAULT_LIMITS,
+  LinkFault,
+  callHook,
+  type LinkLimits,
+  type LinkOptions,
+} from './options.js';
 import { FrameSocket } from './socket.js';
 
 /** Waits between dials, in ms. The first redial after a link that was up comes at once. */
@@ -125,7 +131,9 @@
     this.#upSince = this.#options.ctx.clock.now();
     this.#link = new Link({ options: this.#options, limits: this.#limits, socket, process });
     this.#options.ctx.metrics.count('link.dialled');
-    this.#options.onPeer?.(this.#link);
+    const { ctx, onPeer } = this.#options;
+    const link = this.#link;
+    callHook(ctx, () => onPeer?.(link));
   }
 
   #noteEnd(fault: LinkFault): void {
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -7,7 +7,13 @@
 import { MAX_FRAME_BYTES, type Proof } from './frame.js';
 import { challenge } from './handshake.js';
 import { Link } from './link.js';
-import { DEFAULT_LIMITS, LinkFault, type LinkLimits, type LinkOptions } from './options.js';
+import {
+  DEFAULT_LIMITS,
+  LinkFault,
+  callHook,
+  type LinkLimits,
+  type LinkOptions,
+} from './options.js';
 import { FrameSocket } from './socket.js';
 
 /** Listens on `listen` (`IP:port`, port 0 for any). */
@@ -131,7 +137,7 @@
     const link = new Link({ options: this.#options, limits: this.#limits, socket, process });
     this.#accepted.put(link, bornAt);
     this.#options.ctx.metrics.count('link.accepted');
-    this.#options.onPeer?.(link);
+    callHook(this.#options.ctx, () => this.#options.onPeer?.(link));
     return link;
   }
 
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -14,7 +14,13 @@
 } from '@zincspan/core';
 import { PendingCalls } from './pending-calls.js';
 import { MAX_FRAME_BYTES, frameSchema, type Frame } from './frame.js';
-import { LinkFault, type CloseReason, type LinkLimits, type LinkOptions } from './options.js';
+import {
+  LinkFault,
+  callHook,
+  type CloseReason,
+  type LinkLimits,
+  type LinkOptions,
+} from './options.js';
 import { SilenceWatch } from './silence-watch.js';
 import type { FrameSocket, SendResult } from './socket.js';
 
@@ -143,7 +149,8 @@
 
   #noteHeartbeat(frame: Extract<Frame, { bundleVersion: number }>): void {
     if (frame.status) this.status = frame.status;
-    this.#options.onBundleVersion?.(this, frame.bundleVersion);
+    const { ctx, onBundleVersion } = this.#options;
+    callHook(ctx, () => onBundleVersion?.(this, frame.bundleVersion));
   }
 
   #noteAnswer(frame: Extract<Frame, { re: number }>): void {
--- a/packages/link/src/options.ts
+++ b/packages/link/src/options.ts
@@ -51,6 +51,16 @@
   callMs: 30_000,
 };
 
+/** Calls a hook of the link's user. What it throws is its own fault and must not end the link. */
+export function callHook(ctx: ProcessContext, hook: () => void): void {
+  try {
+    hook();
+  } catch (err) {
+    ctx.metrics.count('link.hook.failed');
+    ctx.log.error({ err }, 'a hook of the link failed');
+  }
+}
+
 /** Common to both ends. */
 export interface LinkOptions {
   ctx: ProcessContext;
