Follow a bundle that changes the scheduler

Cause: an owner kept the kind of scheduler that it began with, whatever the bundle in force said. Change: it is made anew under the same term and finds again what runs. Conclusion: placements wait for the table, refused gangs back off also under fifo.

--- a/packages/entry/src/owner/domain-owner.ts
+++ b/packages/entry/src/owner/domain-owner.ts
@@ -52,6 +52,8 @@
   createScheduler: SchedulerFactory;
   watch: RowWatch;
   onStaleTerm: (highestTerm: number) => void;
+  /** The bundle asks for another kind of scheduler: an owner made anew would have it. */
+  onOutdated: () => void;
   /** Whether the table is known to be down: placements wait, as they couldn't be written. */
   isStoreDown?: () => boolean;
   timers?: Timers;
@@ -82,6 +84,9 @@
 
   #scheduler: DomainScheduler | undefined;
 
+  /** The kind of scheduler that the bundle asked for when this owner began. */
+  #policy: Bundle['policy']['scheduler'] | undefined;
+
   #open = false;
 
   #pumping = false;
@@ -221,6 +226,7 @@
 
   async #begin(bundle: Bundle): Promise<void> {
     const { createScheduler, failureDomain } = this.#options;
+    this.#policy = bundle.policy.scheduler;
     this.#scheduler = createScheduler({ failureDomain, bundle });
     this.#own.workers.start();
     await recover(this.#own, this.#jobs, this.#claims);
@@ -239,6 +245,7 @@
     const bundle = this.#options.bundles.current?.bundle;
     if (bundle === undefined || this.#closing.signal.aborted) return;
     if (this.#scheduler === undefined) this.#own.background('opening', this.#begin(bundle));
+    else if (bundle.policy.scheduler !== this.#policy) this.#options.onOutdated();
     else this.#post({ type: 'bundle', bundle });
   }
 
--- a/packages/entry/src/owner/hardship.feature
+++ b/packages/entry/src/owner/hardship.feature
@@ -100,8 +100,30 @@
 
   Scenario: a gang that guards keep refusing is placed ever more slowly
     Given an owner with workers "w1"
+    And a bundle that asks for the fifo scheduler
     And something else holds all of "w1"
     When a caller submits a "entry" gang of 1 tasks with 1 accelerators
     And 20000 ms pass for the owner
     Then the owner has made at most 20 attempts
     And the submitted job is still "queued"
+
+  Scenario: nothing new is reserved during an outage
+    Given an owner without workers
+    And a caller submits a "entry" gang of 1 tasks with 1 accelerators
+    When the table goes down for the owner
+    And 2000 ms pass for the owner
+    And the worker "w1" joins
+    And 5000 ms pass for the owner
+    Then no reservation is left on "w1"
+    When the table comes back for the owner
+    Then the submitted job gets "started"
+
+  Scenario: another scheduler finds again what runs
+    Given an owner with workers "w1"
+    And a caller submits a "entry" gang of 1 tasks with 8 accelerators
+    And the submitted job gets "started"
+    When a bundle that asks for the fifo scheduler
+    And 5000 ms pass for the owner
+    And the worker "w1" ends its tasks as "succeeded"
+    Then the submitted job gets "succeeded"
+    And the worker "w1" has started 1 tasks
--- a/packages/entry/src/owner/hardship.steps.ts
+++ b/packages/entry/src/owner/hardship.steps.ts
@@ -2,6 +2,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { JobRow } from '@zincspan/core';
 import type { OwnerSteps } from './owner.steps.js';
+import { ownerBundle } from './owner-world.support.js';
 
 Given('a row of a job that nobody can read', function (this: OwnerSteps) {
   this.store.write('write-by-hand', [
@@ -35,6 +36,16 @@
   },
 );
 
+Given('a bundle that asks for the fifo scheduler', async function (this: OwnerSteps) {
+  const bundle = ownerBundle();
+  this.bundles.put({ ...bundle, policy: { ...bundle.policy, scheduler: 'fifo' } }, 2);
+  await this.timers.until('entry-a owns', () => this.entryOf('entry-a').owns);
+});
+
+When('the worker {string} joins', function (this: OwnerSteps, worker: string) {
+  this.addWorker(worker);
+});
+
 When('the guard of {string} falls silent', function (this: OwnerSteps, worker: string) {
   this.guard(worker).closed = true;
 });
--- a/packages/entry/src/owner/member-driver.ts
+++ b/packages/entry/src/owner/member-driver.ts
@@ -231,8 +231,6 @@
   }
 
   #over(end: TaskEnd): Try {
-    const forgotten = end.outcome === 'never-started' && this.#isReplaced() && this.#started;
-    if (forgotten) return this.#lose('Its guard was restarted and knows nothing of it.');
     this.ended(end);
     return 'over';
   }
--- a/packages/entry/src/owner/owners.ts
+++ b/packages/entry/src/owner/owners.ts
@@ -221,6 +221,7 @@
       watch,
       timers: this.#timers,
       onStaleTerm: (highestTerm) => keeper?.staleTerm(highestTerm),
+      onOutdated: () => this.#reopen(failureDomain, term),
       isStoreDown: () => keeper?.isStoreDown ?? false,
       ...(limits === undefined ? {} : { limits }),
     });
@@ -228,13 +229,17 @@
     this.#broadcast(failureDomain, term, ctx.self.id);
     owner.open().catch((err: unknown) => {
       ctx.log.error({ failureDomain, term, err }, 'taking over a failure domain failed');
-      owner.close();
-      this.#timers.after(REOPEN_MS, () => {
-        if (keeper?.term === term) this.#gained(failureDomain, term);
-      });
+      this.#timers.after(REOPEN_MS, () => this.#reopen(failureDomain, term));
     });
   }
 
+  /** Makes the owner anew under the same term; it finds again what runs. */
+  #reopen(failureDomain: string, term: number): void {
+    if (this.#keepers.get(failureDomain)?.term !== term) return;
+    this.#owners.get(failureDomain)?.close();
+    this.#gained(failureDomain, term);
+  }
+
   async #handOver(failureDomain: string): Promise<void> {
     const keeper = this.#keepers.get(failureDomain);
     const term = keeper?.term;
