Wait longer for an answer that can't be had twice

Cause: a job that can't run again was given up as unknown after 30 s of its guard's silence, and then stopped once the link was back. Reservations counted as lapsed from the first silence, though a repeated reserve whose answer was lost may have renewed them later. A failed look at the lease row ended the loop.

--- a/packages/entry/src/owner/lease-keeper.ts
+++ b/packages/entry/src/owner/lease-keeper.ts
@@ -148,11 +148,20 @@
       else await this.#renew();
       this.#storeAnswered();
     } catch (err) {
+      this.#noteFailure(err);
+    }
+  }
+
+  #noteFailure(err: unknown): void {
+    const { metrics, log } = this.#options.ctx;
+    if (toProblem(err).kind === 'store-unavailable') {
       // Nobody can take the lease while the table is down, so its holder goes on.
-      if (toProblem(err).kind !== 'store-unavailable') throw err;
       this.#storeDown = true;
-      this.#options.ctx.metrics.count('lease.store-unavailable');
+      metrics.count('lease.store-unavailable');
+      return;
     }
+    metrics.count('lease.internal-error');
+    log.error({ failureDomain: this.failureDomain, err }, 'looking after a lease failed');
   }
 
   #storeAnswered(): void {
@@ -215,7 +224,8 @@
     if (version === this.#version) return;
     const before = this.#row;
     this.#version = version;
-    this.#row = version === 0 ? undefined : ownerRowSchema.parse(value);
+    // A row that can't be read counts as free: its version still guards against others.
+    this.#row = ownerRowSchema.safeParse(value).data;
     this.#unchangedSince = this.#options.ctx.clock.now();
     if (this.#row === undefined) return;
     this.#highestTerm = Math.max(this.#highestTerm, this.#row.term);
--- a/packages/entry/src/owner/member-driver.ts
+++ b/packages/entry/src/owner/member-driver.ts
@@ -27,7 +27,7 @@
   task?: TaskSpec | undefined;
   within?: string | undefined;
   ttlMs: number;
-  /** Silence of a guard after which a lease that it renews has surely ended. */
+  /** Silence of a guard after which a started member counts as lost. */
   lostAfterMs: number;
   orders: GuardOrders;
   timers: Timers;
@@ -35,6 +35,9 @@
   tell: (event: AttemptEvent) => void;
 }
 
+/** A reservation has surely dropped by itself after this many times its time, whatever the guard's clock. */
+const LAPSE_MARGIN = 1.5;
+
 /** Outcome of one try: over, again soon, or again only to renew. */
 type Try = 'over' | 'again' | 'renew';
 
@@ -55,6 +58,9 @@
 
   #silentSince: number | undefined;
 
+  /** When an order that renews the reservation may have arrived last. */
+  #renewedAt = Number.NEGATIVE_INFINITY;
+
   #placed: PlacedMember;
 
   constructor(options: MemberDriverOptions) {
@@ -161,6 +167,7 @@
       return this.#drop('No link to its guard.');
     }
     this.#mayBeReserved = true;
+    if (result.type !== 'not-sent') this.#renewedAt = this.#options.clock.now();
     if (result.type !== 'done') return 'again';
     const { state } = result.res;
     if (state === 'preparing') return 'renew';
@@ -261,6 +268,8 @@
 
   #isSurelyOver(): boolean {
     if (this.#silentSince === undefined) return false;
-    return this.#options.clock.now() - this.#silentSince >= this.#options.lostAfterMs;
+    const { clock, lostAfterMs, ttlMs } = this.#options;
+    if (this.#started) return clock.now() - this.#silentSince >= lostAfterMs;
+    return clock.now() - this.#renewedAt >= ttlMs * LAPSE_MARGIN;
   }
 }
--- a/packages/entry/src/owner/recovery.feature
+++ b/packages/entry/src/owner/recovery.feature
@@ -58,6 +58,17 @@
     And the worker "w1" ends its tasks as "succeeded"
     Then the submitted job gets "succeeded"
 
+  Scenario: a long silence doesn't end a job that can't run again
+    Given an owner with workers "w1"
+    And a caller submits a "entry" gang of 1 tasks with 1 accelerators
+    And the submitted job gets "started"
+    When the guard of "w1" falls silent
+    And 120000 ms pass for the owner
+    Then the submitted job is still "started"
+    When the link to "w1" is cut for 100 ms
+    And the worker "w1" ends its tasks as "succeeded"
+    Then the submitted job gets "succeeded"
+
   Scenario: two entries never hold one lease
     Given 3 entries that start at once
     When 10000 ms pass for the owner
@@ -82,3 +93,10 @@
     And a caller submits a "entry" gang of 1 tasks with 1 accelerators
     Then the submitted job gets "started"
     And the owner's term is 21
+
+  Scenario: a lease row that can't be read is taken over
+    Given an owner with workers "w1"
+    And somebody has spoiled the lease's row
+    When 20000 ms pass for the owner
+    And a caller submits a "entry" gang of 1 tasks with 1 accelerators
+    Then the submitted job gets "started"
--- a/packages/entry/src/owner/recovery.steps.ts
+++ b/packages/entry/src/owner/recovery.steps.ts
@@ -38,6 +38,11 @@
   this.store.write('row-is-lost', [{ key: 'owners/hall', ifVersion: version, value: null }]);
 });
 
+Given("somebody has spoiled the lease's row", function (this: OwnerSteps) {
+  const { version } = this.store.get('owners/hall');
+  this.store.write('row-spoiled', [{ key: 'owners/hall', ifVersion: version, value: 'odd' }]);
+});
+
 When('the owner is drained', async function (this: OwnerSteps) {
   await this.entryOf('entry-a').app.drain?.();
   die(this);
