Hold membership against late and foreign announcements, and hedge

A late announcement brought a withdrawn upstream back, as its sequence went with its entry: the latest sequence is now kept per guard. Two guards could take one upstream from each other with every renewal: the second is refused while the first is linked. Upstreams without a guard are listed and told that they need one, as nothing else can vouch for at most once. Kinds are found by name instead of by a walk for each request.

--- a/packages/entry/src/http/problem-response.ts
+++ b/packages/entry/src/http/problem-response.ts
@@ -35,7 +35,7 @@
 
 /** Body of a problem answer. */
 export function problemBody(cause: Problem, status: number): object {
-  const { kind, ran, detail, remedy, facts } = cause;
+  const { kind, ran, detail, remedy, retryAfterMs, facts } = cause;
   return {
     type: `urn:zincspan:problem:${kind}`,
     title: kind,
@@ -44,6 +44,7 @@
     kind,
     ran,
     remedy,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
     ...(facts === undefined ? {} : { facts }),
   };
 }
--- a/packages/entry/src/membership/app.ts
+++ b/packages/entry/src/membership/app.ts
@@ -1,10 +1,13 @@
 /** Membership as a part of an entry: announcements of guards, and expiry of silent upstreams. */
 import type { EntryApp, EntryDeps } from '../app.js';
+import { UnguardedUpstreams } from './unguarded-upstreams.js';
+import { registerUpstreamRoutes } from './upstream-routes.js';
 
 const EXPIRE_EVERY_MS = 500;
 
 /** Makes the membership part. */
-export function membershipApp({ upstreams, bundles }: EntryDeps): EntryApp {
+export function membershipApp({ ctx, upstreams, bundles }: EntryDeps): EntryApp {
+  const unguarded = new UnguardedUpstreams({ clock: ctx.clock });
   let timer: NodeJS.Timeout | undefined;
   return {
     name: 'membership',
@@ -14,8 +17,12 @@
         return { bundleVersion: bundles.current?.head.version ?? 0 };
       },
     },
+    routes: (server) => registerUpstreamRoutes(server, { ctx, unguarded }),
     start: () => {
-      timer = setInterval(() => upstreams.expire(), EXPIRE_EVERY_MS);
+      timer = setInterval(() => {
+        upstreams.expire();
+        unguarded.expire();
+      }, EXPIRE_EVERY_MS);
     },
     stop: () => clearInterval(timer),
     status: () => {
@@ -23,6 +30,7 @@
       return {
         runners: members.filter(({ upstream }) => upstream.type === 'runner').length,
         workers: members.filter(({ upstream }) => upstream.type === 'worker').length,
+        unguarded: unguarded.ids(),
         draining: members.filter(({ state }) => state === 'draining').length,
       };
     },
--- a/packages/entry/src/membership/upstream-directory.ts
+++ b/packages/entry/src/membership/upstream-directory.ts
@@ -22,6 +22,9 @@
 
   readonly #members = new Map<string, UpstreamMember>();
 
+  /** The latest announcement of each guard, withdrawals included. */
+  readonly #newest = new Map<string, Pick<Announcement, 'incarnation' | 'sequence'>>();
+
   /** Upstream ids by the guards that announced them. */
   readonly #byGuard = new Map<string, string>();
 
@@ -51,19 +54,20 @@
 
   /** Takes an announcement whose sender was checked. Older sequences change nothing. */
   accept(announcement: Announcement): void {
-    const { upstream, guard, incarnation, sequence, state } = announcement;
+    const { upstream, guard, state } = announcement;
     const before = this.#members.get(upstream.id);
-    const sameLife = before?.guard === guard && before.incarnation === incarnation;
-    if (sameLife && sequence < before.sequence) return;
+    if (before !== undefined && before.guard !== guard) this.#checkTakeOver(before, guard);
+    if (!this.#isNewest(announcement)) return;
     if (state === 'withdrawn') {
       if (before?.guard === guard) this.#remove(before, 'withdrawn');
       return;
     }
+    if (before !== undefined) this.#byGuard.delete(before.guard);
     const member = toMember(announcement, this.#ctx.clock.now());
     this.#members.set(upstream.id, member);
     this.#byGuard.set(guard, upstream.id);
     if (before === undefined) this.#joined(member);
-    else if (!sameLife || sequence !== before.sequence) this.#changed(member, before);
+    else if (!isSameWord(member, before)) this.#changed(member, before);
   }
 
   /** Drops upstreams that were silent past their announced time. */
@@ -73,6 +77,9 @@
       .filter((member) => member.expiresAt <= now)
       .forEach((member) => this.#remove(member, 'expired'));
     this.#links.prune((guard) => this.#byGuard.has(guard));
+    [...this.#newest.keys()]
+      .filter((guard) => !this.hasGuard(guard))
+      .forEach((guard) => this.#newest.delete(guard));
   }
 
   /** Runners that take new requests of this kind, linked or not. */
@@ -131,6 +138,25 @@
     return () => this.#listeners.delete(fn);
   }
 
+  /** Notes the announcement's sequence; false if a later one of this incarnation came before. */
+  #isNewest({ guard, incarnation, sequence }: Announcement): boolean {
+    const newest = this.#newest.get(guard);
+    if (newest?.incarnation === incarnation && sequence < newest.sequence) return false;
+    this.#newest.set(guard, { incarnation, sequence });
+    return true;
+  }
+
+  /** An upstream has one arbiter: another guard may speak for it only once the first is unlinked. */
+  #checkTakeOver(before: UpstreamMember, guard: string): void {
+    if (this.guardPeer(before.guard) === undefined) return;
+    throw new ProblemError(
+      problem('conflict', {
+        detail: `Guard ${guard} announced ${before.upstream.id}, which guard ${before.guard} speaks for.`,
+        remedy: 'Run one guard beside each upstream, and give each upstream an id of its own.',
+      }),
+    );
+  }
+
   #joined(member: UpstreamMember): void {
     this.#note('upstream.joined', member);
     this.#tell({ type: 'joined', member });
@@ -172,6 +198,11 @@
   return member.upstream.type === 'worker';
 }
 
+/** A repeated announcement only renews. */
+function isSameWord(a: UpstreamMember, b: UpstreamMember): boolean {
+  return a.guard === b.guard && a.incarnation === b.incarnation && a.sequence === b.sequence;
+}
+
 /** A guard speaks for itself only. */
 function checkSpeaker({ guard, incarnation }: Announcement, { process }: Peer): void {
   if (process.role === 'guard' && process.id === guard && process.incarnation === incarnation) {
--- a/packages/entry/src/request/app.ts
+++ b/packages/entry/src/request/app.ts
@@ -3,6 +3,7 @@
 import { RequestAdmission } from './admission.js';
 import { KeyRows } from './key-rows.js';
 import { KeySweeper } from './key-sweeper.js';
+import { KindDirectory } from './kind-directory.js';
 import { KeyedRequests } from './keyed-requests.js';
 import { RefusalNotes } from './refusal-notes.js';
 import { RequestIds } from './request-ids.js';
@@ -24,6 +25,7 @@
   const keyed = new KeyedRequests({ ctx, upstreams, router, rows: new KeyRows({ table }) });
   const isMyTurn = (): boolean => mesh.peers().every(({ process }) => process.id > settings.id);
   const sweeper = new KeySweeper({ ctx, table, isMyTurn });
+  const kinds = new KindDirectory({ bundles });
   const refusals = new RefusalNotes({ ctx });
   let timer: NodeJS.Timeout | undefined;
   return {
@@ -32,7 +34,7 @@
       registerRequestRoute(server, {
         ctx,
         settings,
-        bundles,
+        kinds,
         admission,
         router,
         keyed,
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -2,6 +2,7 @@
 import {
   LinkError,
   ProblemError,
+  toProblem,
   type Peer,
   type Problem,
   type RequestResult,
@@ -56,8 +57,7 @@
     const result = await life.within(call);
     return result === LIFE_OVER ? { type: 'life-over', sent: true } : resultEnd(result);
   } catch (err) {
-    if (err instanceof ProblemError) return { type: 'refused', problem: err.problem };
-    if (!(err instanceof LinkError)) throw err;
+    if (!(err instanceof LinkError)) return { type: 'refused', problem: toProblem(err) };
     if (err.failure === 'not-sent') return { type: 'not-sent' };
     const { id: guard, incarnation } = peer.process;
     const target = { guard, incarnation };
@@ -116,8 +116,9 @@
     return settled.state === 'forgotten' ? { type: 'lost', why: 'forgotten' } : undefined;
   } catch (err) {
     if (err instanceof LinkError) return undefined;
-    if (err instanceof ProblemError) return { type: 'lost', why: 'guard-restarted' };
-    throw err;
+    if (!(err instanceof ProblemError)) throw err;
+    // Any refusal leaves the question open for good, as when another incarnation answers.
+    return { type: 'lost', why: 'guard-restarted' };
   }
 }
 
--- a/packages/entry/src/request/keyed.feature
+++ b/packages/entry/src/request/keyed.feature
@@ -1,3 +1,4 @@
+@request-path
 Feature: repeated requests
 
   Scenario: a repeat with the same key gets the first answer
--- a/packages/entry/src/request/request-route.ts
+++ b/packages/entry/src/request/request-route.ts
@@ -8,10 +8,10 @@
   type Kind,
   type ProcessContext,
 } from '@zincspan/core';
-import type { BundleSource } from '../bundle-source.js';
 import { callingAccount } from '../http/auth.js';
 import type { RequestAdmission } from './admission.js';
 import type { Answer } from './attempt.js';
+import type { KindDirectory } from './kind-directory.js';
 import type { KeyedAnswer, KeyedRequests } from './keyed-requests.js';
 import type { RefusalNotes } from './refusal-notes.js';
 import type { RequestIds } from './request-ids.js';
@@ -23,7 +23,7 @@
 export interface RequestRouteDeps {
   ctx: ProcessContext;
   settings: Pick<EntrySettings, 'limits'>;
-  bundles: BundleSource;
+  kinds: KindDirectory;
   admission: RequestAdmission;
   router: RequestRouter;
   keyed: KeyedRequests;
@@ -62,7 +62,7 @@
   deps: RequestRouteDeps,
 ): Promise<ResponseObject> {
   const { ctx, ids, settings } = deps;
-  const order = readOrder(req, deps.bundles, ids);
+  const order = readOrder(req, deps.kinds, ids);
   const deadlineMs = readDeadline(req, settings.limits);
   const key = readKey(req);
   const leave = enter(order, deps);
@@ -118,8 +118,8 @@
   return res;
 }
 
-function readOrder(req: Request, bundles: BundleSource, ids: RequestIds): RequestOrder {
-  const kind = findKind(bundles, String(req.params.kind));
+function readOrder(req: Request, kinds: KindDirectory, ids: RequestIds): RequestOrder {
+  const kind = findKind(kinds, String(req.params.kind));
   const contentType = req.raw.req.headers['content-type'] ?? 'application/octet-stream';
   if (contentType.length > MAX_CONTENT_TYPE) {
     throw badInput(
@@ -132,8 +132,8 @@
   return { requestId: ids.next(), account, kind, contentType, body };
 }
 
-function findKind(bundles: BundleSource, name: string): Kind {
-  const kind = bundles.current?.bundle.kinds.find((candidate) => candidate.name === name);
+function findKind(kinds: KindDirectory, name: string): Kind {
+  const kind = kinds.get(name);
   if (kind === undefined) {
     throw new ProblemError(
       problem('not-found', {
--- a/packages/entry/src/request/request.feature
+++ b/packages/entry/src/request/request.feature
@@ -1,3 +1,4 @@
+@request-path
 Feature: request path
 
   Scenario: a caller gets the runner's whole answer
@@ -80,6 +81,8 @@
     Given a request path with runners "r1"
     When a caller requests "book" over the network and leaves once it was sent
     Then request guard "r1" is told to cancel it
+    When the request path drains once it was sent
+    Then the request path has drained
 
   Scenario: an answer cut short is not passed on
     Given a request path with runners "r1"
@@ -109,6 +112,14 @@
     And request guard "r1" comes back as another incarnation
     Then the request is refused with "overloaded", status 503, ran "unknown"
 
+  Scenario: a slow idempotent request is hedged and its first copy cancelled
+    Given a request path with runners "r1, r2"
+    And requests for "match" were mostly fast
+    When a caller requests "match"
+    And both request runners have it and the later answers "proof"
+    Then the request answers 200 with "proof"
+    And the earlier request runner is told to cancel it
+
   Scenario: a draining entry finishes requests and refuses new ones
     Given a request path with runners "r1"
     When a caller starts to request "book"
--- a/packages/entry/src/request/request.steps.ts
+++ b/packages/entry/src/request/request.steps.ts
@@ -14,6 +14,8 @@
 
   drained: Promise<void> | undefined;
 
+  earlier: FakePeer | undefined;
+
   send(kind: string, headers: Record<string, string> = {}): Promise<Reply> {
     return this.entry.server.inject({
       method: 'POST',
@@ -55,7 +57,7 @@
   return { state: state as 'running' | 'never-seen' | 'forgotten' };
 }
 
-After(async function (this: Partial<RequestWorld>) {
+After({ tags: '@request-path' }, async function (this: Partial<RequestWorld>) {
   if (this.entry?.server.info.started) await this.entry.stop();
 });
 
@@ -77,6 +79,30 @@
   },
 );
 
+Given('requests for {string} were mostly fast', async function (this: RequestWorld, kind: string) {
+  this.guards.forEach(({ answers }) => answers.set('request.run', () => answered('proof')));
+  for (let i = 0; i < 100; i += 1) await this.send(kind);
+  this.guards.forEach((guard) => {
+    guard.answers.clear();
+    guard.calls.splice(0);
+  });
+});
+
+When(
+  'both request runners have it and the later answers {string}',
+  async function (this: RequestWorld, text: string) {
+    const [r1, r2] = [this.guard('r1'), this.guard('r2')];
+    const calls = [r1.nextCall('request.run'), r2.nextCall('request.run')];
+    this.earlier = await Promise.race([calls[0]?.then(() => r1), calls[1]?.then(() => r2)]);
+    const [first, second] = await Promise.all(calls);
+    (this.earlier === r1 ? second : first)?.resolve(answered(text));
+  },
+);
+
+Then('the earlier request runner is told to cancel it', async function (this: RequestWorld) {
+  await this.earlier?.nextCall('request.cancel');
+});
+
 Given(
   'request runner {string} answers {string} of {int} bytes',
   function (this: RequestWorld, name: string, text: string, length: number) {
