--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -1,5 +1,5 @@
 /** Cucumber profiles. Step files are compiled beside the code that they test. */
-const common = { failFast: false, strict: true, format: ['progress'] };
+const common = { failFast: false, strict: true, forceExit: true, format: ['progress'] };
 
 export default {
   ...common,
--- a/packages/core/src/timeline/timeline.ts
+++ b/packages/core/src/timeline/timeline.ts
@@ -62,11 +62,16 @@
   read({ since, job, limit = 2000 }: TimelineQuery = {}): TimelineEvent[] {
     return this.#events
       .filter((event) => since === undefined || compareStamps(event.at, since) > 0)
-      .filter((event) => job === undefined || event.job === job || event.subject === job)
+      .filter((event) => job === undefined || isAbout(event, job))
       .slice(-limit);
   }
 }
 
+/** Jobs and claims are known to callers by id, and to events by the key of their row, which ends with it. */
+function isAbout({ job, subject }: TimelineEvent, wanted: string): boolean {
+  return [job, subject].some((name) => name === wanted || name?.endsWith(`/${wanted}`) === true);
+}
+
 /** Merges the rings of several processes into one causal order. */
 export function mergeTimelines(rings: TimelineEvent[][]): TimelineEvent[] {
   return rings
--- a/packages/daemon/src/role/guard-role.ts
+++ b/packages/daemon/src/role/guard-role.ts
@@ -23,6 +23,7 @@
     ctx,
     settings,
     handlers: { ...sync.handlers, ...reportHandlers({ ctx, status }) },
+    bundles: keeper,
     bundleVersion: () => keeper.version,
     onBundleVersion: (peer, version) => sync.onVersion(peer, version),
     onPeer: (peer) => sync.onPeer(peer),
--- a/packages/entry/src/mesh/mesh.feature
+++ b/packages/entry/src/mesh/mesh.feature
@@ -1,3 +1,4 @@
+@mesh
 Feature: links of entries
 
   Scenario: a request runs over a real link
--- a/packages/entry/src/mesh/mesh.steps.ts
+++ b/packages/entry/src/mesh/mesh.steps.ts
@@ -87,7 +87,7 @@
   return dialer;
 }
 
-After(async function (this: Partial<MeshWorld>) {
+After({ tags: '@mesh' }, async function (this: Partial<MeshWorld>) {
   this.dialers?.forEach((dialer) => dialer.close());
   for (const { entry } of this.entries?.values() ?? []) await entry.stop();
 });
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -1,5 +1,13 @@
 /** The guard: one small process beside each upstream, the only arbiter of its slots or accelerators. */
-import type { GuardSettings, Handlers, Peer, ProcessContext, Upstream } from '@zincspan/core';
+import {
+  DrainedWatch,
+  type BundleKeeper,
+  type GuardSettings,
+  type Handlers,
+  type Peer,
+  type ProcessContext,
+  type Upstream,
+} from '@zincspan/core';
 import { EntryLinks } from './entry-link/entry-links.js';
 import { gangApp } from './gang/app.js';
 import { GangKeeper } from './gang/gang-keeper.js';
@@ -17,6 +25,8 @@
   settings: GuardSettings;
   /** Handlers of the daemon's other parts: bundle, time line, status. */
   handlers?: Handlers;
+  /** Bundle in force: its drained list takes the upstream out of service. */
+  bundles?: Pick<BundleKeeper, 'current' | 'subscribe'>;
   /** Own bundle version, told in heartbeats. */
   bundleVersion?: () => number;
   /** An entry's bundle version, from each of its heartbeats. */
@@ -48,9 +58,17 @@
 
   readonly #reports: OwnerReports;
 
+  /** Why this guard drains: a planned stop, an order, or the bundle. It serves once none is left. */
+  readonly #drainReasons = new Set<'stop' | 'order' | 'bundle'>();
+
+  readonly #bundles: GuardOptions['bundles'];
+
+  #drainedWatch: DrainedWatch | undefined;
+
   #draining = false;
 
-  constructor({ ctx, settings, handlers = {}, onPeer, ...hooks }: GuardOptions) {
+  constructor({ ctx, settings, handlers = {}, onPeer, bundles, ...hooks }: GuardOptions) {
+    this.#bundles = bundles;
     this.#ctx = ctx;
     this.#settings = settings;
     const all: Handlers = { ...handlers };
@@ -75,7 +93,7 @@
       all,
       requestApp({ ctx, runner: this.#runner }),
       gangApp({ keeper: this.#keeper, reports: this.#reports }),
-      upstreamApp({ setDraining: (on) => this.#setDraining(on) }),
+      upstreamApp({ setDraining: (on) => this.#drainFor('order', on) }),
     );
     this.#listener = new UpstreamListener({
       listen: settings.listenHttp,
@@ -88,7 +106,9 @@
   /** Listens, dials the entries and offers the upstream once it may be. */
   async start(): Promise<void> {
     this.address = await this.#listener.start();
+    this.#watchDrained();
     this.#holder.onChange((upstream) => {
+      this.#drainedWatch?.check();
       void this.#offer(upstream);
     });
     this.#links.start();
@@ -99,7 +119,7 @@
 
   /** Takes nothing new and waits for what is in progress, `drainMs` at the longest. */
   async drain(): Promise<void> {
-    await this.#setDraining(true);
+    await this.#drainFor('stop', true);
     let timer: NodeJS.Timeout | undefined;
     const limit = new Promise<void>((resolve) => {
       timer = setTimeout(resolve, this.#settings.drainMs);
@@ -110,6 +130,7 @@
 
   /** Withdraws the upstream and ends all links. */
   async stop(): Promise<void> {
+    this.#drainedWatch?.stop();
     await this.#announcer.announce(undefined, 'withdrawn');
     this.#announcer.stop();
     this.#reports.stop();
@@ -139,6 +160,23 @@
     await this.#announcer.announce(upstream, upstream ? state : 'withdrawn');
   }
 
+  #watchDrained(): void {
+    if (this.#bundles === undefined) return;
+    this.#drainedWatch = new DrainedWatch({
+      keeper: this.#bundles,
+      upstream: () => this.#holder.upstream?.id,
+      onChange: (drained) => {
+        void this.#drainFor('bundle', drained);
+      },
+    });
+  }
+
+  #drainFor(reason: 'stop' | 'order' | 'bundle', on: boolean): Promise<void> {
+    if (on) this.#drainReasons.add(reason);
+    else this.#drainReasons.delete(reason);
+    return this.#setDraining(this.#drainReasons.size > 0);
+  }
+
   async #setDraining(on: boolean): Promise<void> {
     if (on === this.#draining) return;
     this.#draining = on;
