Keep jobs that belong inside a guarantee off borrowed room

An account inside its guarantee isn't evicted for another, so its jobs run in its home or on firm room, and borrowers leave the home for them.

--- a/packages/bench/src/policy/fake-domain.ts
+++ b/packages/bench/src/policy/fake-domain.ts
@@ -140,9 +140,17 @@
     this.#send({ type: 'claim-asked', key, account, guarantee, askedAt });
   }
 
-  loseRack(): void {
+  /** Loses a rack; it comes back after `forMs`. */
+  loseRack(forMs: number): void {
     const [first] = this.#capacity.racks.values();
-    const names = (first?.workers ?? []).map(({ id }) => id);
+    const specs = (first?.workers ?? []).map(({ spec }) => spec);
+    const names = specs.map(({ id }) => id);
+    this.#time.after(forMs, () =>
+      specs.forEach((worker) => {
+        this.#capacity.add(worker);
+        this.#send({ type: 'worker-ready', worker });
+      }),
+    );
     names.forEach((worker) => {
       this.#capacity.remove(worker);
       this.#apply({ type: 'worker-left', worker, how: 'lost' });
--- a/packages/bench/src/policy/run-scenario.ts
+++ b/packages/bench/src/policy/run-scenario.ts
@@ -10,6 +10,9 @@
 
 const SAMPLE_MS = 60_000;
 
+/** A lost rack is replaced after this long. */
+const RACK_LOST_MS = 1_800_000;
+
 /** A policy version: what it changes in the bundle. */
 export interface PolicyVersion {
   name: string;
@@ -114,7 +117,7 @@
     domain.fail(domain.workers[Math.floor(i / domains.length)]!);
   }
   if (scenario.rackLossAtMs !== undefined) {
-    time.after(scenario.rackLossAtMs - time.now, () => domains[0]!.loseRack());
+    time.after(scenario.rackLossAtMs - time.now, () => domains[0]!.loseRack(RACK_LOST_MS));
   }
   scenario.cancellations?.forEach(({ atMs, part }) =>
     time.after(atMs - time.now, () => cancelWave(deployment, domains, tally, random, part)),
--- a/packages/core/src/guarantee/firm-ledger.ts
+++ b/packages/core/src/guarantee/firm-ledger.ts
@@ -81,10 +81,26 @@
     });
   }
 
-  /** Tasks of a shape that fit in an account's homes on a worker. */
-  homeSlots(account: string, worker: WorkerCapacity, shape: Shape): number {
+  /** Tasks of a shape that fit in an account's homes on a worker, beside what members use of them. */
+  homeSlots(
+    account: string,
+    worker: WorkerCapacity,
+    { shape, used = [] }: { shape: Shape; used?: Member[] },
+  ): number {
     const home = this.#homes.get(account)?.get(worker.id);
-    return home === undefined ? 0 : slotsIn({ shape, ...home });
+    if (home === undefined) return 0;
+    const room = { ...home };
+    used.forEach(({ accelerators, cores, memoryMb }) => {
+      room.accelerators -= accelerators.length;
+      room.cores -= cores;
+      room.memoryMb -= memoryMb;
+    });
+    return slotsIn({ shape, ...room });
+  }
+
+  /** Workers with a part of an account's homes. */
+  homeWorkers(account: string): Iterable<string> {
+    return this.#homes.get(account)?.keys() ?? [];
   }
 
   #renumber(member: Member): Member {
--- a/packages/core/src/scheduler/contract-scheduler.ts
+++ b/packages/core/src/scheduler/contract-scheduler.ts
@@ -7,7 +7,7 @@
 import { summarize } from './fragmentation.js';
 import { Overruns } from './overruns.js';
 import { sizeOf } from './placer.js';
-import { QueuePass, type Placed } from './queue-pass.js';
+import { QueuePass, type Cleared, type Placed } from './queue-pass.js';
 import { QueuedWork } from './queued-work.js';
 import { Reservations } from './reservations.js';
 import { RoomMaking } from './room-making.js';
@@ -49,7 +49,7 @@
   readonly #admissions: Admissions;
 
   /** Jobs whose place is being cleared: no longer in the queue. */
-  readonly #clearing = new Map<string, QueuedJob>();
+  readonly #clearing = new Map<string, Cleared>();
 
   /** Jobs queued since the last pass. */
   #fresh: QueuedJob[] = [];
@@ -209,7 +209,10 @@
   #cancelled(key: string): void {
     const queued = this.#state.queue.get(key);
     if (queued !== undefined) this.#leaveQueue(queued);
-    if (!this.#clearing.delete(key)) return;
+    const cleared = this.#clearing.get(key);
+    if (cleared === undefined) return;
+    this.#clearing.delete(key);
+    this.#queued.change(cleared.job, this.#state.view.isUrgent(cleared.job), -1);
     this.#state.clearings.remove(this.#state.capacity, key);
   }
 
@@ -296,11 +299,12 @@
     const { clearings, capacity } = this.#state;
     return clearings.settled().flatMap(({ key, members, broken }) => {
       clearings.remove(capacity, key);
-      const job = this.#clearing.get(key);
-      if (job === undefined) return this.#claims.cleared(key, members, broken);
+      const cleared = this.#clearing.get(key);
+      if (cleared === undefined) return this.#claims.cleared(key, members, broken);
+      const { job, inside } = cleared;
       this.#clearing.delete(key);
       this.#queued.change(job, this.#state.view.isUrgent(job), -1);
-      if (!broken) return [this.#run({ job, place: { members, firm: false, inside: false } }, now)];
+      if (!broken) return [this.#run({ job, place: { members, firm: false, inside } }, now)];
       this.#wait(job);
       return [];
     });
@@ -327,10 +331,11 @@
       return this.#run(found, now);
     });
     placed.forEach((job) => this.#leaveQueue(job));
-    clearing.forEach((job) => {
+    clearing.forEach((cleared) => {
+      const { job } = cleared;
       this.#leaveQueue(job);
       this.#queued.change(job, this.#state.view.isUrgent(job), 1);
-      this.#clearing.set(job.key, job);
+      this.#clearing.set(job.key, cleared);
     });
     if (full) {
       this.#passedAt = now;
--- a/packages/core/src/scheduler/domain-state.ts
+++ b/packages/core/src/scheduler/domain-state.ts
@@ -4,7 +4,8 @@
 import { Homes } from '../guarantee/homes.js';
 import { evictionCost, type EvictionRules } from '../guarantee/eviction-cost.js';
 import type { EvictionCost } from '../guarantee/victims.js';
-import { Capacity } from '../gang/placement-capacity.js';
+import { Capacity, type WorkerCapacity } from '../gang/placement-capacity.js';
+import type { Shape } from '../gang/shape.js';
 import type { Worker } from '../upstream/upstream.js';
 import { BundleView } from './bundle-view.js';
 import { Clearings } from './clearings.js';
@@ -97,9 +98,7 @@
     this.view = new BundleView(bundle, this.failureDomain);
     this.fairShare.setAccounts(bundle.accounts);
     this.homes.setGuarantees(this.view.guarantees);
-    for (const running of this.running.values()) {
-      if (!this.ledger.has(running.job.key)) running.inside = false;
-    }
+    this.#reviewInside();
   }
 
   addWorker(worker: Worker, now: number): void {
@@ -116,6 +115,7 @@
     this.ledger.dropWorker(worker);
     this.workers.remove(worker);
     this.homes.workerLost(worker);
+    this.#reviewInside();
     this.#countCapacity();
   }
 
@@ -159,6 +159,28 @@
     return guaranteed > 0 && this.inUse(account) + more <= guaranteed;
   }
 
+  /** Tasks of a shape that fit in an account's homes on a worker, beside its jobs that count on them. */
+  homeSlots(account: string, worker: WorkerCapacity, shape: Shape): number {
+    const used = [...this.running.on(worker.id)]
+      .filter(({ job, inside }) => inside && job.account === account && !this.ledger.has(job.key))
+      .flatMap(({ members }) => members.filter((member) => member.worker === worker.id));
+    return this.ledger.homeSlots(account, worker, { shape, used });
+  }
+
+  /** Whether a job would run inside its account's guarantees: within their sum, and no larger than a home. */
+  belongsInside({ account, spec }: QueuedJob): boolean {
+    const size = spec.shape.tasks * spec.shape.acceleratorsPerTask;
+    if (size === 0 || !this.isInside(account, size)) return false;
+    const homes = [...this.ledger.homeWorkers(account)]
+      .map((id) => this.capacity.workers.get(id))
+      .filter((worker) => worker !== undefined);
+    const slots = homes.map((worker) =>
+      this.ledger.homeSlots(account, worker, { shape: spec.shape }),
+    );
+    if (spec.shape.adjacency === 'worker') return Math.max(0, ...slots) >= spec.shape.tasks;
+    return slots.reduce((sum, count) => sum + count, 0) >= spec.shape.tasks;
+  }
+
   /** Changes what an account's claims hold. */
   countClaim(account: string, change: number): void {
     this.claimed.set(account, (this.claimed.get(account) ?? 0) + change);
@@ -199,6 +221,16 @@
     if (this.#observations % REVISE_AFTER === 0) this.#observed = this.#observations;
   }
 
+  /** Jobs whose home has moved away from under them run on borrowed room from now on. */
+  #reviewInside(): void {
+    for (const running of this.running.values()) {
+      const { job, members, inside, within } = running;
+      if (!inside || within !== undefined || this.ledger.has(job.key)) continue;
+      const homes = new Set(this.ledger.homeWorkers(job.account));
+      running.inside = members.every(({ worker }) => homes.has(worker));
+    }
+  }
+
   #countCapacity(): void {
     this.fairShare.setCapacity(this.workers.total());
   }
--- a/packages/core/src/scheduler/placer.ts
+++ b/packages/core/src/scheduler/placer.ts
@@ -44,12 +44,9 @@
     this.#forgetStale();
     const kind = this.#state.view.kind(job.spec.kind);
     const size = sizeOf(job.spec.shape);
-    const inside = this.#state.isInside(job.account, size) && size > 0;
     if (size > 0 && this.#state.capacity.free < size) return undefined;
-    if (inside) {
-      const place = this.#findInside(job, kind, now);
-      if (place !== undefined) return place;
-    }
+    // Borrowed room could be claimed by its owner, and an account inside its guarantee isn't evicted for another.
+    if (this.#state.belongsInside(job)) return this.#findInside(job, kind, now);
     const recoverable = kind.idempotent || kind.checkpointable;
     if (!recoverable) return this.#findFirm(job, kind, false, now);
     return this.#findAny(job, kind, now);
@@ -57,7 +54,7 @@
 
   #findInside(job: QueuedJob, kind: Kind, now: number): Place | undefined {
     const members = this.#search(`home/${job.account}`, job, kind, now, (worker, shape) =>
-      Math.min(freeSlots(worker, shape), this.#homeSlots(job.account, worker, shape)),
+      Math.min(freeSlots(worker, shape), this.#state.homeSlots(job.account, worker, shape)),
     );
     if (members !== undefined) return { members, firm: false, inside: true };
     return this.#findFirm(job, kind, true, now);
@@ -112,17 +109,6 @@
     return this.#state.health.mayUse(worker.id, task, now);
   }
 
-  /** Room in an account's homes on a worker, less what its own jobs use of them already. */
-  #homeSlots(account: string, worker: WorkerCapacity, shape: Shape): number {
-    const { ledger, running } = this.#state;
-    const slots = ledger.homeSlots(account, worker, shape);
-    if (slots === 0) return 0;
-    for (const { job, inside } of running.on(worker.id)) {
-      if (job.account === account && inside && !ledger.has(job.key)) return 0;
-    }
-    return slots;
-  }
-
   #forgetStale(): void {
     const releases = this.#state.capacity.releases + this.#state.ledger.capacity.releases;
     if (releases === this.#failedAt) return;
--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -15,6 +15,9 @@
 /** Urgent jobs for which room is made in one pass. */
 const MAX_URGENT = 16;
 
+/** A job of a waiting kind waits this long before borrowers leave the home that it belongs in. */
+const INSIDE_PATIENCE_MS = 30_000;
+
 /** Part of its contract that an urgent job waits before others are evicted for it. */
 const URGENT_PATIENCE = 0.05;
 
@@ -38,6 +41,12 @@
   within?: string;
 }
 
+/** A job for which a place is being cleared; `inside`: in its account's home. */
+export interface Cleared {
+  job: QueuedJob;
+  inside: boolean;
+}
+
 /** Passes through the queue of one failure domain. */
 export class QueuePass {
   readonly #parts: PassParts;
@@ -48,7 +57,7 @@
   readonly #toldLate = new Set<string>();
 
   /** Jobs that got a place being cleared in this pass. */
-  #clearing: QueuedJob[] = [];
+  #clearing: Cleared[] = [];
 
   #urgentLeft = MAX_URGENT;
 
@@ -82,7 +91,7 @@
     { jobs, all }: { jobs: Iterable<QueuedJob>; all: boolean },
     now: number,
     place: (placed: Placed) => Decision,
-  ): { decisions: Decision[]; clearing: QueuedJob[] } {
+  ): { decisions: Decision[]; clearing: Cleared[] } {
     const decisions: Decision[] = [];
     this.#placer.reset();
     this.#clearing = [];
@@ -119,6 +128,7 @@
     this.#blocked += 1;
     if (job.spec.claim !== undefined) return true;
     const { state, queued } = this.#parts;
+    if (this.#reclaim(job, now, decisions)) return true;
     if (state.view.isUrgent(job)) {
       decisions.push(...this.#hurry(job, now));
       return this.#blocked < MAX_BLOCKED;
@@ -129,6 +139,18 @@
     return this.#blocked < MAX_BLOCKED;
   }
 
+  /** Takes back the home that a job belongs in; true if that is under way. */
+  #reclaim(job: QueuedJob, now: number, decisions: Decision[]): boolean {
+    const { state, rooms } = this.#parts;
+    const patience = state.view.isUrgent(job) ? 0 : INSIDE_PATIENCE_MS;
+    if (now < job.submittedAt + patience || !state.belongsInside(job)) return false;
+    const evictions = rooms.forInside(job, now);
+    if (evictions === undefined) return false;
+    decisions.push(...evictions);
+    this.#clearing.push({ job, inside: true });
+    return true;
+  }
+
   #isLarge(size: number): boolean {
     const { capacity } = this.#parts.state;
     return size >= capacity.accelerators / Math.max(1, capacity.workers.size);
@@ -144,7 +166,7 @@
       this.#urgentLeft -= 1;
       const evictions = this.#parts.rooms.forUrgent(job, now);
       if (evictions !== undefined) {
-        this.#clearing.push(job);
+        this.#clearing.push({ job, inside: false });
         return evictions;
       }
     }
@@ -172,7 +194,7 @@
       reservation === undefined ? defragmentAfterMs : Math.max(0, reservation.at - now);
     const moves = rooms.forGang(job, waitMs, now);
     if (moves === undefined) return [];
-    this.#clearing.push(job);
+    this.#clearing.push({ job, inside: false });
     reservations.drop(job.key);
     return moves;
   }
--- a/packages/core/src/scheduler/room-making.ts
+++ b/packages/core/src/scheduler/room-making.ts
@@ -37,6 +37,15 @@
     return clearance && this.#evict(job, clearance, 'urgent');
   }
 
+  /** Evicts borrowers from its account's homes for a job that belongs there. */
+  forInside(job: QueuedJob, now: number): Decision[] | undefined {
+    const cost = memoized(this.#state.evictionCost(job.account, 'claim', now));
+    const clearance = this.#cheapest(job, cost, (worker) =>
+      this.#state.homeSlots(job.account, worker, job.spec.shape),
+    );
+    return clearance && this.#evict(job, clearance, 'claim');
+  }
+
   /** Moves checkpointable jobs away for a gang if that costs less than its wait of `waitMs`. */
   forGang(job: QueuedJob, waitMs: number, now: number): Decision[] | undefined {
     const { capacity, view } = this.#state;
@@ -53,10 +62,14 @@
     return this.#evict(job, clearance, 'defragment');
   }
 
-  #cheapest(job: QueuedJob, cost: EvictionCost): Clearance | undefined {
+  #cheapest(
+    job: QueuedJob,
+    cost: EvictionCost,
+    limit?: (worker: WorkerCapacity) => number,
+  ): Clearance | undefined {
     const { capacity, running } = this.#state;
     let best: Clearance | undefined;
-    for (const members of this.#places(job, cost)) {
+    for (const members of this.#places(job, cost, limit)) {
       const clearance = clear({ capacity, running, members, cost });
       if (clearance === undefined) continue;
       if (best === undefined || clearance.cost < best.cost) best = clearance;
@@ -65,14 +78,20 @@
   }
 
   /** Places that only evictable jobs keep from the gang, those with the most free room first. */
-  *#places({ spec }: QueuedJob, cost: EvictionCost): Generator<Member[]> {
+  *#places(
+    { spec }: QueuedJob,
+    cost: EvictionCost,
+    limit: (worker: WorkerCapacity) => number = () => Infinity,
+  ): Generator<Member[]> {
     const { capacity, view } = this.#state;
     const excluded = new Set<string>();
     const rooms = new Map<string, number>();
     const kind = view.kind(spec.kind);
     const slots = (worker: WorkerCapacity) => {
       if (excluded.has(worker.id) || !worker.open) return 0;
-      const known = rooms.get(worker.id) ?? this.#slotsOnceClear(worker, spec.shape, cost);
+      const known =
+        rooms.get(worker.id) ??
+        Math.min(limit(worker), this.#slotsOnceClear(worker, spec.shape, cost));
       rooms.set(worker.id, known);
       return known;
     };
@@ -139,7 +158,7 @@
   #evict(
     { key }: QueuedJob,
     { members, victims }: Clearance,
-    reason: 'urgent' | 'defragment',
+    reason: 'urgent' | 'defragment' | 'claim',
   ): Decision[] {
     const { capacity, clearings, view } = this.#state;
     const keys = victims.map(({ job }) => job.key);
--- a/packages/core/src/scheduler/waits.ts
+++ b/packages/core/src/scheduler/waits.ts
@@ -12,6 +12,9 @@
 /** Estimates are made from a picture of the running jobs no older than this. */
 const REFRESH_MS = 1000;
 
+/** Answered where nothing that is there now could host the job. */
+const LONGEST_WAIT_MS = 3_600_000;
+
 /** Waits in one failure domain, in ms. */
 export class Waits {
   readonly #state: DomainState;
@@ -32,6 +35,7 @@
 
   /** Expected wait of a job of `size` accelerators that doesn't fit now. */
   expected(size: number, urgent: boolean, now: number): number {
+    if (size > this.#state.capacity.accelerators) return LONGEST_WAIT_MS;
     this.#refresh(now);
     const ahead = urgent ? this.#queued.urgentAccelerators : this.#queued.accelerators;
     const need = size + ahead - this.#state.capacity.free;
@@ -42,7 +46,7 @@
 
   #untilFreed(need: number, now: number): number {
     const last = this.#steps[this.#steps.length - 1];
-    if (last === undefined) return 0;
+    if (last === undefined) return need > 0 ? LONGEST_WAIT_MS : 0;
     if (need <= last.freed) {
       let [low, high] = [0, this.#steps.length - 1];
       while (low < high) {
