Keep the owner's test world clear of other worlds' hooks

Cause: hooks of other scenarios run after every scenario and took this world's entries for their own. Conclusion: hooks should be tagged; until then names must not meet.

--- a/packages/core/src/gang/attempt.steps.ts
+++ b/packages/core/src/gang/attempt.steps.ts
@@ -182,11 +182,12 @@
     const write = stepOf(run, ({ type }) => type === 'write-started');
     const written = run.steps.some(({ event }, i) => i > write && event.type === 'row-written');
     if (conclusion.type === 'ended') assert.ok(written);
-    else
-      { assert.equal(
+    else {
+      assert.equal(
         stepOf(run, ({ type }) => type === 'start'),
         Number.POSITIVE_INFINITY,
-      ); }
+      );
+    }
   });
 });
 
--- a/packages/entry/src/owner/owner-world.support.ts
+++ b/packages/entry/src/owner/owner-world.support.ts
@@ -134,7 +134,7 @@
 
   readonly guards = new Map<string, FakeGuard>();
 
-  readonly entries = new Map<string, OwnerEntry>();
+  readonly ownerEntries = new Map<string, OwnerEntry>();
 
   last!: { status: number; body: Record<string, unknown>; headers: Record<string, unknown> };
 
@@ -144,11 +144,11 @@
 
   addEntry(id: string, options: { createScheduler?: SchedulerFactory } = {}): OwnerEntry {
     const entry = new OwnerEntry(this, id, options);
-    this.entries.forEach((other) => {
+    this.ownerEntries.forEach((other) => {
       other.mesh.linkUp(entry.asPeer());
       entry.mesh.linkUp(other.asPeer());
     });
-    this.entries.set(id, entry);
+    this.ownerEntries.set(id, entry);
     this.guards.forEach((guard) => OwnerWorld.#announce(entry, guard));
     return entry;
   }
@@ -166,14 +166,14 @@
     };
     const guard = new FakeGuard({ worker, clock: this.timers.clock });
     this.guards.set(id, guard);
-    this.entries.forEach((entry) => OwnerWorld.#announce(entry, guard));
+    this.ownerEntries.forEach((entry) => OwnerWorld.#announce(entry, guard));
     return guard;
   }
 
   /** The guard's links come back, perhaps in a new life. */
   relink(guard: FakeGuard): void {
     Object.assign(guard, { closed: false });
-    this.entries.forEach((entry) => OwnerWorld.#announce(entry, guard));
+    this.ownerEntries.forEach((entry) => OwnerWorld.#announce(entry, guard));
   }
 
   guard(id: string): FakeGuard {
@@ -183,7 +183,7 @@
   }
 
   entryOf(id: string): OwnerEntry {
-    const entry = this.entries.get(id);
+    const entry = this.ownerEntries.get(id);
     if (entry === undefined) throw new Error(`No entry ${id}.`);
     return entry;
   }
--- a/packages/entry/src/owner/recovery.steps.ts
+++ b/packages/entry/src/owner/recovery.steps.ts
@@ -3,7 +3,7 @@
 import { OwnerSteps, setUpOwner } from './owner.steps.js';
 
 function owning(world: OwnerSteps): string[] {
-  return [...world.entries].filter(([, entry]) => entry.owns).map(([id]) => id);
+  return [...world.ownerEntries].filter(([, entry]) => entry.owns).map(([id]) => id);
 }
 
 function die(world: OwnerSteps): void {
@@ -17,7 +17,7 @@
     await setUpOwner(this, '', { start: false });
     for (let i = 1; i < Number(count); i += 1) this.addEntry(`entry-${i}`);
     if (lost !== null) this.entryOf('entry-a').table.faults.loseAnswers = 1;
-    await Promise.all([...this.entries.values()].map((entry) => entry.app.start?.()));
+    await Promise.all([...this.ownerEntries.values()].map((entry) => entry.app.start?.()));
   },
 );
 
@@ -93,7 +93,7 @@
 
 When('the table is down for everybody for {int} ms', async function (this: OwnerSteps, ms: number) {
   const set = (down: boolean): void =>
-    this.entries.forEach(({ table }) => Object.assign(table.faults, { down }));
+    this.ownerEntries.forEach(({ table }) => Object.assign(table.faults, { down }));
   set(true);
   await this.timers.pass(ms);
   set(false);
