--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -10,5 +10,5 @@
 export const e2e = {
   ...common,
   paths: ['packages/e2e/src/**/*.feature'],
-  import: ['packages/e2e/dist/**/*.steps.js'],
+  import: ['packages/e2e/dist/**/*.support.js', 'packages/e2e/dist/**/*.steps.js'],
 };
