--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -103,8 +103,8 @@
     this.#note('entry.draining', { inProgress: this.#gate.inProgress });
     this.#gate.drain();
     const handOver = Promise.allSettled(this.#apps.map((app) => this.#drainApp(app)));
-    await this.#gate.whenIdle(this.#settings.drainMs);
-    await within(handOver, this.#settings.drainMs);
+    const { drainMs } = this.#settings;
+    await Promise.all([this.#gate.whenIdle(drainMs), within(handOver, drainMs)]);
     this.#note('entry.drained', { left: this.#gate.inProgress });
   }
 
--- a/packages/entry/src/http/http.feature
+++ b/packages/entry/src/http/http.feature
@@ -1,3 +1,4 @@
+@entry-http
 Feature: HTTP of an entry
 
   Scenario: an unknown path is a problem
--- a/packages/entry/src/http/http.steps.ts
+++ b/packages/entry/src/http/http.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { connect } from 'node:net';
-import { Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When } from '@cucumber/cucumber';
 import { EntryWorld, TOKEN, testBundle, testSettings } from '../testing/entry-world.support.js';
 import { upstreamToken } from './auth.js';
 
@@ -51,6 +51,10 @@
   return upstreamToken(testSettings().linkKeys[0] ?? '');
 }
 
+After({ tags: '@entry-http' }, async function (this: HttpWorld) {
+  if (this.entry.server.info.started) await this.entry.stop();
+});
+
 Given("an entry's HTTP server", function (this: HttpWorld) {
   setUp(this);
 });
