--- a/packages/bench/src/route/policy-version.ts
+++ b/packages/bench/src/route/policy-version.ts
@@ -47,7 +47,7 @@
   shortestSilenceMs: Infinity,
 };
 /** As many in flight as the guards will take. */
-const UNBOUNDED = { queuePerSlot: 8 };
+const UNBOUNDED = { queuePerSlot: 8, evenQueuePerSlot: 8 };
 
 export const VERSIONS: PolicyVersion[] = [
   {
@@ -62,22 +62,28 @@
   },
   {
     name: 'two-choices',
-    chooser: () => ({ policy: twoChoices() }),
+    chooser: () => ({ policy: twoChoices(), queuePerSlot: 0.5 }),
     ejector: NO_EJECTION,
   },
   {
     name: '+ejector',
-    chooser: () => ({ policy: twoChoices() }),
+    chooser: () => ({ policy: twoChoices(), queuePerSlot: 0.5 }),
     ejector: {},
   },
   {
     name: '+limiter',
-    chooser: () => ({ policy: twoChoices() }),
+    chooser: () => ({ policy: twoChoices(), queuePerSlot: 0.5 }),
     ejector: {},
     limiter: {},
   },
   {
     name: '+least of all',
+    chooser: () => ({ queuePerSlot: 0.5 }),
+    ejector: {},
+    limiter: {},
+  },
+  {
+    name: '+long queue',
     chooser: () => ({}),
     ejector: {},
     limiter: {},
--- a/packages/bench/src/route/route-bench.ts
+++ b/packages/bench/src/route/route-bench.ts
@@ -12,7 +12,8 @@
 }
 
 /**
- * Runs and prints all. `add`: latency beyond what the request takes on a healthy runner, in ms. `back`: callers
+ * Runs and prints all. `add`: latency beyond what the request takes on a healthy runner, in ms; `usual99`: p99 of the
+ * accounts but the second, which may burst. `back`: callers
  * taken of those that came back after retryAfterMs. By account: share answered within the contract.
  */
 export function benchRoute({ seed = 1, scenario: filter = '' }: RouteBenchOptions = {}): void {
@@ -40,6 +41,7 @@
     'add50',
     'add99',
     'add99.9',
+    'usual99',
     'refused',
     'back',
     'gone',
@@ -57,6 +59,7 @@
     line(name, [
       ...[0.5, 0.99, 0.999].map((q) => tally.quantile(q).toFixed(0)),
       ...[0.5, 0.99, 0.999].map((q) => tally.addedQuantile(q).toFixed(1)),
+      tally.usualQuantile(0.99).toFixed(0),
       percent(tally.refusals / asked),
       tally.returns === 0 ? '-' : percent(tally.returnsTaken / tally.returns),
       percent(tally.refusedForGood / asked),
--- a/packages/bench/src/route/run-scenario.ts
+++ b/packages/bench/src/route/run-scenario.ts
@@ -24,6 +24,8 @@
 const SIGMA = 0.7;
 const CONTRACT_MS = 400;
 const DEADLINE_MS = 2000;
+/** Account that bursts, if any does. */
+const BURSTING = 1;
 const MOST_RETURNS = 2;
 const GIVE_UP_MS = 30;
 /** For callers who were told to come back later. */
@@ -151,7 +153,9 @@
     if (call.returns > 0 && end.type !== 'refused') this.#tally.returnsTaken += 1;
     if (end.type === 'answered') {
       const ms = this.#time.now - call.askedAt;
-      this.#tally.answer(call.account, { ms, serviceMs: call.serviceMs, withinMs: CONTRACT_MS });
+      const { account, serviceMs } = call;
+      const usual = account !== this.#deployment.accounts[BURSTING]?.name;
+      this.#tally.answer(account, { ms, serviceMs, withinMs: CONTRACT_MS, usual });
     } else if (end.type === 'deadline') this.#tally.late += 1;
     else this.#refused(call, end.problem.retryAfterMs ?? 1000);
   }
--- a/packages/bench/src/route/tally.ts
+++ b/packages/bench/src/route/tally.ts
@@ -18,6 +18,9 @@
   /** Latency less what the request takes on a healthy runner: what routing and trouble add. */
   readonly #added = histogram();
 
+  /** Latency of the accounts that keep to their usual load. */
+  readonly #usual = histogram();
+
   readonly #accounts = new Map<string, AccountTally>();
 
   answered = 0;
@@ -39,10 +42,16 @@
 
   answer(
     account: string,
-    { ms, serviceMs, withinMs }: { ms: number; serviceMs: number; withinMs: number },
+    {
+      ms,
+      serviceMs,
+      withinMs,
+      usual,
+    }: { ms: number; serviceMs: number; withinMs: number; usual: boolean },
   ): void {
     this.answered += 1;
     this.#latency.recordValue(Math.round(ms * 1000));
+    if (usual) this.#usual.recordValue(Math.round(ms * 1000));
     this.#added.recordValue(Math.round(Math.max(0, ms - serviceMs) * 1000));
     if (ms <= withinMs) this.#account(account).inContract += 1;
   }
@@ -51,6 +60,10 @@
     return this.#latency.getValueAtPercentile(q * 100) / 1000;
   }
 
+  usualQuantile(q: number): number {
+    return this.#usual.getValueAtPercentile(q * 100) / 1000;
+  }
+
   addedQuantile(q: number): number {
     return this.#added.getValueAtPercentile(q * 100) / 1000;
   }
--- a/packages/core/src/request/runner-chooser.ts
+++ b/packages/core/src/request/runner-chooser.ts
@@ -63,6 +63,8 @@
 
   readonly #queuePerSlot: number;
 
+  readonly #evenQueuePerSlot: number;
+
   readonly #domainCostMs: number;
 
   readonly #known = new Map<string, Known>();
@@ -83,7 +85,8 @@
     latency,
     ejector,
     policy = new SampledChoice(),
-    queuePerSlot = 0.5,
+    queuePerSlot = 2,
+    evenQueuePerSlot = 0.5,
     domainCostMs = 2,
     reportLifeMs = 2000,
   }: {
@@ -97,6 +100,8 @@
     policy?: ChoicePolicy;
     /** Requests that may wait at a runner, as a share of its slots, over all entries. */
     queuePerSlot?: number;
+    /** No runner's queue grows beyond this share of its slots while another's is shorter. */
+    evenQueuePerSlot?: number;
     /** Round trip to another failure domain. */
     domainCostMs?: number;
     /** How fast a runner's report of its load loses its worth. */
@@ -109,6 +114,7 @@
     this.#ejector = ejector;
     this.#policy = policy;
     this.#queuePerSlot = queuePerSlot;
+    this.#evenQueuePerSlot = evenQueuePerSlot;
     this.#domainCostMs = domainCostMs;
     this.#reportLifeMs = reportLifeMs;
   }
@@ -133,7 +139,7 @@
     const serving = this.#serving(query);
     if (serving.length === 0) return { type: 'refused', problem: noRunner(query.kind) };
     const usable = serving.filter((known) => this.#ejector.mayUse(known.runner.id, now));
-    const open = usable.filter((known) => this.#hasRoom(known, now));
+    const open = this.#open(usable, now);
     if (open.length === 0) return { type: 'refused', problem: this.#full(query, serving, now) };
     const probe = this.#probe(open, query, now);
     if (probe) return { type: 'chosen', runner: probe.runner.id };
@@ -148,6 +154,7 @@
       this.#turn += 1;
       Object.assign(known, { turn: this.#turn });
       known.occupancy.inFlight += 1;
+      known.occupancy.sentSince += 1;
     }
     this.#ejector.started(id, now);
   }
@@ -200,21 +207,28 @@
   }
 
   #total(known: Known, now: number): number {
-    return known.occupancy.inFlight + this.#others(known, now);
+    const { inFlight, sentSince } = known.occupancy;
+    // Entries see the same reports: what this one has sent since, the others have likely sent as well.
+    const likely = sentSince * Math.max(0, this.#entries() - 1);
+    return inFlight + this.#others(known, now) + likely;
   }
 
   /** This entry's part of the slots, or what the others leave, and its part of the queue. */
-  #bound(known: Known, now: number): number {
+  #bound(known: Known, now: number, queuePerSlot = this.#queuePerSlot): number {
     const { runner } = known;
     const entries = Math.max(1, this.#entries());
     const part = Math.ceil(runner.slots / entries);
     const left = Math.floor(runner.slots - this.#others(known, now));
-    const queue = Math.ceil((runner.slots * this.#queuePerSlot) / entries);
+    const queue = Math.ceil((runner.slots * queuePerSlot) / entries);
     return Math.max(part, left) + queue;
   }
 
-  #hasRoom(known: Known, now: number): boolean {
-    return known.occupancy.inFlight < this.#bound(known, now);
+  /** Those with room; as long as there are any, those with room for little more than their slots. */
+  #open(usable: Known[], now: number): Known[] {
+    const within = (queuePerSlot: number): Known[] =>
+      usable.filter((known) => known.occupancy.inFlight < this.#bound(known, now, queuePerSlot));
+    const even = within(Math.min(this.#evenQueuePerSlot, this.#queuePerSlot));
+    return even.length > 0 ? even : within(this.#queuePerSlot);
   }
 
   /** Half-open runners get a request that may be repeated elsewhere, if it should be slow or lost. */
--- a/packages/core/src/request/runner-load.ts
+++ b/packages/core/src/request/runner-load.ts
@@ -8,6 +8,9 @@
   /** Sent by this entry and not yet ended. */
   inFlight = 0;
 
+  /** Of these, sent since the guard last told its load. */
+  sentSince = 0;
+
   #others: number | undefined;
 
   #reportedAt = 0;
@@ -21,6 +24,7 @@
   report({ inUse, queued }: RunnerLoad, now: number): number {
     this.#others = Math.max(0, inUse + queued - this.inFlight);
     this.#reportedAt = now;
+    this.sentSince = 0;
     return this.#others;
   }
 
