--- a/packages/entry/src/claim/claim-keeper.ts
+++ b/packages/entry/src/claim/claim-keeper.ts
@@ -8,7 +8,7 @@
   type TaskEnd,
 } from '@zincspan/core';
 import { AttemptRunner, type RowWritten } from '../owner/attempt-runner.js';
-import type { PlacedMember } from '../owner/member-driver.js';
+import type { PlacedMember } from '../owner/placed-member.js';
 import type { Ownership } from '../owner/ownership.js';
 import { backoffMs, pause } from '../owner/timers.js';
 import { isOver, type ClaimChange } from './claim-change.js';
--- a/packages/entry/src/owner/app.ts
+++ b/packages/entry/src/owner/app.ts
@@ -11,7 +11,7 @@
 import { RowWatch } from '../job/row-watch.js';
 import { registerJobRoutes } from '../job/routes.js';
 import type { AttemptLimits } from './attempt-runner.js';
-import type { SchedulerFactory } from './domain-owner.js';
+import type { SchedulerFactory } from './domain-owner-options.js';
 import { ownerHandlers } from './handlers.js';
 import { Owners } from './owners.js';
 import { SystemTimers, type Timers } from './timers.js';
--- a/packages/entry/src/owner/attempt-runner.ts
+++ b/packages/entry/src/owner/attempt-runner.ts
@@ -9,7 +9,8 @@
   type TaskSpec,
 } from '@zincspan/core';
 import type { GuardOrders } from './guard-orders.js';
-import { MemberDriver, type PlacedMember } from './member-driver.js';
+import { MemberDriver } from './member-driver.js';
+import type { PlacedMember } from './placed-member.js';
 import type { Timers } from './timers.js';
 
 /** What became of writing the attempt down. */
--- a/packages/entry/src/owner/domain-owner.ts
+++ b/packages/entry/src/owner/domain-owner.ts
@@ -12,54 +12,25 @@
   type SchedulerEvent,
   type SchedulerSummary,
   type Shape,
-  type Table,
   type TaskEnd,
 } from '@zincspan/core';
-import type { BundleSource } from '../bundle-source.js';
 import { ClaimKeeper } from '../claim/claim-keeper.js';
 import { ClaimStore } from '../claim/claim-store.js';
-import type { KnownWorkers } from '../job/known-workers.js';
 import { JobStore } from '../job/job-store.js';
-import type { RowWatch } from '../job/row-watch.js';
-import { DEFAULT_LIMITS, type AttemptLimits } from './attempt-runner.js';
+import { DEFAULT_LIMITS } from './attempt-runner.js';
 import { DecisionRunner } from './decision-runner.js';
+import type { DomainOwnerOptions } from './domain-owner-options.js';
 import { GuardOrders } from './guard-orders.js';
 import { JobKeeper } from './job-keeper.js';
 import type { Ownership } from './ownership.js';
 import { recover, reconcile, rescan } from './recovery.js';
 import { SystemTimers, type Timers } from './timers.js';
-import { WorkerWatch, type OwnerDirectory } from './worker-watch.js';
+import { WorkerWatch } from './worker-watch.js';
 import { WriteQueue } from './write-queue.js';
 
 /** Time between two looks for jobs whose notification was lost, in ms. */
 const RESCAN_MS = 10_000;
 
-/** Makes a scheduler; the real one is `createScheduler` of @zincspan/core. */
-export type SchedulerFactory = (options: {
-  failureDomain: string;
-  bundle: Bundle;
-}) => DomainScheduler;
-
-/** What an ownership is made from. */
-export interface DomainOwnerOptions {
-  failureDomain: string;
-  term: number;
-  ctx: ProcessContext;
-  table: Table;
-  bundles: BundleSource;
-  directory: OwnerDirectory;
-  knownWorkers: KnownWorkers;
-  createScheduler: SchedulerFactory;
-  watch: RowWatch;
-  onStaleTerm: (highestTerm: number) => void;
-  /** The bundle asks for another kind of scheduler: an owner made anew would have it. */
-  onOutdated: () => void;
-  /** Whether the table is known to be down: placements wait, as they couldn't be written. */
-  isStoreDown?: () => boolean;
-  timers?: Timers;
-  limits?: AttemptLimits;
-}
-
 /** Owner of one failure domain under one term. */
 export class DomainOwner {
   readonly failureDomain: string;
--- a/packages/entry/src/owner/job-keeper.ts
+++ b/packages/entry/src/owner/job-keeper.ts
@@ -15,7 +15,7 @@
 import { JobCommits } from './job-commits.js';
 import { newJobEntry, type JobEntry } from './job-entry.js';
 import { foundJob, queuedJob, tellConclusion } from './job-events.js';
-import type { PlacedMember } from './member-driver.js';
+import type { PlacedMember } from './placed-member.js';
 import { kindOf, taskOf, type Ownership } from './ownership.js';
 import { backoffMs, pause } from './timers.js';
 
--- a/packages/entry/src/owner/member-driver.ts
+++ b/packages/entry/src/owner/member-driver.ts
@@ -2,38 +2,10 @@
  * Carries out the orders for one member of an attempt on its guard, again and again until each has surely been
  * answered, its guard has been replaced, or the guard has been silent for so long that the member's lease is over.
  */
-import {
-  type AttemptEvent,
-  type AttemptRef,
-  type Clock,
-  type Member,
-  type TaskEnd,
-  type TaskSpec,
-} from '@zincspan/core';
-import type { GuardOrders, OrderResult } from './guard-orders.js';
-import { backoffMs, pause, type Timers } from './timers.js';
-
-/** A member and the guard incarnation that it was given to. */
-export interface PlacedMember extends Member {
-  guard: string;
-  incarnation: string;
-}
-
-/** What the members of one attempt have in common. Times in ms. */
-export interface MemberDriverOptions {
-  placed: PlacedMember;
-  ref: AttemptRef;
-  /** Absent: accelerators are held for a claim and nothing is run. */
-  task?: TaskSpec | undefined;
-  within?: string | undefined;
-  ttlMs: number;
-  /** Silence of a guard after which a started member counts as lost. */
-  lostAfterMs: number;
-  orders: GuardOrders;
-  timers: Timers;
-  clock: Clock;
-  tell: (event: AttemptEvent) => void;
-}
+import type { TaskEnd } from '@zincspan/core';
+import type { OrderResult } from './guard-orders.js';
+import type { MemberDriverOptions, PlacedMember } from './placed-member.js';
+import { backoffMs, pause } from './timers.js';
 
 /** A reservation has surely dropped by itself after this many times its time, whatever the guard's clock. */
 const LAPSE_MARGIN = 1.5;
--- a/packages/entry/src/owner/owner-world.support.ts
+++ b/packages/entry/src/owner/owner-world.support.ts
@@ -20,7 +20,7 @@
 import { EntryMesh } from '../mesh/entry-mesh.js';
 import { FakeBundles, testSettings } from '../testing/entry-world.support.js';
 import { ownerApp } from './app.js';
-import type { SchedulerFactory } from './domain-owner.js';
+import type { SchedulerFactory } from './domain-owner-options.js';
 import { FakeGuard } from './fake-guard.support.js';
 import { ManualTimers } from './manual-timers.support.js';
 
--- a/packages/entry/src/owner/worker-watch.ts
+++ b/packages/entry/src/owner/worker-watch.ts
@@ -2,7 +2,7 @@
 import type { Member, SchedulerEvent, Worker } from '@zincspan/core';
 import type { MembershipChange, UpstreamMember } from '../membership/upstream-member.js';
 import type { GuardDirectory } from './guard-orders.js';
-import type { PlacedMember } from './member-driver.js';
+import type { PlacedMember } from './placed-member.js';
 
 /** What an owner needs of the directory of upstreams. */
 export interface OwnerDirectory extends GuardDirectory {
