Measure the request path: bench:path

Change: latency through entry and guard against the runner directly in the same run, cost of each role idle and at 100 requests/s, throughput.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** Command line of the benches: one command for each. */
 import { cac } from 'cac';
+import { benchPath, type PathBenchOptions } from './path/path-bench.js';
 import { benchPolicy, type PolicyBenchOptions } from './policy/policy-bench.js';
 import { benchRoute, type RouteBenchOptions } from './route/route-bench.js';
 
@@ -19,5 +20,13 @@
   .option('--version-name <text>', 'Only policy versions whose name contains this', { default: '' })
   .action((options: PolicyBenchOptions) => benchPolicy(options));
 
+cli
+  .command(
+    'path',
+    'Requests through entry and guard against the runner directly, and the cost of each role',
+  )
+  .option('--seconds <s>', 'Length of each measurement', { default: 15 })
+  .action((options: PathBenchOptions) => benchPath(options));
+
 cli.help();
 cli.parse();
