--- a/packages/bench/src/route/request-route.ts
+++ b/packages/bench/src/route/request-route.ts
@@ -95,7 +95,7 @@
     if (delayMs === undefined) return;
     time.after(delayMs, () => {
       const utilisation = chooser.utilisation(kind, time.now);
-      if (this.#over || !hedging?.mayHedge({ account, utilisation })) return;
+      if (this.#over || !hedging?.mayHedge({ account, kind, utilisation })) return;
       this.#attempt();
     });
   }
@@ -108,8 +108,11 @@
     const ms = result.outcome === 'answered' ? result.serviceMs : undefined;
     chooser.ended(attempt.runner.id, { kind, how: 'answered', ms, load: result.load }, time.now);
     if (this.#over) return;
-    if (result.outcome === 'answered') this.#finish({ type: 'answered' });
-    else this.#refusedByGuard(result.problem);
+    if (result.outcome === 'answered') {
+      const won = attempt !== this.#attempts[0];
+      if (this.#attempts.length > 1) this.#deps.hedging?.copyEnded(kind, { won });
+      this.#finish({ type: 'answered' });
+    } else this.#refusedByGuard(result.problem);
   }
 
   /** Not run there: another runner may have room. */
--- a/packages/core/src/request/hedge-policy.feature
+++ b/packages/core/src/request/hedge-policy.feature
@@ -10,3 +10,10 @@
     Given a hedge policy that saw 200 latencies from 1 to 200 ms
     Then the hedge policy sends 2 copies of 10 at utilisation 0.5
     And the hedge policy sends 0 copies of 10 at utilisation 0.9
+
+  Scenario: a kind that is slow by itself is copied rarely
+    Given a hedge policy that saw 200 latencies from 1 to 200 ms
+    When 0 copies of 100 answered first
+    Then the hedge policy sends 5 copies of 50 at utilisation 0.5
+    When 60 copies of 60 answered first
+    Then the hedge policy sends 50 copies of 50 at utilisation 0.5
--- a/packages/core/src/request/hedge-policy.steps.ts
+++ b/packages/core/src/request/hedge-policy.steps.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
-import { Given, Then } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 import { HedgePolicy } from './hedge-policy.js';
 import { LatencyTracker } from './latency-tracker.js';
 
 interface World {
   hedging: HedgePolicy;
+  /** Copies that the budget still allows. */
+  left: number;
 }
 
 Given(
@@ -14,10 +16,10 @@
     for (let i = 0; i < count; i += 1) {
       latency.observe({ runner: 'r', kind: 'match', ms: 1 + ((i * 37) % longest) });
     }
-    let left = 2;
+    this.left = 2;
     const take = (): boolean => {
-      left -= 1;
-      return left >= 0;
+      this.left -= 1;
+      return this.left >= 0;
     };
     this.hedging = new HedgePolicy({ latency, budget: { take } });
   },
@@ -45,11 +47,16 @@
   },
 );
 
+When('{int} copies of {int} answered first', function (this: World, won: number, count: number) {
+  this.left = count;
+  for (let i = 0; i < count; i += 1) this.hedging.copyEnded('match', { won: i < won });
+});
+
 Then(
   'the hedge policy sends {int} copies of {int} at utilisation {float}',
   function (this: World, wanted: number, count: number, utilisation: number) {
     const asked = Array.from({ length: count }, () =>
-      this.hedging.mayHedge({ account: 'a', utilisation }),
+      this.hedging.mayHedge({ account: 'a', kind: 'match', utilisation }),
     );
     assert.equal(asked.filter(Boolean).length, wanted);
   },
--- a/packages/core/src/request/hedge-policy.ts
+++ b/packages/core/src/request/hedge-policy.ts
@@ -1,8 +1,25 @@
-/** Second copies of slow requests: only of idempotent kinds, after most would have ended, under the budget. */
+/**
+ * Second copies of slow requests: only of idempotent kinds, after most would have ended, under the budget. A kind
+ * whose copies hardly ever answer first is slow by itself, not by its runners: it is copied rarely, to see whether
+ * that has changed.
+ */
 import type { LatencyTracker } from './latency-tracker.js';
 
 /** Answers needed before the quantile is believed. */
 const MIN_WEIGHT = 50;
+/** Weight of one copy in the share that answered first. */
+const ALPHA = 0.05;
+/** Below this share copies aren't worth their load. */
+const LEAST_WINS = 0.05;
+/** Of the requests that could be copied then, one in this many is. */
+const SELDOM = 10;
+
+interface CopyRecord {
+  /** Share of copies that answered first. */
+  wins: number;
+  /** Requests passed over since the last copy. */
+  passed: number;
+}
 
 /** Allowance of further attempts per account, for example a RetryBudget. */
 export interface AttemptBudget {
@@ -21,6 +38,8 @@
 
   readonly #shortestMs: number;
 
+  readonly #copies = new Map<string, CopyRecord>();
+
   constructor({
     latency,
     budget,
@@ -61,7 +80,38 @@
   }
 
   /** Once the delay has passed: send the copy now? Takes from the account's budget. */
-  mayHedge({ account, utilisation }: { account: string; utilisation: number }): boolean {
-    return utilisation < this.#busiest && this.#budget.take(account);
+  mayHedge({
+    account,
+    kind,
+    utilisation,
+  }: {
+    account: string;
+    /** Without it, copies that never win aren't held back. */
+    kind?: string;
+    utilisation: number;
+  }): boolean {
+    if (utilisation >= this.#busiest) return false;
+    if (kind !== undefined && !this.#isWorthIt(kind)) return false;
+    return this.#budget.take(account);
+  }
+
+  /** A copied request was answered: by the copy, or by the first after all. */
+  copyEnded(kind: string, { won }: { won: boolean }): void {
+    const record = this.#record(kind);
+    record.wins += ALPHA * ((won ? 1 : 0) - record.wins);
+  }
+
+  #isWorthIt(kind: string): boolean {
+    const record = this.#record(kind);
+    record.passed += 1;
+    if (record.wins < LEAST_WINS && record.passed < SELDOM) return false;
+    record.passed = 0;
+    return true;
+  }
+
+  #record(kind: string): CopyRecord {
+    const record = this.#copies.get(kind) ?? { wins: 4 * LEAST_WINS, passed: 0 };
+    this.#copies.set(kind, record);
+    return record;
   }
 }
