Split the task's lease and the alarms out of the guard's larger modules

Change: TaskLease holds what is known of a lease on the worker, Alarm the next due time. No change of behaviour.

--- a/packages/guard/src/gang/gang-keeper.ts
+++ b/packages/guard/src/gang/gang-keeper.ts
@@ -15,6 +15,7 @@
   type Worker,
   type WorkerTaskStatus,
 } from '@zincspan/core';
+import { Alarm } from '../alarm.js';
 import { AdoptedWorker } from './adopted-worker.js';
 import { EndWaiters } from './end-waiters.js';
 import { draining, noWorker, startLost, taskUnknown } from './gang-problem.js';
@@ -52,9 +53,7 @@
 
   #draining = false;
 
-  #stopped = false;
-
-  #timer: NodeJS.Timeout | undefined;
+  readonly #alarm: Alarm;
 
   #onIdle: (() => void)[] = [];
 
@@ -64,6 +63,7 @@
     this.#options = options;
     this.#book = new ReservationBook(self);
     this.#leftovers = new Leftovers({ ctx: options.ctx });
+    this.#alarm = new Alarm({ clock: this.#ctx.clock, ring: () => this.#expire() });
     this.#adopted = new AdoptedWorker({
       ctx: options.ctx,
       leftovers: this.#leftovers,
@@ -96,8 +96,7 @@
   }
 
   stop(): void {
-    this.#stopped = true;
-    clearTimeout(this.#timer);
+    this.#alarm.stop();
     this.#tasks.forEach((task) => task.close());
     this.#adopted.stop();
   }
@@ -126,7 +125,7 @@
     if (isNew && req.task) this.#prepare(req, client);
     else if (!isNew) this.#tasks.get(taskName(req.ref))?.renew();
     if (isNew) this.#ctx.timeline.record('gang.reserved', req.ref.key, jobOf(req.ref));
-    this.#arm();
+    this.#alarm.set(this.#book.nextExpiryAt());
     return { state };
   }
 
@@ -264,20 +263,12 @@
     return this.#book.find(task.ref)?.end ?? this.#waiters.wait(task.name);
   }
 
-  /** Sets the alarm for the next reservation that runs out. */
-  #arm(): void {
-    clearTimeout(this.#timer);
-    const at = this.#book.nextExpiryAt();
-    if (at === undefined || this.#stopped) return;
-    this.#timer = setTimeout(() => this.#expire(), Math.max(1, at - this.#now()));
-  }
-
   #expire(): void {
     this.#book.expire(this.#now()).forEach((ref) => {
       this.#ctx.metrics.count('reservation.expired');
       void this.#tasks.get(taskName(ref))?.stop();
     });
-    this.#arm();
+    this.#alarm.set(this.#book.nextExpiryAt());
   }
 
   #now(): number {
--- a/packages/guard/src/gang/guarded-task.ts
+++ b/packages/guard/src/gang/guarded-task.ts
@@ -8,6 +8,7 @@
  */
 import type { AttemptRef, Clock, WorkerTask, WorkerTaskStatus } from '@zincspan/core';
 import { isEnded, toEnd, type PlainEnd } from './task-end.js';
+import { TaskLease } from './task-lease.js';
 import type { TaskAnswer, WorkerClient } from './worker-client.js';
 
 /** What a task needs. Times in ms. */
@@ -42,18 +43,10 @@
 
   readonly #options: GuardedTaskOptions;
 
-  #lastOkAt: number;
-
-  /** The latest time at which a renewal may have reached the worker. */
-  #lastTryEndedAt: number;
-
-  #trying = 0;
+  readonly #lease: TaskLease;
 
   #startTriedAt: number | undefined;
 
-  /** Longest lease that the worker may have been given. */
-  #grantedMs = 0;
-
   #state: 'alive' | 'stopping' | 'ended' = 'alive';
 
   #checkpoint: string | undefined;
@@ -66,9 +59,7 @@
     this.#options = options;
     this.ref = options.ref;
     this.name = options.order.task;
-    const now = options.clock.now();
-    this.#lastOkAt = now;
-    this.#lastTryEndedAt = now;
+    this.#lease = new TaskLease({ clock: options.clock, margin: options.clockMargin });
   }
 
   get ended(): boolean {
@@ -82,7 +73,7 @@
       const leaseMs = this.#leaseMs();
       if (leaseMs === undefined) return;
       try {
-        const answer = await this.#try(leaseMs, () =>
+        const answer = await this.#grant(leaseMs, () =>
           this.#options.worker.prepare({ ...this.#options.order, leaseMs }),
         );
         if (answer.outcome !== 'done') this.#refused(answer);
@@ -135,7 +126,7 @@
       try {
         this.#noteStopped(await this.#options.worker.stop(this.name));
       } catch {
-        if (this.#surelyLapsed()) {
+        if (this.#lease.surelyOver) {
           this.#end(this.#lapsed('The worker is silent and the lease over.'));
         }
       }
@@ -188,31 +179,24 @@
       return;
     }
     try {
-      const answer = await this.#try(leaseMs, () => this.#options.worker.renew(this.name, leaseMs));
+      const answer = await this.#grant(leaseMs, () =>
+        this.#options.worker.renew(this.name, leaseMs),
+      );
       // A task that is still being prepared may be unknown yet.
       if (answer.outcome !== 'done' && this.status) {
         this.#end(this.#lapsed('The worker does not know it any more.'));
       }
     } catch {
-      if (this.#options.clock.now() - this.#lastOkAt > this.#options.leaseMs) void this.stop();
+      if (this.#lease.silentMs > this.#options.leaseMs) void this.stop();
     }
     this.#scheduleRenewal();
   }
 
-  /** One order that grants a lease: notes when it may have arrived last. */
-  async #try(leaseMs: number, order: () => Promise<TaskAnswer>): Promise<TaskAnswer> {
-    const { clock } = this.#options;
-    this.#grantedMs = Math.max(this.#grantedMs, leaseMs);
-    this.#trying += 1;
-    try {
-      const answer = await order();
-      this.#lastOkAt = clock.now();
-      if (answer.outcome === 'done') this.noteStatus(answer.status);
-      return answer;
-    } finally {
-      this.#trying -= 1;
-      this.#lastTryEndedAt = clock.now();
-    }
+  /** One order that grants a lease. */
+  async #grant(leaseMs: number, order: () => Promise<TaskAnswer>): Promise<TaskAnswer> {
+    const answer = await this.#lease.grant(leaseMs, order);
+    if (answer.outcome === 'done') this.noteStatus(answer.status);
+    return answer;
   }
 
   /** Lease to grant now; undefined when the reservation has no time left. */
@@ -244,12 +228,6 @@
     }
   }
 
-  #surelyLapsed(): boolean {
-    const { clock, clockMargin } = this.#options;
-    if (this.#trying > 0) return false;
-    return clock.now() - this.#lastTryEndedAt > this.#grantedMs * (1 + clockMargin);
-  }
-
   /** Over without the worker's word: it may have run for as long as it was started. */
   #lapsed(detail: string): PlainEnd {
     const started = this.#startTriedAt;
--- a/packages/guard/src/gang/owner-reports.ts
+++ b/packages/guard/src/gang/owner-reports.ts
@@ -12,6 +12,7 @@
   type TaskEnd,
   type TaskUsage,
 } from '@zincspan/core';
+import { Alarm } from '../alarm.js';
 import type { EntryLinks } from '../entry-link/entry-links.js';
 
 const RETRY_MS = 500;
@@ -38,12 +39,10 @@
 
   #owner: { id: string; term: number } | undefined;
 
-  #timer: NodeJS.Timeout | undefined;
+  readonly #alarm: Alarm;
 
   #usageTimer: NodeJS.Timeout | undefined;
 
-  #stopped = false;
-
   constructor({
     ctx,
     links,
@@ -56,6 +55,7 @@
     this.#ctx = ctx;
     this.#links = links;
     this.#usages = usages;
+    this.#alarm = new Alarm({ clock: ctx.clock, ring: () => this.#sendDue() });
     links.onUp((link) => {
       if (link.process.id === this.#owner?.id) this.#hurry();
     });
@@ -68,8 +68,7 @@
   }
 
   stop(): void {
-    this.#stopped = true;
-    clearTimeout(this.#timer);
+    this.#alarm.stop();
     clearInterval(this.#usageTimer);
   }
 
@@ -122,14 +121,12 @@
     this.#reports.forEach((report, name) => {
       if (report.dueAt <= now) void this.#send(owner, name, report);
     });
-    this.#arm(now);
+    this.#arm();
   }
 
   /** Sets the alarm for the next report that is due. */
-  #arm(now: number): void {
-    clearTimeout(this.#timer);
-    const next = Math.min(...[...this.#reports.values()].map(({ dueAt }) => dueAt));
-    if (Number.isFinite(next)) this.#timer = setTimeout(() => this.#sendDue(), next - now);
+  #arm(): void {
+    this.#alarm.set(Math.min(...[...this.#reports.values()].map(({ dueAt }) => dueAt)));
   }
 
   async #send(owner: string, name: string, report: Report): Promise<void> {
@@ -143,7 +140,7 @@
     metrics.count(acked ? 'report.told' : 'report.failed');
     if (acked && report.once) this.#reports.delete(name);
     Object.assign(report, { dueAt: clock.now() + (acked ? RETRY_ACKED_MS : RETRY_MS) });
-    if (!this.#stopped) this.#arm(clock.now());
+    this.#arm();
   }
 
   async #sendUsage(): Promise<void> {
--- a/packages/guard/src/request/request-runner.ts
+++ b/packages/guard/src/request/request-runner.ts
@@ -18,6 +18,7 @@
   type SettleResult,
   type SlotChange,
 } from '@zincspan/core';
+import { Alarm } from '../alarm.js';
 import { refuse, refuseKnown } from './request-problem.js';
 import { RunnerClient } from './runner-client.js';
 
@@ -48,7 +49,7 @@
 
   #queue: SlotQueue;
 
-  #timer: NodeJS.Timeout | undefined;
+  readonly #alarm: Alarm;
 
   #draining = false;
 
@@ -57,6 +58,7 @@
   constructor({ ctx, settings }: { ctx: ProcessContext; settings: GuardSettings }) {
     const { limits } = settings;
     this.#ctx = ctx;
+    this.#alarm = new Alarm({ clock: ctx.clock, ring: () => this.#advance() });
     this.#queuedRequests = limits.queuedRequests;
     this.#queue = new SlotQueue({ slots: 0, bound: limits.queuedRequests });
     this.#ledger = new RequestLedger({
@@ -96,7 +98,7 @@
   }
 
   stop(): void {
-    clearTimeout(this.#timer);
+    this.#alarm.stop();
     this.#inProgress.forEach(({ deadlineTimer }) => clearTimeout(deadlineTimer));
     this.#client?.close();
   }
@@ -172,11 +174,7 @@
       if (entry) void this.#pass(entry);
       else this.#release(id);
     });
-    clearTimeout(this.#timer);
-    const at = this.#queue.nextAdvanceAt();
-    if (at === undefined) return;
-    const now = this.#ctx.clock.now();
-    this.#timer = setTimeout(() => this.#advance(), Math.max(1, at - now));
+    this.#alarm.set(this.#queue.nextAdvanceAt());
   }
 
   #advance(): void {
