Refuse for a deadline only on what was measured

Cause: before its first measurement the slot queue guessed 50 ms for every request and refused deadlines by it; one mean over all kinds also made short ones pay for long ones. Ruled out: a bound from the shortest times alone, which keeps doomed requests waiting under load. Change: service times by kind; a kind never seen counts as nothing.

--- a/packages/core/src/request/slot-queue.feature
+++ b/packages/core/src/request/slot-queue.feature
@@ -31,9 +31,18 @@
     Then the slot queue has dropped "d" as "overloaded"
 
   Scenario: a deadline that can't be met is refused at once
+    Given a slot queue of 1 slots and 9 places
+    When the slot queue is offered "a b c" of account "x"
+    And 100 ms pass for the slot queue
+    And the slot queue's "a" ends
+    Then the slot queue refuses "d" of account "x" with 120 ms left as "deadline-passed"
+
+  Scenario: nothing is refused on a guess
     Given a slot queue of 1 slots and 9 places
     When the slot queue is offered "a b" of account "x"
-    Then the slot queue refuses "c" of account "x" with 10 ms left as "deadline-passed"
+    And the slot queue is offered "c" of account "x" with 10 ms left
+    And the slot queue's "a" ends
+    Then the slot queue has started "a c"
 
   Scenario: a queued request whose deadline passes is dropped then
     Given a slot queue of 1 slots and 9 places
--- a/packages/core/src/request/slot-queue.ts
+++ b/packages/core/src/request/slot-queue.ts
@@ -6,6 +6,7 @@
  * its own account holds fewer, so that one account's burst can't fill the queue.
  */
 import { ProblemError, problem } from '../error/problem.js';
+import { ServiceTimes } from './service-times.js';
 
 /** A request as the queue sees it. `deadlineAt` in monotonic ms. */
 export interface QueuedRequest {
@@ -22,9 +23,8 @@
   drop: { id: string; problem: ProblemError['problem'] }[];
 }
 
-const SMOOTHING = 0.2;
-const MIN_RISE = 1.05;
-const FIRST_GUESS_MS = 50;
+/** Told to those refused before anything was measured, in ms. */
+const LEAST_RETRY_MS = 20;
 
 /** Slots and queue of one runner. Times are monotonic ms, passed in. */
 export class SlotQueue {
@@ -38,10 +38,7 @@
 
   #queue: QueuedRequest[] = [];
 
-  #meanServiceMs = FIRST_GUESS_MS;
-
-  /** Shortest recent service per kind, which rises slowly so that an old lucky one fades. */
-  readonly #shortestMs = new Map<string, number>();
+  readonly #services = new ServiceTimes();
 
   constructor({ slots, bound = 64 }: { slots: number; bound?: number }) {
     this.slots = slots;
@@ -73,7 +70,7 @@
     if (ended) {
       this.#running.delete(id);
       this.#countRunning(ended.account, -1);
-      this.#observe(ended.kind, now - ended.startedAt);
+      this.#services.observe(ended.kind, now - ended.startedAt);
     }
     return this.advance(now);
   }
@@ -89,7 +86,7 @@
   advance(now: number): SlotChange {
     const change: SlotChange = { start: [], drop: [] };
     this.#queue = this.#queue.filter((req) => {
-      if (now + this.#shortest(req.kind) <= req.deadlineAt) return true;
+      if (now + this.#services.shortestMs(req.kind) <= req.deadlineAt) return true;
       change.drop.push({ id: req.id, problem: this.#tooLate(req, now) });
       return false;
     });
@@ -105,24 +102,29 @@
   /** When `advance` should be called next although nothing ends, if ever. */
   nextAdvanceAt(): number | undefined {
     if (this.#queue.length === 0) return undefined;
-    return Math.min(...this.#queue.map((req) => req.deadlineAt - this.#shortest(req.kind)));
+    return Math.min(
+      ...this.#queue.map((req) => req.deadlineAt - this.#services.shortestMs(req.kind)),
+    );
   }
 
   /** Expected wait of a newcomer, in ms. */
   expectedWaitMs(): number {
-    return this.#waitBehind(this.#queue.length);
+    return this.#waitBehind(this.#queue);
   }
 
-  #waitBehind(ahead: number): number {
+  /** Half of what runs is done on average; the rest and those ahead share the slots. */
+  #waitBehind(ahead: QueuedRequest[]): number {
     if (this.#running.size < this.slots) return 0;
-    return ((ahead + 1) * this.#meanServiceMs) / this.slots;
+    const sum = (requests: QueuedRequest[]): number =>
+      requests.reduce((total, { kind }) => total + this.#services.meanMs(kind), 0);
+    return (sum(ahead) + sum([...this.#running.values()]) / 2) / this.slots;
   }
 
   #canMeet(req: QueuedRequest, now: number): boolean {
     // With a free slot it may try, or a bad estimate would refuse for ever and never be corrected.
     if (this.#running.size < this.slots) return req.deadlineAt > now;
-    const ahead = this.#queue.filter((other) => !this.#before(req, other)).length;
-    return now + this.#waitBehind(ahead) + this.#shortest(req.kind) <= req.deadlineAt;
+    const ahead = this.#queue.filter((other) => !this.#before(req, other));
+    return now + this.#waitBehind(ahead) + this.#services.shortestMs(req.kind) <= req.deadlineAt;
   }
 
   #before(a: QueuedRequest, b: QueuedRequest): boolean {
@@ -158,22 +160,11 @@
     else this.#perAccount.set(account, count);
   }
 
-  #shortest(kind: string): number {
-    return this.#shortestMs.get(kind) ?? 0;
-  }
-
-  #observe(kind: string, serviceMs: number): void {
-    this.#meanServiceMs += SMOOTHING * (serviceMs - this.#meanServiceMs);
-    const shortest = this.#shortestMs.get(kind);
-    const next = shortest === undefined ? serviceMs : Math.min(serviceMs, shortest * MIN_RISE);
-    this.#shortestMs.set(kind, next);
-  }
-
   #tooLate(req: QueuedRequest, now: number): ProblemError['problem'] {
     return problem('deadline-passed', {
       detail: `The request had ${Math.max(0, Math.round(req.deadlineAt - now))} ms left, too few to answer it.`,
       remedy: 'Try again after retryAfterMs, with a longer deadline.',
-      retryAfterMs: this.expectedWaitMs(),
+      retryAfterMs: Math.max(LEAST_RETRY_MS, this.expectedWaitMs()),
       facts: { queued: this.#queue.length, slots: this.slots },
     });
   }
@@ -182,7 +173,7 @@
     return problem('overloaded', {
       detail: `All ${this.slots} slots and ${this.#bound} queue places are taken.`,
       remedy: 'Try again after retryAfterMs, or on another runner.',
-      retryAfterMs: this.expectedWaitMs(),
+      retryAfterMs: Math.max(LEAST_RETRY_MS, this.expectedWaitMs()),
       facts: { bound: this.#bound, slots: this.slots },
     });
   }
