Say not-run of a keyed request only after its row was freed

The row is now freed by compare-and-set before the caller is told so, and a change of the row is settled instead. A request barred by a concurrent repeat goes to another runner.

--- a/packages/entry/src/membership/membership.steps.ts
+++ b/packages/entry/src/membership/membership.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { ManualClock, ProblemError, type Announcement } from '@zincspan/core';
-import { testContext } from '../testing/entry-world.support.js';
+import { announcementOf, testContext } from '../testing/entry-world.support.js';
 import { FakePeer } from '../testing/fake-peer.support.js';
 import { UpstreamDirectory } from './upstream-directory.js';
 
@@ -20,26 +20,7 @@
   { id, ...more }: Partial<Announcement> & { id: string },
 ): void {
   try {
-    world.directory.announce(
-      {
-        upstream: {
-          type: 'runner',
-          id,
-          address: '127.0.0.1:1',
-          slots: 8,
-          connections: 60,
-          kinds: [],
-        },
-        failureDomain: 'hall',
-        guard: peer.process.id,
-        incarnation: peer.process.incarnation,
-        sequence: 1,
-        state: 'ready',
-        ttlMs: 10_000,
-        ...more,
-      },
-      peer,
-    );
+    world.directory.announce({ ...announcementOf(id, peer), ...more }, peer);
   } catch (err) {
     assert.ok(err instanceof ProblemError);
     Object.assign(world, { refused: err.problem.kind });
--- a/packages/entry/src/request/key-row.ts
+++ b/packages/entry/src/request/key-row.ts
@@ -1,7 +1,7 @@
 /** Rows that make a caller's own retry safe: one per client account and `Idempotency-Key`, non-idempotent kinds only. */
 import { createHash } from 'node:crypto';
 import { incarnationSchema, nameSchema, problemSchema } from '@zincspan/core';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Answer } from './attempt.js';
 import type { RequestOrder } from './request-order.js';
 
--- a/packages/entry/src/request/keyed-requests.ts
+++ b/packages/entry/src/request/keyed-requests.ts
@@ -7,7 +7,7 @@
 import type { UpstreamDirectory } from '../membership/upstream-directory.js';
 import { settleAttempt, type Answer, type AttemptEnd } from './attempt.js';
 import { answeredRow, keyRowKey, orderDigest, type KeyRow } from './key-row.js';
-import { KeyRowChanged, type KeyRows } from './key-rows.js';
+import { KeyRowChanged, type KeyRows, type ReadKeyRow } from './key-rows.js';
 import type { RequestLife } from './request-life.js';
 import type { RequestOrder } from './request-order.js';
 import type { RequestRouter } from './request-router.js';
@@ -68,7 +68,7 @@
       if (settled.type === 'answer') return settled.keyed;
       if (settled.type === 'fail') throw new ProblemError(settled.problem);
       try {
-        return await this.#claimAndRun(key, version, { order, digest, life });
+        return await this.#claimAndRun(key, { version, row }, { order, digest, life });
       } catch (err) {
         // Another try with this key came between: its row is settled next.
         if (!(err instanceof KeyRowChanged)) throw err;
@@ -83,11 +83,11 @@
 
   async #claimAndRun(
     key: string,
-    firstVersion: number,
+    known: ReadKeyRow,
     { order, digest, life }: { order: RequestOrder; digest: string; life: RequestLife },
   ): Promise<KeyedAnswer> {
     const { requestId } = order;
-    let version = firstVersion;
+    let { version } = known;
     let claim: ClaimedRow | undefined;
     try {
       const answer = await this.#router.run(order, {
@@ -103,22 +103,26 @@
       if (claim !== undefined) this.#writeLater(key, version, answeredRow(claim, answer));
       return { answer, requestId };
     } catch (err) {
-      if (!(err instanceof ProblemError) || claim === undefined) throw err;
-      await this.#noteFailure(key, version, { claim, cause: err.problem, life });
+      const latest = claim ?? known.row;
+      if (!(err instanceof ProblemError) || latest === undefined) throw err;
+      await this.#noteFailure(key, version, { latest, cause: err.problem, life });
       throw err;
     }
   }
 
-  /** Frees the key if its request didn't run, before the caller is told so; else writes a final end down. */
+  /**
+   * Frees the key if its request didn't run, before the caller is told so: were another try to have changed the row
+   * since it was read, that one might have run. A final end is written down later.
+   */
   async #noteFailure(
     key: string,
     version: number,
-    { claim, cause, life }: { claim: ClaimedRow; cause: Problem; life: RequestLife },
+    { latest, cause, life }: { latest: KeyRow; cause: Problem; life: RequestLife },
   ): Promise<void> {
     if (cause.ran === 'not-run') {
-      await this.#rows.write(key, version, { ...claim, state: 'free' }, life);
+      await this.#rows.write(key, version, toFree(latest), life);
     } else if (cause.kind === 'upstream-lost' || cause.kind === 'upstream-failed') {
-      this.#writeLater(key, version, toFailed(claim, cause));
+      this.#writeLater(key, version, toFailed(latest, cause));
     }
   }
 
@@ -203,6 +207,10 @@
   return { state: 'failed', digest, requestId, guard, incarnation, at, problem: cause };
 }
 
+function toFree({ digest, requestId, guard, incarnation, at }: KeyRow): KeyRow {
+  return { state: 'free', digest, requestId, guard, incarnation, at };
+}
+
 function keyReused(): ProblemError {
   return new ProblemError(
     problem('key-reused', {
--- a/packages/entry/src/request/keyed.feature
+++ b/packages/entry/src/request/keyed.feature
@@ -25,6 +25,19 @@
     And a keyed "book" is repeated there with key "k1"
     Then the keyed answer is "booked"
 
+  Scenario: a refused repeat gets the answer of a try that came between
+    Given a keyed request path with runners "r1"
+    When a keyed "book" with key "k1" loses its caller while it runs
+    And its guard settles "never-seen" at another entry just as another try gets "booked" and it drains
+    And a keyed "book" is repeated there with key "k1"
+    Then the keyed answer is "booked"
+
+  Scenario: a request barred by a repeat goes to another runner
+    Given a keyed request path with runners "r1"
+    And keyed runner "r1" bars the id, and "r2" joins and answers "booked"
+    When a keyed "book" is sent with key "k1"
+    Then the keyed answer is "booked"
+
   Scenario: a repeat after the guard restarted is unknown, and stays so
     Given a keyed request path with runners "r1"
     When a keyed "book" with key "k1" loses its caller while it runs
--- a/packages/entry/src/request/keyed.steps.ts
+++ b/packages/entry/src/request/keyed.steps.ts
@@ -1,9 +1,15 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { ProblemError, problem, type SettleResult } from '@zincspan/core';
-import { EntryWorld, TOKEN, answered, testBundle } from '../testing/entry-world.support.js';
+import {
+  EntryWorld,
+  TOKEN,
+  announcementOf,
+  answered,
+  testBundle,
+} from '../testing/entry-world.support.js';
 import { FakePeer } from '../testing/fake-peer.support.js';
-import { KEY_ROWS } from './key-row.js';
+import { KEY_ROWS, answeredRow, keyRowSchema } from './key-row.js';
 import { KeySweeper } from './key-sweeper.js';
 
 interface Reply {
@@ -185,6 +191,40 @@
   },
 );
 
+When(
+  'its guard settles "never-seen" at another entry just as another try gets {string} and it drains',
+  function (this: KeyedWorld, text: string) {
+    const { id, incarnation } = this.here.guard('r1').process;
+    const peer = new FakePeer({ id, incarnation });
+    peer.answers.set('request.settle', async () => {
+      const [row] = await this.here.table.scan(KEY_ROWS);
+      assert.ok(row);
+      const value = answeredRow(keyRowSchema.parse(row.value), {
+        status: 200,
+        contentType: 'text/plain',
+        body: new Uint8Array(Buffer.from(text)),
+      });
+      await this.here.table.write([{ key: row.key, ifVersion: row.version, value }]);
+      this.there.entry.upstreams.announce(
+        { ...announcementOf('r1', peer), sequence: 2, state: 'draining' },
+        peer,
+      );
+      return { state: 'never-seen' };
+    });
+    buildThere(this, peer);
+  },
+);
+
+Given(
+  'keyed runner {string} bars the id, and {string} joins and answers {string}',
+  function (this: KeyedWorld, name: string, other: string, text: string) {
+    this.here.guard(name).answers.set('request.run', () => {
+      this.here.addRunner(other, { answer: text });
+      throw new ProblemError(problem('conflict', { detail: 'Barred.', remedy: 'Use another id.' }));
+    });
+  },
+);
+
 When('its guard restarts at another entry', function (this: KeyedWorld) {
   const { id } = this.here.guard('r1').process;
   buildThere(this, new FakePeer({ id, incarnation: `${id}-life-2` }));
--- a/packages/entry/src/request/runner-pool.ts
+++ b/packages/entry/src/request/runner-pool.ts
@@ -123,7 +123,7 @@
   /** Send the second copy now? Takes from the account's budget. */
   mayHedge(account: string, kind: Kind): boolean {
     const utilisation = this.#chooser.utilisation(kind.name, this.#ctx.clock.now());
-    return this.#hedges.mayHedge({ account, utilisation });
+    return this.#hedges.mayHedge({ account, kind: kind.name, utilisation });
   }
 
   /** Requests that this entry may have in flight over all runners. */
--- a/packages/entry/src/request/verdict.ts
+++ b/packages/entry/src/request/verdict.ts
@@ -9,8 +9,17 @@
   | { type: 'fail'; problem: Problem }
   | { type: 'retry'; problem: Problem };
 
-/** Problems that say something of the runner, not of the request: another runner may do better. */
-const RUNNER_KINDS = new Set(['overloaded', 'draining', 'no-upstream', 'upstream-failed']);
+/**
+ * Problems that say something of the runner, not of the request: another runner may do better. `conflict`: the id was
+ * barred at that guard, as a repeat with the same key had asked about it before it came.
+ */
+const RUNNER_KINDS = new Set([
+  'overloaded',
+  'draining',
+  'no-upstream',
+  'upstream-failed',
+  'conflict',
+]);
 
 const RETRY_AFTER_MS = 1000;
 
--- a/packages/entry/src/testing/entry-world.support.ts
+++ b/packages/entry/src/testing/entry-world.support.ts
@@ -6,8 +6,10 @@
   Timeline,
   bundleSchema,
   entrySettingsSchema,
+  type Announcement,
   type Bundle,
   type EntrySettings,
+  type Peer,
   type ProcessContext,
   type RequestResult,
 } from '@zincspan/core';
@@ -95,6 +97,19 @@
   };
 }
 
+/** A guard's first announcement of its runner. */
+export function announcementOf(id: string, { process }: Peer): Announcement {
+  return {
+    upstream: { type: 'runner', id, address: '127.0.0.1:1', slots: 8, connections: 60, kinds: [] },
+    failureDomain: 'hall',
+    guard: process.id,
+    incarnation: process.incarnation,
+    sequence: 1,
+    state: 'ready',
+    ttlMs: 10_000,
+  };
+}
+
 export class EntryWorld {
   readonly ctx: ReturnType<typeof testContext>;
 
@@ -134,29 +149,10 @@
       peer = new FakePeer({ id: `guard-${name}` }),
     }: { answer?: string; peer?: FakePeer } = {},
   ): FakePeer {
-    const guard = peer.process.id;
     if (answer !== undefined) peer.answers.set('request.run', () => answered(answer));
     this.guards.set(name, peer);
     this.entry.upstreams.linkUp(peer);
-    this.entry.upstreams.announce(
-      {
-        upstream: {
-          type: 'runner',
-          id: name,
-          address: '127.0.0.1:1',
-          slots: 8,
-          connections: 60,
-          kinds: [],
-        },
-        failureDomain: 'hall',
-        guard,
-        incarnation: peer.process.incarnation,
-        sequence: 1,
-        state: 'ready',
-        ttlMs: 10_000,
-      },
-      peer,
-    );
+    this.entry.upstreams.announce(announcementOf(name, peer), peer);
     return peer;
   }
 
