--- a/packages/bench/src/route/bench-entry.ts
+++ b/packages/bench/src/route/bench-entry.ts
@@ -62,7 +62,11 @@
   }) {
     const entries = (): number => deployment.entries;
     const latency = new LatencyTracker();
-    this.#ejector = new Ejector({ latency, ...version.ejector });
+    this.#ejector = new Ejector({
+      latency,
+      onEject: ({ runner, why }) => this.#resend(runner, why),
+      ...version.ejector,
+    });
     const chooser = new RunnerChooser({
       random: random.uniform,
       failureDomain,
@@ -116,6 +120,11 @@
     this.#routes.get(id)?.cancel();
   }
 
+  /** What a silent runner holds goes elsewhere, if it may. */
+  #resend(runner: string, why: string): void {
+    if (why === 'silent') this.#routes.forEach((route) => route.runnerSilent(runner));
+  }
+
   #tick(): void {
     const { time, chooser, latency } = this.#deps;
     this.#limiter.setCapacity(chooser.capacity('match', time.now));
--- a/packages/bench/src/route/request-route.ts
+++ b/packages/bench/src/route/request-route.ts
@@ -64,6 +64,16 @@
     this.#finish({ type: 'deadline' });
   }
 
+  /** The runner doesn't answer any more: an idempotent request is tried elsewhere, under the budget. */
+  runnerSilent(id: string): void {
+    const { budget } = this.#deps;
+    const open = this.#attempts.filter(({ ended }) => !ended);
+    if (this.#over || !this.#req.idempotent || open.length !== 1 || open[0]?.runner.id !== id) {
+      return;
+    }
+    if (budget.take(this.#req.account)) this.#attempt();
+  }
+
   /** Sends one more copy; returns the problem if no runner can take it. */
   #attempt(): Problem | undefined {
     const { chooser, time, runners } = this.#deps;
--- a/packages/core/src/request/ejector.ts
+++ b/packages/core/src/request/ejector.ts
@@ -13,7 +13,8 @@
 }
 
 const PROBES_TO_CLOSE = 3;
-const SILENCE_FACTOR = 3;
+/** With this many requests in flight and none answered, one tail latency of silence is enough. */
+const SILENCE_REQUESTS = 3;
 const LONGEST_DOUBLINGS = 6;
 
 /** Health of the runners as one entry sees it. Times in ms. */
@@ -42,7 +43,7 @@
     slowFactor = 3,
     minSamples = 10,
     ejectMs = 5000,
-    shortestSilenceMs = 500,
+    shortestSilenceMs = 200,
     maxShare = 0.3,
     onEject = () => {},
   }: {
@@ -112,10 +113,11 @@
 
   /** Looks for runners that stopped answering; call it every 100 ms or so, with the kinds' p99. */
   checkSilence(now: number, typicalTailMs: number): void {
-    const limitMs = Math.max(this.#shortestSilenceMs, typicalTailMs * SILENCE_FACTOR);
     [...this.#records]
       .filter(([, { state }]) => state !== 'ejected')
-      .filter(([, { waitingSince }]) => now - (waitingSince ?? now) > limitMs)
+      .filter(
+        ([, record]) => now - (record.waitingSince ?? now) > this.#limitMs(record, typicalTailMs),
+      )
       .forEach(([runner, record]) => this.#eject(runner, record, 'silent', now));
   }
 
@@ -146,6 +148,12 @@
     }
   }
 
+  /** One slow request is no silence; several at once, all beyond the tail, hardly happen to a live runner. */
+  #limitMs({ inFlight }: RunnerRecord, typicalTailMs: number): number {
+    const factor = SILENCE_REQUESTS / Math.min(SILENCE_REQUESTS, Math.max(1, inFlight));
+    return Math.max(this.#shortestSilenceMs, typicalTailMs * factor);
+  }
+
   /** Slow beside the median of its peers, so that a slow hour for all ejects nobody. */
   #isSlow(runner: string, minSamples: number): boolean {
     const slowness = this.#latency.slowness(runner);
