Count frames and bytes of links

Cause: nothing told what a link costs its VM; /proc counts files, HTTP and links together. Ruled out: a count per frame to the metrics (a StatsD line per frame), and four counts per link and heartbeat: an entry with 1,100 links would send 4,400 a second. Counts are plain numbers on the socket; each look of the silence watch adds them to one total per process, which reaches the metrics once a heartbeat.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,6 +8,7 @@
   ProcessContext,
   Table,
 } from '@zincspan/core';
+import { linkTraffic } from '@zincspan/link';
 import type { EntryApp, EntryAppFactory, EntryDeps } from './app.js';
 import type { BundleSource } from './bundle-source.js';
 import { AccountDirectory } from './http/account-directory.js';
@@ -124,7 +125,8 @@
   /** Status of every part by its name. */
   status(): Record<string, unknown> {
     const parts = this.#apps.map((app) => [app.name, app.status?.() ?? {}]);
-    return { draining: this.#gate.isDraining, ...Object.fromEntries(parts) };
+    const traffic = linkTraffic(this.#ctx);
+    return { draining: this.#gate.isDraining, traffic, ...Object.fromEntries(parts) };
   }
 
   #onPeer(peer: Peer): void {
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -5,3 +5,4 @@
 export * from './link-server.js';
 export * from './options.js';
 export { MAX_FRAME_BYTES } from './frame.js';
+export * from './traffic.js';
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -23,6 +23,7 @@
 } from './options.js';
 import { SilenceWatch } from './silence-watch.js';
 import type { FrameSocket, SendResult } from './socket.js';
+import { TrafficMeter, type Traffic } from './traffic.js';
 
 /** A handler whose request was checked against its method's schema. */
 type AnyHandler = (req: unknown, peer: Peer) => unknown;
@@ -47,6 +48,8 @@
 
   readonly #watch: SilenceWatch;
 
+  readonly #meter: TrafficMeter;
+
   #answering = 0;
 
   #resolveEnded!: (reason: CloseReason) => void;
@@ -70,11 +73,13 @@
     this.ended = new Promise((resolve) => {
       this.#resolveEnded = resolve;
     });
+    this.#meter = new TrafficMeter({ ctx: options.ctx, read: () => socket.traffic });
     this.#watch = new SilenceWatch({
       ...options.heartbeat,
       clock: options.ctx.clock,
       bytesRead: () => socket.bytesRead,
       beat: () => this.#beat(),
+      onTick: () => this.#meter.collect(options.heartbeat.everyMs),
       onSilence: (ms) =>
         socket.end(new LinkFault('silence', `Nothing came for ${Math.round(ms)} ms.`)),
     });
@@ -86,6 +91,11 @@
     return this.#socket.ended;
   }
 
+  /** Frames and bytes so far, each way. */
+  get traffic(): Traffic {
+    return this.#socket.traffic;
+  }
+
   /** Calls a method of the peer. Rejects with ProblemError or LinkError. */
   async call<M extends Method>(
     method: M,
@@ -117,6 +127,7 @@
   /** Told by the socket's owner, once. */
   handleEnd(fault: LinkFault): void {
     this.#watch.stop();
+    this.#meter.collect();
     this.#pending.rejectAll(() => new LinkError('lost', `The link ended: ${fault.message}`));
     this.#resolveEnded(fault.reason);
   }
--- a/packages/link/src/links.feature
+++ b/packages/link/src/links.feature
@@ -101,3 +101,13 @@
       | garbled   | garbled   |
       | truncated | garbled   |
       | text      | garbled   |
+
+  Scenario: frames and bytes of a link are counted at both ends
+    Given a link between two processes
+    When 20 calls on the link are answered and the dialer closes it
+    Then both ends of the link counted the same frames and bytes to the server
+    And the link server's metrics hold what its link counted
+
+  Scenario: what crosses a link reaches the metrics while it lives
+    Given a link between two processes
+    Then both ends of the link count "link.bytes.out" with their heartbeats
--- a/packages/link/src/links.steps.ts
+++ b/packages/link/src/links.steps.ts
@@ -25,6 +25,7 @@
   type LinkWorld,
 } from './link-world.support.js';
 import { FrameSocket } from './socket.js';
+import { linkTraffic } from './traffic.js';
 
 /** `job` names what the answer is to be; bodies that shuffle answer in any order. */
 const handlers: Handlers = {
@@ -287,3 +288,42 @@
 Then('the link server has {int} links', function (this: LinkWorld, count: number) {
   assert.equal(this.server.links().length, count);
 });
+
+When(
+  '{int} calls on the link are answered and the dialer closes it',
+  async function (this: LinkWorld, count: number) {
+    await Promise.all(Array.from({ length: count }, (_, n) => ask(this, 'shuffle', n + 1)));
+    this.dialer.close();
+    await Promise.all([...this.serverParty.links, ...this.dialerParty.links].map((l) => l.ended));
+  },
+);
+
+Then(
+  'both ends of the link counted the same frames and bytes to the server',
+  function (this: LinkWorld) {
+    const { traffic: atDialer } = this.dialerParty.links[0]!;
+    const { traffic: atServer } = this.serverParty.links[0]!;
+    assert.ok(atDialer.framesOut >= 20);
+    assert.equal(atServer.framesIn, atDialer.framesOut);
+    assert.equal(atServer.bytesIn, atDialer.bytesOut);
+    assert.ok(atDialer.bytesOut > atDialer.framesOut);
+  },
+);
+
+Then("the link server's metrics hold what its link counted", function (this: LinkWorld) {
+  const { ctx, metrics, links } = this.serverParty;
+  const { traffic } = links[0]!;
+  assert.deepEqual(linkTraffic(ctx), traffic);
+  assert.equal(metrics.counters.get('link.frames.in'), traffic.framesIn);
+  assert.equal(metrics.counters.get('link.frames.out'), traffic.framesOut);
+  assert.equal(metrics.counters.get('link.bytes.in'), traffic.bytesIn);
+  assert.equal(metrics.counters.get('link.bytes.out'), traffic.bytesOut);
+});
+
+Then(
+  'both ends of the link count {string} with their heartbeats',
+  async function (this: LinkWorld, name: string) {
+    await Promise.all([this.serverParty, this.dialerParty].map((each) => each.metrics.until(name)));
+    assert.ok(!this.dialer.link!.closed);
+  },
+);
--- a/packages/link/src/silence-watch.ts
+++ b/packages/link/src/silence-watch.ts
@@ -9,6 +9,8 @@
   /** Bytes received so far: any growth is a sign of life, so a long frame on a slow path counts. */
   bytesRead: () => number;
   beat: () => void;
+  /** Called at each look, at least twice within `everyMs`. */
+  onTick?: () => void;
   onSilence: (ms: number) => void;
 }
 
@@ -49,7 +51,7 @@
   }
 
   #tick(): void {
-    const { clock, everyMs, silenceMs, bytesRead, beat, onSilence } = this.#options;
+    const { clock, everyMs, silenceMs, bytesRead, beat, onSilence, onTick } = this.#options;
     const now = clock.now();
     const overslept = now - this.#tickedAt > silenceMs / 2 + this.#tickMs;
     this.#tickedAt = now;
@@ -58,6 +60,7 @@
       this.#heardAt = now;
     }
     if (now - this.#sentAt >= everyMs) beat();
+    onTick?.();
     // After a stall of this process unread bytes may wait in the socket: look again at the next tick.
     if (overslept || now - this.#heardAt <= silenceMs) return;
     onSilence(now - this.#heardAt);
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -3,6 +3,7 @@
 import type { WebSocket } from 'ws';
 import { MAX_FRAME_BYTES, decode, encode } from './frame.js';
 import { LinkFault } from './options.js';
+import type { Traffic } from './traffic.js';
 
 /** `outgoingBytes` bounds what is written but not yet taken by the network. */
 export interface FrameSocketOptions {
@@ -25,7 +26,9 @@
 
   readonly #socket: WebSocket;
 
-  readonly #transport: Duplex & { bytesRead?: number };
+  readonly #transport: Duplex & { bytesRead?: number; bytesWritten?: number };
+
+  readonly #frames = { framesIn: 0, framesOut: 0 };
 
   readonly #outgoingBytes: number;
 
@@ -45,6 +48,12 @@
     );
   }
 
+  /** Frames and bytes so far, the handshake included. */
+  get traffic(): Traffic {
+    const { bytesRead = 0, bytesWritten = 0 } = this.#transport;
+    return { ...this.#frames, bytesIn: bytesRead, bytesOut: bytesWritten };
+  }
+
   /** Bytes received so far: silence is when this doesn't grow. */
   get bytesRead(): number {
     return this.#transport.bytesRead ?? 0;
@@ -66,6 +75,7 @@
     const bytes = encode(frame);
     if (bytes.byteLength > MAX_FRAME_BYTES) return 'too-long';
     this.#socket.send(bytes);
+    this.#frames.framesOut += 1;
     return 'sent';
   }
 
@@ -81,6 +91,7 @@
 
   #read(data: Buffer, isBinary: boolean): void {
     if (this.#ended) return;
+    this.#frames.framesIn += 1;
     try {
       if (!isBinary) throw new LinkFault('garbled', 'A text message came where frames are binary.');
       this.#onFrame?.(decode(data));
