--- a/packages/core/src/request/latency-tracker.ts
+++ b/packages/core/src/request/latency-tracker.ts
@@ -27,15 +27,27 @@
   }
 
   /** Notes an answer. `ms` should be service time where the guard tells it, so that queueing isn't blamed. */
-  observe({ runner, kind, ms }: { runner: string; kind: string; ms: number }): void {
+  observe({
+    runner,
+    kind,
+    ms,
+    atLeast = false,
+  }: {
+    runner: string;
+    kind: string;
+    ms: number;
+    /** Nobody waited for the answer any longer: counts only if it makes the runner look slower. */
+    atLeast?: boolean;
+  }): void {
     const seen = this.#runners.get(runner) ?? { slowness: 1, samples: 0 };
     const ratio = Math.min(LARGEST_RATIO, ms / this.typicalMs(kind));
+    if (atLeast && ratio <= seen.slowness) return;
     // The first few count for more, so that a new runner's mean doesn't start from a guess.
     const alpha = Math.max(ALPHA, 1 / (seen.samples + 2));
     seen.slowness += alpha * (ratio - seen.slowness);
     seen.samples += 1;
     this.#runners.set(runner, seen);
-    this.#histogram(kind).add(Math.max(0.01, ms));
+    this.#histogram(kind).add(Math.max(0.01, ms), { censored: atLeast });
   }
 
   /** Median of the kind. */
--- a/packages/core/src/request/runner-chooser.steps.ts
+++ b/packages/core/src/request/runner-chooser.steps.ts
@@ -4,7 +4,8 @@
 import type { Problem } from '../error/problem.js';
 import { Ejector } from './ejector.js';
 import { LatencyTracker } from './latency-tracker.js';
-import { RunnerChooser, type ChoosableRunner } from './runner-chooser.js';
+import type { ChoosableRunner } from './runner-choice.js';
+import { RunnerChooser } from './runner-chooser.js';
 
 const ENTRIES = 2;
 const QUERY = { kind: 'match', idempotent: true };
--- a/packages/core/src/request/runner-chooser.ts
+++ b/packages/core/src/request/runner-chooser.ts
@@ -2,40 +2,24 @@
  * Chooses the runner for a request: among those announced for its kind, by expected time to the answer from
  * load and observed latency. When none has room the request is refused at once with when to come back.
  */
-import { problem, type Problem } from '../error/problem.js';
+import type { Problem } from '../error/problem.js';
 import type { RunnerLoad } from '../message/message.js';
 import { SampledChoice, type Candidate, type ChoicePolicy, type Random } from './choice-policy.js';
 import type { Ejector } from './ejector.js';
 import type { LatencyTracker } from './latency-tracker.js';
 import { RetryPacer } from './retry-pacer.js';
-import { RunnerOccupancy } from './runner-load.js';
-
-/** A runner that can be chosen. `kinds` empty means every request kind. */
-export interface ChoosableRunner {
-  id: string;
-  failureDomain: string;
-  slots: number;
-  kinds: string[];
-}
-
-/** What is asked. `exclude`: runners that were tried already. */
-export interface ChoiceQuery {
-  kind: string;
-  idempotent: boolean;
-  timeLeftMs?: number;
-  exclude?: ReadonlySet<string>;
-}
-
-export type Choice = { type: 'chosen'; runner: string } | { type: 'refused'; problem: Problem };
-
-/** How a request ended. `ms` is service time where told, else the whole time; absent if unknown. */
-export interface RequestEnd {
-  kind: string;
-  how: 'answered' | 'failed' | 'abandoned';
-  ms?: number | undefined;
-  load?: RunnerLoad | undefined;
-}
-
+import {
+  noRunner,
+  runnersFull,
+  type ChoosableRunner,
+  type Choice,
+  type ChoiceQuery,
+  type RequestEnd,
+} from './runner-choice.js';
+import { RunnerOccupancy, type LoadContext } from './runner-load.js';
+
+/** Share of the service time that a fully used runner counts dearer, before anyone waits. */
+const LOAD_COST = 0.2;
 /** Weight of one report in the usual load of other entries. */
 const USUAL_WEIGHT = 0.02;
 
@@ -137,25 +121,25 @@
   /** Picks a runner, or refuses at once. Follow a choice with `started`. */
   choose(query: ChoiceQuery, now: number): Choice {
     const serving = this.#serving(query);
-    if (serving.length === 0) return { type: 'refused', problem: noRunner(query.kind) };
+    if (serving.length === 0) return { type: 'refused', problem: noRunner(query) };
     const usable = serving.filter((known) => this.#ejector.mayUse(known.runner.id, now));
-    const open = this.#open(usable, now);
+    const context = this.#context(now);
+    const open = this.#open(usable, context).filter(
+      (known) => this.#waitMs(known, query.kind, context) < (query.timeLeftMs ?? Infinity),
+    );
     if (open.length === 0) return { type: 'refused', problem: this.#full(query, serving, now) };
     const probe = this.#probe(open, query, now);
     if (probe) return { type: 'chosen', runner: probe.runner.id };
-    const candidates = open.map((known) => this.#candidate(known, query.kind, now));
+    const candidates = open.map((known) => this.#candidate(known, query.kind, context));
     return { type: 'chosen', runner: this.#policy.pick(candidates, this.#random).id };
   }
 
   /** A request goes to a runner. */
   started(id: string, now: number): void {
     const known = this.#known.get(id);
-    if (known) {
-      this.#turn += 1;
-      Object.assign(known, { turn: this.#turn });
-      known.occupancy.inFlight += 1;
-      known.occupancy.sentSince += 1;
-    }
+    this.#turn += 1;
+    if (known) Object.assign(known, { turn: this.#turn });
+    known?.occupancy.started();
     this.#ejector.started(id, now);
   }
 
@@ -163,24 +147,35 @@
   ended(id: string, { kind, how, ms, load }: RequestEnd, now: number): void {
     const known = this.#known.get(id);
     if (known === undefined) return;
-    known.occupancy.inFlight = Math.max(0, known.occupancy.inFlight - 1);
+    known.occupancy.ended();
     if (load) this.#report(known, load, now);
-    if (how === 'answered' && ms !== undefined) this.#latency.observe({ runner: id, kind, ms });
+    if (ms !== undefined && how !== 'failed') {
+      this.#latency.observe({ runner: id, kind, ms, atLeast: how === 'abandoned' });
+    }
     this.#ejector.ended(id, how, now);
   }
 
   /** Requests that may be in flight from this entry over all usable runners of a kind. */
   capacity(kind: string, now: number): number {
+    const context = this.#context(now);
     return this.#serving({ kind })
       .filter(({ runner }) => this.#ejector.health(runner.id, now) === 'closed')
-      .reduce((total, known) => total + this.#bound(known, now), 0);
+      .reduce(
+        (total, { runner, occupancy }) =>
+          total + occupancy.bound(runner.slots, this.#queuePerSlot, context),
+        0,
+      );
   }
 
   /** Share of the slots for a kind in use, as far as known; may exceed 1. */
   utilisation(kind: string, now: number): number {
     const serving = this.#serving({ kind });
     const slots = serving.reduce((total, { runner }) => total + runner.slots, 0);
-    const used = serving.reduce((total, known) => total + this.#total(known, now), 0);
+    const context = this.#context(now);
+    const used = serving.reduce(
+      (total, { runner, occupancy }) => total + occupancy.total(runner.slots, context),
+      0,
+    );
     return slots === 0 ? 1 : used / slots;
   }
 
@@ -202,31 +197,17 @@
     this.#othersPerSlot += USUAL_WEIGHT * (perSlot - this.#othersPerSlot);
   }
 
-  #others({ runner, occupancy }: Known, now: number): number {
-    return occupancy.others(now, this.#othersPerSlot * runner.slots);
-  }
-
-  #total(known: Known, now: number): number {
-    const { inFlight, sentSince } = known.occupancy;
-    // Entries see the same reports: what this one has sent since, the others have likely sent as well.
-    const likely = sentSince * Math.max(0, this.#entries() - 1);
-    return inFlight + this.#others(known, now) + likely;
-  }
-
-  /** This entry's part of the slots, or what the others leave, and its part of the queue. */
-  #bound(known: Known, now: number, queuePerSlot = this.#queuePerSlot): number {
-    const { runner } = known;
-    const entries = Math.max(1, this.#entries());
-    const part = Math.ceil(runner.slots / entries);
-    const left = Math.floor(runner.slots - this.#others(known, now));
-    const queue = Math.ceil((runner.slots * queuePerSlot) / entries);
-    return Math.max(part, left) + queue;
+  #context(now: number): LoadContext {
+    return { now, entries: this.#entries(), usualPerSlot: this.#othersPerSlot };
   }
 
   /** Those with room; as long as there are any, those with room for little more than their slots. */
-  #open(usable: Known[], now: number): Known[] {
+  #open(usable: Known[], context: LoadContext): Known[] {
     const within = (queuePerSlot: number): Known[] =>
-      usable.filter((known) => known.occupancy.inFlight < this.#bound(known, now, queuePerSlot));
+      usable.filter(
+        ({ runner, occupancy }) =>
+          occupancy.inFlight < occupancy.bound(runner.slots, queuePerSlot, context),
+      );
     const even = within(Math.min(this.#evenQueuePerSlot, this.#queuePerSlot));
     return even.length > 0 ? even : within(this.#queuePerSlot);
   }
@@ -237,38 +218,35 @@
     return open.find(({ runner }) => this.#ejector.health(runner.id, now) === 'half-open');
   }
 
-  #candidate(known: Known, kind: string, now: number): Candidate {
-    return { id: known.runner.id, turn: known.turn, cost: () => this.#cost(known, kind, now) };
+  #candidate(known: Known, kind: string, context: LoadContext): Candidate {
+    const { runner, turn } = known;
+    return { id: runner.id, turn, cost: () => this.#cost(known, kind, context) };
   }
 
   /** Expected ms to the answer: service, waiting for a slot, and the way there. */
-  #cost(known: Known, kind: string, now: number): number {
-    const { runner } = known;
-    const serviceMs = this.#latency.typicalMs(kind) * this.#latency.slowness(runner.id);
-    const load = this.#total(known, now) / runner.slots;
-    const excess = Math.max(0, load + 1 / runner.slots - 1);
+  #cost(known: Known, kind: string, context: LoadContext): number {
+    const { runner, occupancy } = known;
+    const load = occupancy.total(runner.slots, context) / runner.slots;
     const farMs = runner.failureDomain === this.#failureDomain ? 0 : this.#domainCostMs;
-    return serviceMs * (1 + excess + 0.2 * load) + farMs;
+    const serviceMs = this.#serviceMs(known, kind);
+    return serviceMs * (1 + LOAD_COST * load) + this.#waitMs(known, kind, context) + farMs;
+  }
+
+  #serviceMs({ runner }: Known, kind: string): number {
+    return this.#latency.typicalMs(kind) * this.#latency.slowness(runner.id);
+  }
+
+  /** Expected ms until a slot is free. */
+  #waitMs(known: Known, kind: string, context: LoadContext): number {
+    const { slots } = known.runner;
+    const excess = Math.max(0, known.occupancy.total(slots, context) + 1 - slots);
+    return (this.#serviceMs(known, kind) * excess) / slots;
   }
 
   #full({ kind }: ChoiceQuery, serving: Known[], now: number): Problem {
     const slots = serving.reduce((total, { runner }) => total + runner.slots, 0);
     const perMs = slots / Math.max(1, this.#entries()) / this.#latency.typicalMs(kind);
-    return problem('overloaded', {
-      detail: `All ${serving.length} runners for ${kind} are full.`,
-      remedy: 'Send the request again after retryAfterMs.',
-      retryAfterMs: this.#pacer.next(now, perMs),
-      facts: { runners: serving.length, slots },
-    });
+    const retryAfterMs = this.#pacer.next(now, perMs);
+    return runnersFull({ kind, runners: serving.length, slots, retryAfterMs });
   }
 }
-
-function noRunner(kind: string): Problem {
-  return problem('no-upstream', {
-    detail: `No runner for ${kind} has announced itself.`,
-    remedy:
-      'Send the request again after retryAfterMs; operators: check the guards of these runners.',
-    retryAfterMs: 1000,
-    facts: { kind },
-  });
-}
--- a/packages/core/src/scheduler/estimate.feature
+++ b/packages/core/src/scheduler/estimate.feature
@@ -35,7 +35,7 @@
   Scenario: memory is bounded at the size of two years
     Given run-time estimates
     When 390 accounts run 30 kinds each
-    Then run-time estimates keep at most 4000 histories
+    Then run-time estimates keep at most 2000 histories
 
   Scenario: estimates are finite and ordered for any observations
     Then run-time estimates hold p50 below p90 for any observations
--- a/packages/core/src/scheduler/estimate.ts
+++ b/packages/core/src/scheduler/estimate.ts
@@ -35,7 +35,7 @@
 /** Observations worth as much as the level above. */
 const PRIOR_WEIGHT = 2;
 
-/** Learns run times. Memory is bounded by `maxHistories` of about 1 KB each. */
+/** Learns run times. Memory is bounded by `maxHistories` of about 1.5 KB each. */
 export class RunTimeEstimator {
   readonly #maxHistories: number;
 
@@ -44,7 +44,7 @@
   readonly #histories = new Map<string, RunHistory>();
 
   constructor({
-    maxHistories = 4000,
+    maxHistories = 2000,
     defaultRunMs = 600_000,
   }: { maxHistories?: number; defaultRunMs?: number } = {}) {
     this.#maxHistories = maxHistories;
