Drop the oldest ids of the request ledger in constant time

Cause: the oldest id was found as the first key of a Map; its iterator walks over every deletion that the Map hasn't compacted yet, so a full ledger cost more with each request. Ruled out: the size of the results; parsing ids. Change: order is kept in queues of their own (denque), sets and maps only look up.

--- a/packages/core/src/request/request-ledger.ts
+++ b/packages/core/src/request/request-ledger.ts
@@ -7,6 +7,7 @@
  * the floor may have been seen, so it is never called `never-seen` and never runs again. An id without a sequence
  * is a series of its own.
  */
+import Denque from 'denque';
 import type { RequestResult, SettleResult } from '../message/message.js';
 
 /** What is known of an id when a request arrives. Only `recorded` may be passed to the runner. */
@@ -62,14 +63,20 @@
 
   readonly #running = new Set<string>();
 
-  /** Ended and barred ids with the time of it, oldest first. Kept bare, as there are many. */
-  readonly #settled = new Map<string, number>();
+  /** Ended and barred ids. */
+  readonly #settled = new Set<string>();
+
+  /** The same ids with the time of it, oldest first. A Map's first key costs all the deletions before it. */
+  readonly #settledOrder = new Denque<{ id: string; at: number }>();
 
   readonly #barred = new Set<string>();
 
-  /** Results of settled ids, oldest first. */
+  /** Results of settled ids. */
   readonly #results = new Map<string, RequestResult>();
 
+  /** Ids with a result, oldest first. */
+  readonly #resultOrder = new Denque<string>();
+
   readonly #series = new Map<string, Series>();
 
   #bytes = 0;
@@ -108,8 +115,9 @@
   /** Keeps the result of a recorded id. The first result stands. */
   end(id: string, result: RequestResult, now: number): void {
     if (!this.#running.delete(id)) return;
-    this.#settled.set(id, now);
+    this.#settle(id, now);
     this.#results.set(id, result);
+    this.#resultOrder.push(id);
     this.#bytes += bytesOf(result);
     this.#trim(now);
   }
@@ -123,7 +131,7 @@
     if (known?.state === 'barred') return { state: 'never-seen' };
     if (known || this.#mayHaveDropped(id)) return { state: 'forgotten' };
     this.#seriesOf(id).kept += 1;
-    this.#settled.set(id, now);
+    this.#settle(id, now);
     this.#barred.add(id);
     this.#trim(now);
     return { state: 'never-seen' };
@@ -154,10 +162,12 @@
   }
 
   #trim(now: number): void {
-    let oldest = this.#settled.entries().next();
-    while (!oldest.done && this.#overBounds(oldest.value[1], now)) {
-      this.#forget(oldest.value[0]);
-      oldest = this.#settled.entries().next();
+    for (
+      let oldest = this.#settledOrder.peekFront();
+      oldest && this.#overBounds(oldest.at, now);
+      oldest = this.#settledOrder.peekFront()
+    ) {
+      this.#forgetOldest();
     }
     while (this.#bytes > this.#maxBytes) this.#dropOldestResult();
     if (this.#series.size > this.#maxSeries) this.#dropSeries();
@@ -167,10 +177,17 @@
     return this.size > this.#maxEntries || now - endedAt > this.#maxAgeMs;
   }
 
-  #forget(id: string): void {
+  #settle(id: string, now: number): void {
+    this.#settled.add(id);
+    this.#settledOrder.push({ id, at: now });
+  }
+
+  #forgetOldest(): void {
+    const { id } = this.#settledOrder.shift()!;
     this.#settled.delete(id);
     this.#barred.delete(id);
-    this.#dropResult(id);
+    // Results end in the order of their ids, so this one's is the oldest there is.
+    if (this.#results.has(id)) this.#dropOldestResult();
     const { series: name, sequence } = parseId(id);
     const series = this.#series.get(name);
     if (!series) return;
@@ -179,13 +196,9 @@
   }
 
   #dropOldestResult(): void {
-    const oldest = this.#results.keys().next();
-    if (!oldest.done) this.#dropResult(oldest.value);
-  }
-
-  #dropResult(id: string): void {
-    const result = this.#results.get(id);
-    if (!result) return;
+    const id = this.#resultOrder.shift();
+    const result = id === undefined ? undefined : this.#results.get(id);
+    if (id === undefined || result === undefined) return;
     this.#results.delete(id);
     this.#bytes -= bytesOf(result);
   }
