--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,8 @@
 /** Command line of the benches: one command for each. */
 import { cac } from 'cac';
+import { benchCapacity, type CapacityBenchOptions } from './capacity/capacity-bench.js';
 import { benchPath, type PathBenchOptions } from './path/path-bench.js';
+import { benchDecide, type DecideBenchOptions } from './decide/decide-bench.js';
 import { benchPolicy, type PolicyBenchOptions } from './policy/policy-bench.js';
 import { benchRoute, type RouteBenchOptions } from './route/route-bench.js';
 
@@ -28,5 +30,18 @@
   .option('--seconds <s>', 'Length of each measurement', { default: 15 })
   .action((options: PathBenchOptions) => benchPath(options));
 
+cli
+  .command('decide', 'What one decision costs at growing sizes')
+  .option('--seed <seed>', 'Seed of the events', { default: 1 })
+  .option('--events <count>', 'Events measured at each size', { default: 2000 })
+  .option('--workers <count>', 'Only sizes of this many workers', { default: 0 })
+  .action((options: DecideBenchOptions) => benchDecide(options));
+
+cli
+  .command('capacity', 'What each role costs at growing sizes, for docs/CAPACITY.md')
+  .option('--quick', 'Smaller sizes and shorter measurements', { default: false })
+  .option('--only <text>', 'Only measurements whose name contains this', { default: '' })
+  .action((options: CapacityBenchOptions) => benchCapacity(options));
+
 cli.help();
 cli.parse();
--- a/packages/bench/src/policy/policy-bench.ts
+++ b/packages/bench/src/policy/policy-bench.ts
@@ -23,6 +23,9 @@
 /** The tenfold deployment is run for the scenarios in which size matters most. */
 const TENFOLD_SCENARIOS = ['burst of small', 'burst of large', 'guarantee claims'];
 
+/** Both ends of the weight are shown where they differ most. */
+const WEIGHT_SCENARIOS = ['ordinary day', 'burst of large'];
+
 const COLUMNS: [string, (figures: Figures) => string][] = [
   ['urgent p50', (f) => seconds(f.urgentP50)],
   ['urgent p99', (f) => seconds(f.urgentP99)],
@@ -64,7 +67,7 @@
   SCENARIOS.filter(({ name }) => name.includes(part))
     .filter(({ name }) => !isTenfold || TENFOLD_SCENARIOS.includes(name))
     .forEach((scenario) =>
-      VERSIONS.filter(({ name }) => name.includes(wanted)).forEach((version) => {
+      versionsFor(scenario.name, wanted).forEach((version) => {
         const figures = runScenario({ deployment, scenario, version, seed });
         const cells = COLUMNS.map(([, show]) => show(figures));
         console.log(`| ${scenario.name} | ${version.name} | ${cells.join(' | ')} |`);
@@ -72,6 +75,12 @@
     );
 }
 
+function versionsFor(scenario: string, wanted: string): PolicyVersion[] {
+  return VERSIONS.filter(({ name }) => name.includes(wanted)).filter(
+    ({ policy }) => policy.fragmentationWeight === undefined || WEIGHT_SCENARIOS.includes(scenario),
+  );
+}
+
 function seconds(ms: number): string {
   if (!Number.isFinite(ms)) return 'never';
   return (ms / 1000).toFixed(ms < 10_000 ? 1 : 0);
--- a/packages/core/src/gang/placement-capacity.ts
+++ b/packages/core/src/gang/placement-capacity.ts
@@ -50,6 +50,11 @@
   }
 }
 
+/** Free cores for the index; promised room can make them negative. */
+function wholeCores({ freeCores }: WorkerCapacity): number {
+  return Math.max(0, Math.floor(freeCores));
+}
+
 /** Capacity of one failure domain. */
 export class Capacity {
   readonly workers = new Map<string, WorkerCapacity>();
@@ -62,12 +67,18 @@
   /** Open workers and racks by free accelerators. */
   readonly byFree = new CountIndex<WorkerCapacity>();
 
+  /** Open workers by free cores, for shapes without accelerators. */
+  readonly byCores = new CountIndex<WorkerCapacity>();
+
   readonly racksByFree = new CountIndex<RackCapacity>();
 
   accelerators = 0;
 
   free = 0;
 
+  /** Most accelerators that one worker has had. */
+  largestWorker = 1;
+
   /** Grows whenever something becomes free: a shape that didn't fit need not be tried before. */
   releases = 0;
 
@@ -92,6 +103,7 @@
     this.workers.set(spec.id, worker);
     rack.workers.push(worker);
     this.accelerators += spec.accelerators;
+    this.largestWorker = Math.max(this.largestWorker, spec.accelerators);
     this.setOpen(spec.id, true);
     return worker;
   }
@@ -116,8 +128,13 @@
     const worker = this.workers.get(id);
     if (worker === undefined || worker.open === open) return;
     worker.open = open;
-    if (open) this.byFree.add(worker.free, worker);
-    else this.byFree.remove(worker.free, worker);
+    if (open) {
+      this.byFree.add(worker.free, worker);
+      this.byCores.add(wholeCores(worker), worker);
+    } else {
+      this.byFree.remove(worker.free, worker);
+      this.byCores.remove(wholeCores(worker), worker);
+    }
     this.#countFree(worker, open ? worker.free : -worker.free);
     if (open) this.releases += 1;
   }
@@ -143,7 +160,9 @@
       worker.uses[number]! += sign;
       if (sign === -1 && worker.uses[number] === 0) worker.free += 1;
     });
+    if (worker.open) this.byCores.remove(wholeCores(worker), worker);
     worker.freeCores -= sign * member.cores;
+    if (worker.open) this.byCores.add(wholeCores(worker), worker);
     worker.freeMemoryMb -= sign * member.memoryMb;
     if (!worker.open || worker.free === before) return;
     this.byFree.remove(before, worker);
--- a/packages/core/src/gang/placement.ts
+++ b/packages/core/src/gang/placement.ts
@@ -110,7 +110,9 @@
   }
 
   #workers(need: number): Iterable<WorkerCapacity> {
-    const { byFree, workers } = this.#capacity;
+    const { byFree, byCores, workers } = this.#capacity;
+    const { tasks, coresPerTask } = this.#shape;
+    if (this.#bestFit && need === 0) return byCores.ascending(tasks * coresPerTask);
     if (this.#bestFit) return byFree.ascending(need);
     return this.#mostFree ? byFree.descending(0) : workers.values();
   }
--- a/packages/core/src/scheduler/admissions.ts
+++ b/packages/core/src/scheduler/admissions.ts
@@ -3,6 +3,7 @@
 import type { ClaimBook } from '../guarantee/claim-book.js';
 import type { DomainState } from './domain-state.js';
 import { sizeOf } from './placer.js';
+import type { QueuedWork } from './queued-work.js';
 import type { Decision, QueuedJob } from './scheduler.js';
 
 /** Taken for Retry-After when nothing is known of how fast the queue moves. */
@@ -14,12 +15,23 @@
 
   readonly #claims: ClaimBook;
 
+  readonly #queued: QueuedWork;
+
   #refusals: Decision[] = [];
 
   /** Queued before the workers were known; checked once they are. */
   #unchecked: QueuedJob[] = [];
 
-  constructor({ state, claims }: { state: DomainState; claims: ClaimBook }) {
+  constructor({
+    state,
+    claims,
+    queued,
+  }: {
+    state: DomainState;
+    claims: ClaimBook;
+    queued: QueuedWork;
+  }) {
+    this.#queued = queued;
     this.#state = state;
     this.#claims = claims;
   }
@@ -75,7 +87,7 @@
         facts: { asked: size, bound: most },
       });
     }
-    const queued = this.#state.queue.count(account);
+    const queued = this.#queued.count(account);
     if (queued < quota.queuedJobs) return undefined;
     return problem('quota-exceeded', {
       detail: `${account} has ${queued} jobs waiting; its quota is ${quota.queuedJobs}.`,
--- a/packages/core/src/scheduler/bundle-view.ts
+++ b/packages/core/src/scheduler/bundle-view.ts
@@ -26,6 +26,8 @@
 export class BundleView {
   readonly bundle: Bundle;
 
+  readonly accountNames: string[];
+
   readonly #kinds: Map<string, Kind>;
 
   readonly #guarantees: Map<string, Guarantee>;
@@ -37,6 +39,7 @@
   constructor(bundle: Bundle, failureDomain: string) {
     this.bundle = bundle;
     this.#kinds = new Map(bundle.kinds.map((kind) => [kind.name, kind]));
+    this.accountNames = bundle.accounts.map(({ name }) => name);
     this.#accounts = new Map(bundle.accounts.map((account) => [account.name, account]));
     const here = bundle.guarantees.filter(
       (guarantee) => (guarantee.failureDomain ?? failureDomain) === failureDomain,
@@ -69,6 +72,11 @@
     return this.#accounts.get(name);
   }
 
+  /** Weight of an account against others. */
+  share(name: string): number {
+    return this.#accounts.get(name)?.share ?? 1;
+  }
+
   /** Accelerators guaranteed to an account in this failure domain. */
   guaranteed(account: string): number {
     return this.#guaranteed.get(account) ?? 0;
--- a/packages/core/src/scheduler/contract-scheduler.ts
+++ b/packages/core/src/scheduler/contract-scheduler.ts
@@ -67,7 +67,7 @@
     this.#waits = new Waits({ state, queued: this.#queued });
     this.#watch = new WorkerWatch({ state });
     this.#overruns = new Overruns({ state, reservations: this.#reservations });
-    this.#admissions = new Admissions({ state, claims: this.#claims });
+    this.#admissions = new Admissions({ state, claims: this.#claims, queued: this.#queued });
     this.#pass = new QueuePass({
       state,
       claims: this.#claims,
@@ -324,7 +324,9 @@
     const fresh = this.#fresh;
     this.#fresh = [];
     if (!full && fresh.length === 0) return [];
-    const jobs = full ? queue.inOrder(now) : fresh.filter(({ key }) => queue.has(key));
+    const jobs = full
+      ? queue.inOrder(now, this.#pass.isHopeless)
+      : fresh.filter(({ key }) => queue.has(key));
     const placed: QueuedJob[] = [];
     const { decisions, clearing } = this.#pass.run({ jobs, all: full }, now, (found) => {
       placed.push(found.job);
--- a/packages/core/src/scheduler/domain-state.ts
+++ b/packages/core/src/scheduler/domain-state.ts
@@ -68,6 +68,9 @@
   /** Estimates of queued jobs, made anew after every REVISE_AFTER observations. */
   readonly #estimates = new WeakMap<QueuedJob, { estimate: RunEstimate; madeAt: number }>();
 
+  /** Who competes in the pass under way, and the sum of their shares. */
+  #competing: { names: string[]; weight: number } = { names: [], weight: 1 };
+
   #observations = 0;
 
   #observed = 0;
@@ -88,7 +91,7 @@
         },
         runMs: (job) => this.runMs(job).p90Ms,
         priority: (account, now) => this.fairShare.priority(account, now),
-        overuse: (account, competing) => this.fairShare.overuse(account, competing),
+        overuse: (account, competing) => this.#overuse(account, competing),
       },
     });
     this.setBundle(bundle);
@@ -188,20 +191,14 @@
 
   /** Cost of evicting jobs for `account`. */
   evictionCost(account: string, purpose: EvictionRules['purpose'], now: number): EvictionCost {
-    const competing = this.view.bundle.accounts.map(({ name }) => name);
-    const overuses = new Map<string, number>();
-    const overuse = (name: string) => {
-      const known = overuses.get(name) ?? this.fairShare.overuse(name, competing);
-      overuses.set(name, known);
-      return known;
-    };
+    const competing = this.view.accountNames;
     return evictionCost({
       now,
       account,
       purpose,
       checkpointLimitMs: this.view.policy.checkpointLimitMs,
       isInside: (name) => this.isInside(name),
-      overuse,
+      overuse: (name) => this.#overuse(name, competing),
     });
   }
 
@@ -221,6 +218,16 @@
     if (this.#observations % REVISE_AFTER === 0) this.#observed = this.#observations;
   }
 
+  /** FairShare.overuse, with the weights of those who compete summed up once. */
+  #overuse(account: string, competing: string[]): number {
+    if (this.#competing.names !== competing) {
+      const weight = competing.reduce((sum, name) => sum + this.view.share(name), 0);
+      this.#competing = { names: competing, weight };
+    }
+    const alone = this.fairShare.overuse(account, []);
+    return (alone * this.#competing.weight) / this.view.share(account);
+  }
+
   /** Jobs whose home has moved away from under them run on borrowed room from now on. */
   #reviewInside(): void {
     for (const running of this.running.values()) {
--- a/packages/core/src/scheduler/queue-order.ts
+++ b/packages/core/src/scheduler/queue-order.ts
@@ -106,11 +106,15 @@
       .reduce((total, [, fifo]) => total + fifo.size, 0);
   }
 
-  /** Jobs in order, lazily: taking the first few costs little. Don't add or remove while reading. */
-  *inOrder(now: number): Generator<QueuedJob> {
+  /**
+   * Jobs in order, lazily: taking the first few costs little. Don't add or remove while reading. Once `skipRest`
+   * says so of a job, those of its account and kind that came after it are left out.
+   */
+  *inOrder(now: number, skipRest: (job: QueuedJob) => boolean = () => false): Generator<QueuedJob> {
     const heap = this.#heads(now);
     for (let head = heap.pop(); head !== undefined; head = heap.pop()) {
       yield head.job;
+      if (skipRest(head.job)) continue;
       const { value } = head.rest.next();
       if (value) heap.push({ ...head, job: value, place: this.#place(value, head.overuse, now) });
     }
--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -9,8 +9,9 @@
 import type { Decision, QueuedJob } from './scheduler.js';
 import type { Waits } from './waits.js';
 
-/** Blocked jobs looked at in one pass. */
-const MAX_BLOCKED = 512;
+/** Blocked jobs looked at in one pass, and of one account and kind. */
+const MAX_BLOCKED = 1024;
+const MAX_LOOK_AHEAD = 16;
 
 /** Urgent jobs for which room is made in one pass. */
 const MAX_URGENT = 16;
@@ -63,6 +64,9 @@
 
   #blocked = 0;
 
+  /** Blocked jobs by account and kind. */
+  readonly #blockedOf = new Map<string, number>();
+
   /** Jobs that couldn't be placed in the last pass through the whole queue. */
   #blockedInAll = 0;
 
@@ -81,6 +85,10 @@
     return this.#placer.find(job, now) !== undefined;
   }
 
+  /** Whether enough jobs of this one's account and kind have been found blocked in this pass. */
+  readonly isHopeless = ({ account, spec }: QueuedJob): boolean =>
+    (this.#blockedOf.get(`${account}/${spec.kind}`) ?? 0) >= MAX_LOOK_AHEAD;
+
   forget(key: string): void {
     this.#toldLate.delete(key);
     this.#parts.reservations.drop(key);
@@ -94,9 +102,11 @@
   ): { decisions: Decision[]; clearing: Cleared[] } {
     const decisions: Decision[] = [];
     this.#placer.reset();
+    this.#parts.reservations.beginPass();
     this.#clearing = [];
     this.#urgentLeft = MAX_URGENT;
     this.#blocked = 0;
+    this.#blockedOf.clear();
     for (const job of jobs) {
       const placed = this.#findPlace(job, now);
       if (placed !== undefined) decisions.push(place(placed));
@@ -126,6 +136,8 @@
   /** What to do for a job that doesn't fit; false once the rest of the queue can't fit either. */
   #block(job: QueuedJob, now: number, decisions: Decision[]): boolean {
     this.#blocked += 1;
+    const line = `${job.account}/${job.spec.kind}`;
+    this.#blockedOf.set(line, (this.#blockedOf.get(line) ?? 0) + 1);
     if (job.spec.claim !== undefined) return true;
     const { state, queued } = this.#parts;
     if (this.#reclaim(job, now, decisions)) return true;
@@ -153,7 +165,7 @@
 
   #isLarge(size: number): boolean {
     const { capacity } = this.#parts.state;
-    return size >= capacity.accelerators / Math.max(1, capacity.workers.size);
+    return size >= capacity.largestWorker;
   }
 
   /** An urgent job: evicts for it once it has waited a little; says early if its contract is lost. */
--- a/packages/core/src/scheduler/queued-work.ts
+++ b/packages/core/src/scheduler/queued-work.ts
@@ -16,8 +16,16 @@
   /** Queued jobs of each shape, for fragmentation. */
   readonly shapes = new Map<string, { shape: QueuedJob['spec']['shape']; count: number }>();
 
-  change({ spec: { shape } }: QueuedJob, urgent: boolean, sign: 1 | -1): void {
+  readonly #byAccount = new Map<string, number>();
+
+  /** Jobs of an account that wait. */
+  count(account: string): number {
+    return this.#byAccount.get(account) ?? 0;
+  }
+
+  change({ account, spec: { shape } }: QueuedJob, urgent: boolean, sign: 1 | -1): void {
     const size = sizeOf(shape);
+    this.#byAccount.set(account, this.count(account) + sign);
     this.accelerators += sign * size;
     if (size === 0) this.withoutAccelerators += sign;
     if (urgent) {
--- a/packages/core/src/scheduler/reservations.ts
+++ b/packages/core/src/scheduler/reservations.ts
@@ -19,11 +19,18 @@
 }
 
 /** Racks whose drain times are compared for one reservation. */
-const MAX_COMPARED = 16;
+const MAX_COMPARED = 8;
 
 /** Reserved workers may be at most this part of all. */
 const MAX_RESERVED = 0.5;
 
+/** Gangs with a reservation at once, and searches for one in a pass: each looks at many running jobs. */
+const MAX_RESERVATIONS = 8;
+const MAX_SEARCHES = 1;
+
+/** After a search in vain there is none for this long. */
+const SEARCH_PAUSE_MS = 5000;
+
 /** A reservation is looked at anew after this long. */
 const REVIEW_MS = 300_000;
 
@@ -35,6 +42,10 @@
 
   readonly #byWorker = new Map<string, Reservation>();
 
+  #searchesLeft = MAX_SEARCHES;
+
+  #pausedUntil = -Infinity;
+
   /** Run time that the job in question would need; set by `classOf`. */
   #runMs = 0;
 
@@ -48,6 +59,11 @@
     return this.#byKey.size;
   }
 
+  /** A new pass through the queue begins. */
+  beginPass(): void {
+    this.#searchesLeft = MAX_SEARCHES;
+  }
+
   get(key: string): Reservation | undefined {
     return this.#byKey.get(key);
   }
@@ -78,9 +94,14 @@
     const known = this.#byKey.get(job.key);
     if (known !== undefined && now - known.madeAt < REVIEW_MS) return known;
     this.drop(job.key);
+    if (this.#searchesLeft === 0 || this.#byKey.size >= MAX_RESERVATIONS) return undefined;
+    if (now < this.#pausedUntil) return undefined;
+    this.#searchesLeft -= 1;
     const found = this.#soonest(job.spec.shape, now);
-    if (found === undefined) return undefined;
-    if (!this.#hasRoom(found.workers.length)) return undefined;
+    if (found === undefined || !this.#hasRoom(found.workers.length)) {
+      this.#pausedUntil = now + SEARCH_PAUSE_MS;
+      return undefined;
+    }
     const reservation = {
       key: job.key,
       workers: new Set(found.workers.map(({ id }) => id)),
