--- a/packages/core/src/scheduler/fragmentation.ts
+++ b/packages/core/src/scheduler/fragmentation.ts
@@ -4,6 +4,7 @@
 import type { Capacity, RackCapacity, WorkerCapacity } from '../gang/placement-capacity.js';
 import type { Shape } from '../gang/shape.js';
 import type { SchedulerSummary } from './scheduler.js';
+import { shapeKey } from './shape-key.js';
 
 /** Largest gang that a shape may ask for. */
 const MAX_TASKS = 128;
@@ -72,7 +73,7 @@
   const add = (shape: Shape, count: number) => {
     const size = shape.tasks * shape.acceleratorsPerTask;
     if (size === 0) return;
-    const key = `${shape.tasks}/${shape.acceleratorsPerTask}/${shape.coresPerTask}/${shape.memoryMbPerTask}/${shape.adjacency}`;
+    const key = shapeKey(shape);
     const demand = demands.get(key) ?? { shape, weight: 0 };
     demand.weight += size * count;
     demands.set(key, demand);
--- a/packages/core/src/scheduler/placer.ts
+++ b/packages/core/src/scheduler/placer.ts
@@ -6,6 +6,7 @@
 import type { DomainState } from './domain-state.js';
 import type { Reservations } from './reservations.js';
 import type { QueuedJob } from './scheduler.js';
+import { shapeKey } from './shape-key.js';
 
 /** A place for a job. `firm`: counted in the ledger. `inside`: within its account's guarantees. */
 export interface Place {
@@ -82,7 +83,7 @@
   ): Member[] | undefined {
     const { shape } = spec;
     const job = { key, spec };
-    const memo = memoKey(where, shape, kind, this.#reservations.classOf(key, kind, now));
+    const memo = memoKey(where, shape, kind, this.#reservations.classOf(key, kind));
     if (this.#failed.has(memo)) return undefined;
     const members = findPlacement(this.#state.capacity, {
       shape,
@@ -120,19 +121,9 @@
 /** Jobs of one class fail or fit alike. */
 function memoKey(
   where: string,
-  { tasks, acceleratorsPerTask, coresPerTask, memoryMbPerTask, adjacency }: Shape,
+  shape: Shape,
   { spread, idempotent }: Kind,
   reserved: string,
 ): string {
-  return [
-    where,
-    tasks,
-    acceleratorsPerTask,
-    coresPerTask,
-    memoryMbPerTask,
-    adjacency,
-    spread,
-    idempotent,
-    reserved,
-  ].join('/');
+  return `${where}/${shapeKey(shape)}/${spread}/${idempotent}/${reserved}`;
 }
--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -10,11 +10,11 @@
 import type { Waits } from './waits.js';
 
 /** Blocked jobs looked at in one pass, and of one account and kind. */
-const MAX_BLOCKED = 1024;
-const MAX_LOOK_AHEAD = 16;
+const MAX_BLOCKED = 400;
+const MAX_LOOK_AHEAD = 8;
 
 /** Urgent jobs for which room is made in one pass. */
-const MAX_URGENT = 16;
+const MAX_URGENT = 4;
 
 /** A job of a waiting kind waits this long before borrowers leave the home that it belongs in. */
 const INSIDE_PATIENCE_MS = 30_000;
--- a/packages/core/src/scheduler/queued-work.ts
+++ b/packages/core/src/scheduler/queued-work.ts
@@ -1,5 +1,6 @@
 /** Running totals of what waits, so that estimates and warnings need no scan of the queue. */
 import type { QueuedJob } from './scheduler.js';
+import { shapeKey } from './shape-key.js';
 import { sizeOf } from './placer.js';
 
 /** Sums over queued jobs. */
@@ -32,7 +33,7 @@
       this.urgentJobs += sign;
       this.urgentAccelerators += sign * size;
     }
-    const key = `${shape.tasks}/${shape.acceleratorsPerTask}/${shape.coresPerTask}/${shape.memoryMbPerTask}/${shape.adjacency}`;
+    const key = shapeKey(shape);
     const entry = this.shapes.get(key) ?? { shape, count: 0 };
     entry.count += sign;
     if (entry.count > 0) this.shapes.set(key, entry);
--- a/packages/core/src/scheduler/reservations.ts
+++ b/packages/core/src/scheduler/reservations.ts
@@ -73,13 +73,13 @@
   }
 
   /** Prepares `mayUse` for a job; jobs of one class are treated alike. */
-  classOf(key: string, kind: Kind, now: number): string {
+  classOf(key: string, kind: Kind): string {
     if (this.#byWorker.size === 0) return '';
     const job = this.#state.queue.get(key);
     this.#urgent = kind.urgency === 'urgent';
     this.#runMs = job === undefined ? 0 : this.#state.runMs(job).p90Ms;
     if (this.#byKey.has(key)) return key;
-    return this.#urgent ? 'urgent' : `${now}/${Math.ceil(Math.log2(this.#runMs))}`;
+    return this.#urgent ? 'urgent' : String(Math.ceil(Math.log2(this.#runMs)));
   }
 
   /** Whether a job may use a worker: its own, or one where it ends in time. Urgent jobs may use any. */
--- a/packages/core/src/scheduler/room-making.ts
+++ b/packages/core/src/scheduler/room-making.ts
@@ -9,7 +9,7 @@
 import type { Decision, QueuedJob } from './scheduler.js';
 
 /** Places compared for one urgent job, and for one gang. */
-const MAX_PLACES = 10;
+const MAX_PLACES = 6;
 
 /** Makes room in one failure domain. */
 export class RoomMaking {
