--- a/packages/core/src/scheduler/placer.ts
+++ b/packages/core/src/scheduler/placer.ts
@@ -15,6 +15,9 @@
   inside: boolean;
 }
 
+/** A job evicted this often goes where no claim can evict it, so that it isn't starved. */
+const FIRM_AFTER = 2;
+
 /** Accelerators of a shape. */
 export function sizeOf({ tasks, acceleratorsPerTask }: Shape): number {
   return tasks * acceleratorsPerTask;
@@ -50,7 +53,10 @@
     if (this.#state.belongsInside(job)) return this.#findInside(job, kind, now);
     const recoverable = kind.idempotent || kind.checkpointable;
     if (!recoverable) return this.#findFirm(job, kind, false, now);
-    return this.#findAny(job, kind, now);
+    if ((job.evictions ?? 0) < FIRM_AFTER) return this.#findAny(job, kind, now);
+    const firm = this.#findFirm(job, kind, false, now);
+    const losesWork = !kind.checkpointable && size <= this.#state.ledger.capacity.free;
+    return firm ?? (losesWork ? undefined : this.#findAny(job, kind, now));
   }
 
   #findInside(job: QueuedJob, kind: Kind, now: number): Place | undefined {
