--- a/packages/spec/src/index.ts
+++ b/packages/spec/src/index.ts
@@ -1,2 +1,2 @@
 /** Public surface of @zincspan/spec. */
-export {};
+export * from './check.js';
