--- a/packages/core/src/guarantee/eviction-cost.ts
+++ b/packages/core/src/guarantee/eviction-cost.ts
@@ -8,8 +8,11 @@
   /** Account that asks for the room. */
   account: string;
   checkpointLimitMs: number;
-  /** `claim`: anything but jobs inside a guarantee. `urgent`: waiting kinds that lose nothing for good. */
-  purpose: 'claim' | 'urgent' | 'defragment';
+  /**
+   * `claim`: anything but jobs inside a guarantee. `home`: the same, but nothing for good and nobody too often.
+   * `urgent`: waiting kinds that lose nothing for good. `defragment`: of these, what can be checkpointed.
+   */
+  purpose: 'claim' | 'home' | 'urgent' | 'defragment';
   /** Whether an account uses no more than what it is guaranteed. */
   isInside(account: string): boolean;
   /** How far an account is above its due part; 1 is exactly its part. */
@@ -27,16 +30,18 @@
   const own = job.account === rules.account;
   if (inside && !own) return Infinity;
   const recoverable = kind.checkpointable || kind.idempotent;
-  if (rules.purpose !== 'claim') {
+  const isSpared = (job.evictions ?? 0) >= SPARED_AFTER;
+  if (rules.purpose === 'home' && (!recoverable || isSpared)) return Infinity;
+  if (rules.purpose === 'urgent' || rules.purpose === 'defragment') {
     if (!recoverable || kind.urgency === 'urgent') return Infinity;
     if (rules.purpose === 'defragment' && !kind.checkpointable) return Infinity;
-    if ((job.evictions ?? 0) >= SPARED_AFTER) return Infinity;
+    if (isSpared) return Infinity;
     return !own && rules.isInside(job.account) ? Infinity : 0;
   }
   if (!recoverable) return 4;
   if (!own && rules.isInside(job.account)) return 3;
   if (kind.urgency === 'urgent') return 2;
-  return (job.evictions ?? 0) >= SPARED_AFTER ? 1 : 0;
+  return isSpared ? 1 : 0;
 }
 
 /** Accelerator-ms lost: the whole run without a checkpoint, else the time that taking one needs. */
--- a/packages/core/src/scheduler/room-making.ts
+++ b/packages/core/src/scheduler/room-making.ts
@@ -39,7 +39,7 @@
 
   /** Evicts borrowers from its account's homes for a job that belongs there. */
   forInside(job: QueuedJob, now: number): Decision[] | undefined {
-    const cost = memoized(this.#state.evictionCost(job.account, 'claim', now));
+    const cost = memoized(this.#state.evictionCost(job.account, 'home', now));
     const clearance = this.#cheapest(job, cost, (worker) =>
       this.#state.homeSlots(job.account, worker, job.spec.shape),
     );
