Tell no end of a task before the guard knows what its earlier life left

Cause: a guard that was killed and started again answered start and stop of a task it didn't know with "ended, never started" at once, although its worker had not announced itself yet and the task still ran there. The owner ended the job (or ran it anew elsewhere) while a member ran on alone. Ruled out: the worker (its lease still held, as it should) and the owner (it took the guard's word, which is the guard's to give). Change: until the worker was found without unknown tasks, or the longest lease of an earlier life is over by the guard's clock, such orders are refused with "unknown"; owners repeat them. Unit scenario "a guard's successor tells no end before it knows what runs on the worker" passes.

--- a/packages/guard/src/gang/gang-keeper.ts
+++ b/packages/guard/src/gang/gang-keeper.ts
@@ -17,8 +17,9 @@
 } from '@zincspan/core';
 import { Alarm } from '../alarm.js';
 import { AdoptedWorker } from './adopted-worker.js';
+import { EarlierLife } from './earlier-life.js';
 import { EndWaiters } from './end-waiters.js';
-import { draining, noWorker, startLost, taskUnknown } from './gang-problem.js';
+import { draining, noWorker, notCleared, startLost, taskUnknown } from './gang-problem.js';
 import { GuardedTask } from './guarded-task.js';
 import { Leftovers } from './leftovers.js';
 import type { PlainEnd } from './task-end.js';
@@ -43,6 +44,8 @@
 
   readonly #leftovers: Leftovers;
 
+  readonly #earlier: EarlierLife;
+
   readonly #tasks = new Map<string, GuardedTask>();
 
   readonly #adopted: AdoptedWorker;
@@ -63,6 +66,8 @@
     this.#options = options;
     this.#book = new ReservationBook(self);
     this.#leftovers = new Leftovers({ ctx: options.ctx });
+    const { taskLeaseMs: leaseMs, clockMargin } = options.settings;
+    this.#earlier = new EarlierLife({ clock: this.#ctx.clock, leaseMs, clockMargin });
     this.#alarm = new Alarm({ clock: this.#ctx.clock, ring: () => this.#expire() });
     this.#adopted = new AdoptedWorker({
       ctx: options.ctx,
@@ -74,7 +79,9 @@
 
   /** Takes a worker on; true once it may be offered. */
   async adopt(worker: Worker): Promise<boolean> {
-    return this.#adopted.adopt(worker);
+    const isOffered = await this.#adopted.adopt(worker);
+    if (isOffered) this.#earlier.cleared();
+    return isOffered;
   }
 
   /** The worker leaves: nothing new is reserved, what runs goes on. */
@@ -136,6 +143,10 @@
       this.#book.admit(order);
       return { state: 'ended', end: left };
     }
+    if (this.#mayBeLeftover(ref)) {
+      this.#book.admit(order);
+      throw notCleared();
+    }
     const answer = this.#book.start(ref, order, this.#now());
     if (answer.todo === 'nothing') return answer.res;
     const task = this.#tasks.get(name);
@@ -153,8 +164,10 @@
   async stopMember({ ref, order, checkpoint, limitMs }: MethodReq<'gang.stop'>): Promise<TaskEnd> {
     const left = this.#leftovers.find(ref);
     const wasRunning = this.#book.find(ref)?.state === 'running';
+    const mayBeLeftover = this.#mayBeLeftover(ref);
     const answer = this.#book.stop(ref, order, this.#now());
     if (left) return left;
+    if (mayBeLeftover) throw notCleared();
     if (answer.todo === 'nothing') return answer.end;
     const task = this.#tasks.get(taskName(ref));
     if (!task) throw taskUnknown();
@@ -194,6 +207,11 @@
     );
   }
 
+  /** Not known here, but an earlier life may have started it. */
+  #mayBeLeftover(ref: AttemptRef): boolean {
+    return this.#book.find(ref) === undefined && this.#earlier.mayRun;
+  }
+
   #isKnown(name: string): boolean {
     const ref = toRef(name);
     return ref !== undefined && this.#book.find(ref) !== undefined;
--- a/packages/guard/src/gang/gang-problem.ts
+++ b/packages/guard/src/gang/gang-problem.ts
@@ -14,6 +14,18 @@
   );
 }
 
+/** The task isn't known here, but what an earlier life of this guard left on the worker isn't either, yet. */
+export function notCleared(): ProblemError {
+  return new ProblemError(
+    problem('no-upstream', {
+      detail: 'This guard has not yet found out what its earlier life left running.',
+      remedy: 'Repeat the order.',
+      ran: 'unknown',
+      retryAfterMs: RETRY_MS,
+    }),
+  );
+}
+
 /** The worker takes nothing new. */
 export function draining(): ProblemError {
   return new ProblemError(
--- a/packages/guard/src/gang/gangs.feature
+++ b/packages/guard/src/gang/gangs.feature
@@ -81,6 +81,17 @@
     And the stop of "a" said "stopped"
     And an owner reserves accelerators "0" for "b"
 
+  Scenario: a guard's successor tells no end before it knows what runs on the worker
+    Given a guard beside a worker
+    When an owner reserves accelerators "0" for "a", which runs 60000 ms
+    And the owner hears that "a" is ready
+    And the owner starts "a"
+    And the guard is replaced before the worker has announced itself
+    Then starting "a" is refused as "no-upstream", and "unknown" whether it runs
+    And stopping "a" is refused as "no-upstream", and "unknown" whether it runs
+    When the owner stops "a" again until it is told its end
+    Then the worker's "a" is "lapsed"
+
   Scenario: a silent worker's task is over once its lease is
     Given a guard beside a worker
     When an owner reserves accelerators "0" for "a", which runs 60000 ms
--- a/packages/guard/src/gang/gangs.steps.ts
+++ b/packages/guard/src/gang/gangs.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { setTimeout } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { ProblemError, taskName, type AttemptRef, type TaskEnd } from '@zincspan/core';
 import { startWorker } from '@zincspan/stand-ins';
@@ -13,6 +14,8 @@
   stops: Map<string, TaskEnd>;
 }
 
+const POLL_MS = 20;
+
 const QUICK_LEASE = { taskLeaseMs: 500 };
 
 function refOf(name: string): AttemptRef {
@@ -51,6 +54,15 @@
   });
 }
 
+/** Whether the guard that is linked now is a later life than `before`. */
+function isReplaced({ entry }: GangWorld, before: string): boolean {
+  try {
+    return entry.order.incarnation !== before;
+  } catch {
+    return false;
+  }
+}
+
 function workerEntry(world: GangWorld, name: string) {
   const task = taskName(refOf(name));
   return world.worker!.ledger().entries.find((entry) => entry.task === task);
@@ -119,6 +131,43 @@
   await startOneGuard(this, this.worker!.worker, QUICK_LEASE);
 });
 
+When(
+  'the guard is replaced before the worker has announced itself',
+  async function (this: GangWorld) {
+    const before = this.entry.order.incarnation;
+    await this.guard.stop();
+    await startOneGuard(this, undefined, QUICK_LEASE);
+    while (!isReplaced(this, before)) await setTimeout(POLL_MS);
+  },
+);
+
+When(
+  'the owner stops {string} again until it is told its end',
+  async function (this: GangWorld, name: string) {
+    while (!this.stops.has(name)) {
+      await stop(this, name, false).catch((err: unknown) => assert.ok(err instanceof ProblemError));
+      await setTimeout(POLL_MS);
+    }
+  },
+);
+
+Then(
+  /^(starting|stopping) "(.*)" is refused as "(.*)", and "(.*)" whether it runs$/,
+  async function (this: GangWorld, what: string, name: string, kind: string, ran: string) {
+    const { order, guard } = this.entry;
+    const ref = refOf(name);
+    const answer =
+      what === 'starting'
+        ? guard.call('gang.start', { order, ref })
+        : guard.call('gang.stop', { order, ref, checkpoint: false, limitMs: 0 });
+    await assert.rejects(answer, (err) => {
+      assert.ok(err instanceof ProblemError);
+      assert.deepEqual([err.problem.kind, err.problem.ran], [kind, ran]);
+      return true;
+    });
+  },
+);
+
 When('the worker freezes', function (this: GangWorld) {
   this.worker!.faults.freeze = true;
 });
