--- a/packages/core/src/scheduler/contract-scheduler.ts
+++ b/packages/core/src/scheduler/contract-scheduler.ts
@@ -28,6 +28,9 @@
 /** While jobs are blocked the queue is gone through again after this long, though nothing happened. */
 const RETRY_MS = 1000;
 
+/** Expected wait told of a job that could start only where a gang has a reservation. */
+const IN_THE_WAY_MS = 1000;
+
 /** Decides by contracts, guarantees and fair share. */
 export class ContractScheduler implements DomainScheduler {
   readonly #state: DomainState;
@@ -155,7 +158,10 @@
   expectedWaitMs(account: string, kind: string, shape: Shape, now: number): number {
     const spec = { kind, shape, params: {} };
     const probe = { key: '', account, spec, submittedAt: now, attempt: 0 };
-    if (this.#pass.wouldFit(probe, now)) return 0;
+    const fit = this.#pass.fitOf(probe, now);
+    if (fit === 'fits') return 0;
+    // Enough for the caller's entry to prefer a failure domain where nobody is in a gang's way.
+    if (fit === 'in-the-way') return IN_THE_WAY_MS;
     const urgent = this.#state.view.kind(kind).urgency === 'urgent';
     return this.#waits.expected(sizeOf(shape), urgent, now);
   }
--- a/packages/core/src/scheduler/placer.ts
+++ b/packages/core/src/scheduler/placer.ts
@@ -43,6 +43,14 @@
     this.#failed.clear();
   }
 
+  /** Whether a job fits now only where a large gang has a reservation. */
+  needsReserved(job: QueuedJob, now: number): boolean {
+    if (this.#reservations.size === 0) return false;
+    const kind = this.#state.view.kind(job.spec.kind);
+    const options = { kind, now, slots: freeSlots, pressing: false };
+    return this.#searchOnce('any', job, options) === undefined;
+  }
+
   /** A place for a job now, nothing taken yet. */
   find(job: QueuedJob, now: number): Place | undefined {
     this.#forgetStale();
@@ -80,16 +88,33 @@
     return members && { members, firm: false, inside: false };
   }
 
+  /** An urgent job leaves reserved workers alone while there are others. */
   #search(
     where: string,
-    { key, spec }: QueuedJob,
+    job: QueuedJob,
     kind: Kind,
     now: number,
     slots: Slots,
+  ): Member[] | undefined {
+    const members = this.#searchOnce(where, job, { kind, now, slots, pressing: false });
+    if (members !== undefined || kind.urgency !== 'urgent') return members;
+    if (this.#reservations.size === 0) return undefined;
+    return this.#searchOnce(where, job, { kind, now, slots, pressing: true });
+  }
+
+  #searchOnce(
+    where: string,
+    { key, spec }: QueuedJob,
+    {
+      kind,
+      now,
+      slots,
+      pressing,
+    }: { kind: Kind; now: number; slots: Slots; pressing: boolean },
   ): Member[] | undefined {
     const { shape } = spec;
     const job = { key, spec };
-    const memo = memoKey(where, shape, kind, this.#reservations.classOf(key, kind));
+    const memo = memoKey(where, shape, kind, this.#reservations.classOf(key, pressing));
     if (this.#failed.has(memo)) return undefined;
     const members = findPlacement(this.#state.capacity, {
       shape,
--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -80,9 +80,10 @@
     return this.#blocked + this.#blockedInAll;
   }
 
-  /** Whether a job would be placed at once. */
-  wouldFit(job: QueuedJob, now: number): boolean {
-    return this.#placer.find(job, now) !== undefined;
+  /** Whether a job would be placed at once, if only where a large gang has a reservation. */
+  fitOf(job: QueuedJob, now: number): 'fits' | 'in-the-way' | 'blocked' {
+    if (this.#placer.find(job, now) === undefined) return 'blocked';
+    return this.#placer.needsReserved(job, now) ? 'in-the-way' : 'fits';
   }
 
   /** Whether enough jobs of this one's account and kind have been found blocked in this pass. */
@@ -153,10 +154,13 @@
 
   /** Takes back the home that a job belongs in; true if that is under way. */
   #reclaim(job: QueuedJob, now: number, decisions: Decision[]): boolean {
-    const { state, rooms } = this.#parts;
-    const patience = state.view.isUrgent(job) ? 0 : INSIDE_PATIENCE_MS;
+    const { state, rooms, reservations } = this.#parts;
+    const isUrgent = state.view.isUrgent(job);
+    const patience = isUrgent ? 0 : INSIDE_PATIENCE_MS;
     if (now < job.submittedAt + patience || !state.belongsInside(job)) return false;
-    const evictions = rooms.forInside(job, now);
+    // Else a steady trickle of small jobs into a home would keep a gang's reservation from ever draining.
+    reservations.classOf(job.key, isUrgent);
+    const evictions = rooms.forInside(job, now, (id) => reservations.mayUse(id, job.key, now));
     if (evictions === undefined) return false;
     decisions.push(...evictions);
     this.#clearing.push({ job, inside: true });
--- a/packages/core/src/scheduler/reservations.ts
+++ b/packages/core/src/scheduler/reservations.ts
@@ -5,7 +5,6 @@
 import { slotsIn } from '../gang/placement.js';
 import type { RackCapacity, WorkerCapacity } from '../gang/placement-capacity.js';
 import type { Shape } from '../gang/shape.js';
-import type { Kind } from '../kind/kind.js';
 import type { DomainState } from './domain-state.js';
 import { expectedEnd } from './running-jobs.js';
 import type { QueuedJob } from './scheduler.js';
@@ -49,7 +48,7 @@
   /** Run time that the job in question would need; set by `classOf`. */
   #runMs = 0;
 
-  #urgent = false;
+  #pressing = false;
 
   constructor({ state }: { state: DomainState }) {
     this.#state = state;
@@ -72,20 +71,20 @@
     return this.#byKey.keys();
   }
 
-  /** Prepares `mayUse` for a job; jobs of one class are treated alike. */
-  classOf(key: string, kind: Kind): string {
+  /** Prepares `mayUse` for a job; jobs of one class are treated alike. `pressing`: reservations don't bind it. */
+  classOf(key: string, pressing: boolean): string {
     if (this.#byWorker.size === 0) return '';
     const job = this.#state.queue.get(key);
-    this.#urgent = kind.urgency === 'urgent';
+    this.#pressing = pressing;
     this.#runMs = job === undefined ? 0 : this.#state.runMs(job).p90Ms;
     if (this.#byKey.has(key)) return key;
-    return this.#urgent ? 'urgent' : String(Math.ceil(Math.log2(this.#runMs)));
+    return pressing ? 'pressing' : String(Math.ceil(Math.log2(this.#runMs)));
   }
 
-  /** Whether a job may use a worker: its own, or one where it ends in time. Urgent jobs may use any. */
+  /** Whether a job may use a worker: its own, or one where it ends in time. Pressing ones may use any. */
   mayUse(worker: string, key: string, now: number): boolean {
     const reservation = this.#byWorker.get(worker);
-    if (reservation === undefined || reservation.key === key || this.#urgent) return true;
+    if (reservation === undefined || reservation.key === key || this.#pressing) return true;
     return now + this.#runMs <= reservation.at;
   }
 
--- a/packages/core/src/scheduler/room-making.ts
+++ b/packages/core/src/scheduler/room-making.ts
@@ -37,11 +37,15 @@
     return clearance && this.#evict(job, clearance, 'urgent');
   }
 
-  /** Evicts borrowers from its account's homes for a job that belongs there. */
-  forInside(job: QueuedJob, now: number): Decision[] | undefined {
+  /** Evicts borrowers from its account's homes, where it may use them, for a job that belongs there. */
+  forInside(
+    job: QueuedJob,
+    now: number,
+    mayUse: (worker: string) => boolean,
+  ): Decision[] | undefined {
     const cost = memoized(this.#state.evictionCost(job.account, 'home', now));
     const clearance = this.#cheapest(job, cost, (worker) =>
-      this.#state.homeSlots(job.account, worker, job.spec.shape),
+      mayUse(worker.id) ? this.#state.homeSlots(job.account, worker, job.spec.shape) : 0,
     );
     return clearance && this.#evict(job, clearance, 'claim');
   }
