--- a/packages/core/src/scheduler/job-failures.ts
+++ b/packages/core/src/scheduler/job-failures.ts
@@ -51,6 +51,11 @@
     if (marked.length > 0) this.#failures.set(job, marked);
   }
 
+  /** Workers that the job has failed on since it succeeded last. */
+  workersOf(job: string): string[] {
+    return (this.#failures.get(job) ?? []).map(({ worker }) => worker);
+  }
+
   /** Has the job failed on several workers? */
   isSuspect(job: string): boolean {
     return (this.#failures.get(job)?.length ?? 0) >= SUSPECT_AFTER;
--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -25,6 +25,9 @@
 /** Gangs for which jobs are moved at once: one, and one more for this many racks. */
 const RACKS_PER_MOVE = 16;
 
+/** A large gang that has waited this long gets a place cleared for it. */
+const STARVING_MS = 7_200_000;
+
 /** What a pass works with. */
 export interface PassParts {
   state: DomainState;
@@ -208,7 +211,9 @@
     if (rooms.moving > state.capacity.racks.size / RACKS_PER_MOVE) return [];
     const waitMs =
       reservation === undefined ? defragmentAfterMs : Math.max(0, reservation.at - now);
-    const moves = rooms.forGang(job, waitMs, now);
+    const isStarving = now - job.submittedAt >= STARVING_MS && rooms.moving === 0;
+    const moves =
+      rooms.forGang(job, waitMs, now) ?? (isStarving ? rooms.forStarving(job, now) : undefined);
     if (moves === undefined) return [];
     this.#clearing.push({ job, inside: false });
     reservations.drop(job.key);
--- a/packages/core/src/scheduler/room-making.ts
+++ b/packages/core/src/scheduler/room-making.ts
@@ -5,12 +5,15 @@
 import type { Member } from '../gang/shape.js';
 import type { DomainState } from './domain-state.js';
 import { sizeOf } from './placer.js';
-import { acceleratorsOf, markLeaving } from './running-jobs.js';
+import { acceleratorsOf, expectedEnd, markLeaving, type RunningJob } from './running-jobs.js';
 import type { Decision, QueuedJob } from './scheduler.js';
 
 /** Places compared for one urgent job, and for one gang. */
 const MAX_PLACES = 6;
 
+/** Jobs expected to end within this time are waited for rather than evicted. */
+const DRAIN_MS = 30_000;
+
 /** Makes room in one failure domain. */
 export class RoomMaking {
   readonly #state: DomainState;
@@ -66,6 +69,21 @@
     return this.#evict(job, clearance, 'defragment');
   }
 
+  /**
+   * Clears a place for a gang that has waited too long: evicts jobs that lose nothing for good, and waits for
+   * others that end soon, while nothing new gets in.
+   */
+  forStarving(job: QueuedJob, now: number): Decision[] | undefined {
+    const evict = this.#state.evictionCost(job.account, 'urgent', now);
+    const endsSoon = (running: RunningJob) => expectedEnd(running, now) - now <= DRAIN_MS;
+    const cost = memoized((running) => (endsSoon(running) ? 1 : evict(running)));
+    const clearance = this.#cheapest(job, cost);
+    if (clearance === undefined) return undefined;
+    if (clearance.cost > sizeOf(job.spec.shape) * (now - job.submittedAt)) return undefined;
+    this.#moving.add(job.key);
+    return this.#evict(job, clearance, 'defragment', (running) => !endsSoon(running));
+  }
+
   #cheapest(
     job: QueuedJob,
     cost: EvictionCost,
@@ -163,11 +181,12 @@
     { key }: QueuedJob,
     { members, victims }: Clearance,
     reason: 'urgent' | 'defragment' | 'claim',
+    isEvicted: (running: RunningJob) => boolean = () => true,
   ): Decision[] {
     const { capacity, clearings, view } = this.#state;
     const keys = victims.map(({ job }) => job.key);
     clearings.add(capacity, key, members, keys);
-    return victims.map((victim) => {
+    return victims.filter(isEvicted).map((victim) => {
       markLeaving(victim);
       return {
         type: 'evict',
--- a/packages/core/src/scheduler/worker-health.ts
+++ b/packages/core/src/scheduler/worker-health.ts
@@ -141,6 +141,11 @@
     return ends.length === 0 ? undefined : Math.min(...ends);
   }
 
+  /** Workers that a retry of this job should keep off, to tell whose fault its failure was; none if it's suspect. */
+  failedOn(job: string): string[] {
+    return this.isSuspect(job) ? [] : this.#jobs.workersOf(job);
+  }
+
   /** Is this job failing wherever it runs? */
   isSuspect(job: string): boolean {
     return this.#jobs.isSuspect(job);
--- a/packages/core/src/scheduler/worker-states.ts
+++ b/packages/core/src/scheduler/worker-states.ts
@@ -119,6 +119,15 @@
     return answer;
   }
 
+  /** Could this shape run on other workers than these that take new work, were they empty? */
+  couldFitWithout(ids: string[], shape: Shape, spread: boolean): boolean {
+    const capacity = new Capacity();
+    this.#ready.forEach((worker, id) => {
+      if (this.#isOpen(id) && !ids.includes(id)) capacity.add(worker);
+    });
+    return fitsEmpty(capacity, shape, spread).fits;
+  }
+
   /** All that ready workers have. */
   total(): Resources {
     return { ...this.#total };
@@ -130,6 +139,10 @@
     return known !== undefined && !isSameSize(known, worker);
   }
 
+  #isOpen(id: string): boolean {
+    return !this.#draining.has(id) && (this.#closedUntil.get(id) ?? 0) <= this.#now;
+  }
+
   #emptyCapacity(): Capacity {
     const capacity = new Capacity();
     this.#ready.forEach((worker) => capacity.add(worker));
