--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -79,7 +79,7 @@
       clock: options.ctx.clock,
       bytesRead: () => socket.bytesRead,
       beat: () => this.#beat(),
-      onTick: () => this.#meter.collect(options.heartbeat.everyMs),
+      onTick: () => this.#meter.report(options.heartbeat.everyMs),
       onSilence: (ms) =>
         socket.end(new LinkFault('silence', `Nothing came for ${Math.round(ms)} ms.`)),
     });
@@ -127,7 +127,7 @@
   /** Told by the socket's owner, once. */
   handleEnd(fault: LinkFault): void {
     this.#watch.stop();
-    this.#meter.collect();
+    this.#meter.end();
     this.#pending.rejectAll(() => new LinkError('lost', `The link ended: ${fault.message}`));
     this.#resolveEnded(fault.reason);
   }
--- a/packages/link/src/traffic.ts
+++ b/packages/link/src/traffic.ts
@@ -35,7 +35,9 @@
 
   readonly #ctx: ProcessContext;
 
-  #total = NONE;
+  readonly #meters = new Set<TrafficMeter>();
+
+  #ended = NONE;
 
   #reported = NONE;
 
@@ -54,20 +56,26 @@
     return created;
   }
 
+  /** Live links and those that ended. */
   get total(): Traffic {
-    return this.#total;
+    return [...this.#meters].reduce((total, { traffic }) => sum(total, traffic), this.#ended);
+  }
+
+  open(meter: TrafficMeter): void {
+    this.#meters.add(meter);
   }
 
-  add(traffic: Traffic): void {
-    this.#total = sum(this.#total, traffic);
+  end(meter: TrafficMeter): void {
+    if (this.#meters.delete(meter)) this.#ended = sum(this.#ended, meter.traffic);
   }
 
   /** Adds what came since the last report to the metrics, if that was `everyMs` ago or more. */
   report(everyMs = 0): void {
     const now = this.#ctx.clock.now();
     if (now - this.#reportedAt < everyMs) return;
-    const { framesIn, framesOut, bytesIn, bytesOut } = difference(this.#total, this.#reported);
-    this.#reported = this.#total;
+    const { total } = this;
+    const { framesIn, framesOut, bytesIn, bytesOut } = difference(total, this.#reported);
+    this.#reported = total;
     this.#reportedAt = now;
     const { metrics } = this.#ctx;
     metrics.count('link.frames.in', framesIn);
@@ -77,29 +85,35 @@
   }
 }
 
-/** Moves one link's counts into its process's totals. */
+/** One link's part in its process's totals. */
 export class TrafficMeter {
   readonly #totals: TrafficTotals;
 
   readonly #read: () => Traffic;
 
-  #collected = NONE;
-
   constructor({ ctx, read }: { ctx: ProcessContext; read: () => Traffic }) {
     this.#totals = TrafficTotals.of(ctx);
     this.#read = read;
+    this.#totals.open(this);
   }
 
-  /** Collects, and reports unless that was done within the last `everyMs`. */
-  collect(everyMs = 0): void {
-    const now = this.#read();
-    this.#totals.add(difference(now, this.#collected));
-    this.#collected = now;
+  get traffic(): Traffic {
+    return this.#read();
+  }
+
+  /** Has the process's totals reported, unless that was done within the last `everyMs`. */
+  report(everyMs: number): void {
     this.#totals.report(everyMs);
   }
+
+  /** The link is over: what it counted stays in the totals. */
+  end(): void {
+    this.#totals.end(this);
+    this.#totals.report();
+  }
 }
 
-/** Totals over all links of a process, live and ended, for status pages. */
+/** Totals over all links of a process, live and ended, as of now. */
 export function linkTraffic(ctx: ProcessContext): Traffic {
   return TrafficTotals.of(ctx).total;
 }
