Follow the runners' capacity at once when one comes or goes

Cause: an entry held accounts to the capacity of its last review, 100 ms old at most. An entry whose first review saw no runner bounded each account to one request in progress until the next, and refused the others as overloaded while all slots were free. Ruled out: the weighted parts (one account asked alone) and guards (no request reached them). Change: the capacity is taken anew on each change of membership and of the bundle, besides the review.

--- a/packages/entry/src/request/app.ts
+++ b/packages/entry/src/request/app.ts
@@ -27,6 +27,10 @@
   const sweeper = new KeySweeper({ ctx, table, isMyTurn });
   const kinds = new KindDirectory({ bundles });
   const refusals = new RefusalNotes({ ctx });
+  const followCapacity = (): void => admission.setCapacity(pool.capacity());
+  // At once, or requests right after a runner came would still be held to what there was without it.
+  upstreams.onChange(followCapacity);
+  bundles.subscribe(followCapacity);
   let timer: NodeJS.Timeout | undefined;
   return {
     name: 'request',
@@ -45,7 +49,7 @@
       sweeper.start();
       timer = setInterval(() => {
         pool.checkSilence();
-        admission.setCapacity(pool.capacity());
+        followCapacity();
         ctx.metrics.gauge('request.in-progress', admission.inProgress);
       }, REVIEW_EVERY_MS);
     },
