--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -25,8 +25,12 @@
 /** Gangs for which jobs are moved at once: one, and one more for this many racks. */
 const RACKS_PER_MOVE = 16;
 
-/** A large gang that has waited this long gets a place cleared for it. */
-const STARVING_MS = 7_200_000;
+/**
+ * A large gang that has waited this long gets a place cleared for it: the first where only completion time
+ * counts, the second where only fragmentation does.
+ */
+const STARVING_MS = 10_800_000;
+const STARVING_SOONEST_MS = 1_800_000;
 
 /** What a pass works with. */
 export interface PassParts {
@@ -170,6 +174,11 @@
     return true;
   }
 
+  #starvingMs(): number {
+    const { fragmentationWeight } = this.#parts.state.view.policy;
+    return STARVING_MS + (STARVING_SOONEST_MS - STARVING_MS) * fragmentationWeight;
+  }
+
   #isLarge(size: number): boolean {
     const { capacity } = this.#parts.state;
     return size >= capacity.largestWorker;
@@ -211,7 +220,7 @@
     if (rooms.moving > state.capacity.racks.size / RACKS_PER_MOVE) return [];
     const waitMs =
       reservation === undefined ? defragmentAfterMs : Math.max(0, reservation.at - now);
-    const isStarving = now - job.submittedAt >= STARVING_MS && rooms.moving === 0;
+    const isStarving = now - job.submittedAt >= this.#starvingMs() && rooms.moving === 0;
     const moves =
       rooms.forGang(job, waitMs, now) ?? (isStarving ? rooms.forStarving(job, now) : undefined);
     if (moves === undefined) return [];
