Stop the tasks of a guard that is cut off from its owner

Cause: a guard that was alive but cut off renewed its worker's task leases for ever. The owner took a silent member for lost after a fixed 30 s or 5 min, stopped the others and ran the next attempt: the member ran on alone, and overlapped with the next attempt.

Ruled out: taking a live link, or anything heard, for contact (a paused guard reads old heartbeats and believes in a link that was given up); stopping whenever the owner is out of reach (a dead owner during an outage of the table would end every task); a check right before the renewal with one lease as its bound (a pause between the two lets the renewal arrive as late as the lease before it lasts, hence two).

Change: contact is a call of the guard that its owner answered, counted from the call; usage reports serve. A started task's lease is renewed only while contact is no older than ownerSilenceMs (20 s). Else the guard asks the owner, then the others (owner.reachable): cut off, it checkpoints and stops; with the owner gone, tasks go on. The guard tells silenceMs and fencedMs with each reservation, and the job's row keeps them. After silenceMs the owner stops the others of the gang, after fencedMs the member is lost. A fenced end is lease-lapsed or checkpointed, so that it costs no retry. owner.changed with a higher term closes an owner that can't read the table.

Changed tests: "a long silence doesn't end a job that can't run again" expected the fixed 5 min. A guard that was silent for that long has now stopped its tasks, so that waiting longer can't help. "the owner is paused" now really is: it no longer hears owner.changed, else the guards' refusal wouldn't be tested.

Also: an end lease-lapsed after 0 ms made the outcome "unknown" before as well; a scenario holds it now.

Conclusion: a cut-off member ends before its gang's next attempt starts.

--- a/packages/core/src/gang/attempt.feature
+++ b/packages/core/src/gang/attempt.feature
@@ -14,6 +14,27 @@
     When its member 1 ends as "succeeded"
     Then the attempt concludes as "succeeded"
 
+  Scenario: a silent member stops the others, but concludes nothing by itself
+    Given an attempt of 2 members that runs
+    When the guard of its member 0 falls out of contact
+    Then the attempt stops 2 members and starts 2
+    When its member 1 ends as "stopped"
+    Then the attempt hasn't concluded
+    When its member 0 has surely ended unseen
+    Then the attempt concludes as "lost"
+
+  Scenario: a silent member that comes back tells how it ended
+    Given an attempt of 1 members that runs
+    When the guard of its member 0 falls out of contact
+    And its member 0 ends as "succeeded"
+    Then the attempt concludes as "succeeded"
+
+  Scenario: an end of which nothing is known says neither that it ran nor that it didn't
+    Given an attempt of 1 members that runs
+    When its member 0 ends as "lease-lapsed" after 0 ms
+    Then the attempt concludes as "lost"
+    And the attempt makes the job's outcome "unknown"
+
   Scenario: a cancellation during the write waits for its result
     Given an attempt of 2 members whose row is being written
     When the attempt is cancelled
--- a/packages/core/src/gang/attempt.steps.ts
+++ b/packages/core/src/gang/attempt.steps.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { changeAfterAttempt } from '../job/conclusion.js';
+import type { JobRow } from '../job/job.js';
 import type { TaskEnd } from '../message/message.js';
 import {
   Attempt,
@@ -56,6 +58,7 @@
     { type: 'row-conflict', cancelled: next() % 2 === 0 },
     { type: 'reserve-refused', member, detail: '' },
     { type: 'reserve-timeout', member },
+    { type: 'member-silent', member, detail: '' },
     { type: 'member-lost', member, detail: '' },
     { type: 'member-ended', member, end: endOf(member, outcome) },
     { type: 'member-ended', member, end: endOf(member, outcome) },
@@ -127,6 +130,24 @@
   },
 );
 
+When(
+  'its member {int} ends as {string} after {int} ms',
+  function (this: AttemptWorld, member: number, outcome: TaskEnd['outcome'], ranMs: number) {
+    feed(this, { type: 'member-ended', member, end: { ...endOf(member, outcome), ranMs } });
+  },
+);
+
+When(
+  'the guard of its member {int} falls out of contact',
+  function (this: AttemptWorld, member: number) {
+    feed(this, { type: 'member-silent', member, detail: '' });
+  },
+);
+
+When('its member {int} has surely ended unseen', function (this: AttemptWorld, member: number) {
+  feed(this, { type: 'member-lost', member, detail: '' });
+});
+
 When('the attempt is cancelled', function (this: AttemptWorld) {
   feed(this, { type: 'cancel' });
 });
@@ -200,6 +221,15 @@
   assert.equal(conclusion?.type === 'ended' && conclusion.end, end);
 });
 
+Then("the attempt makes the job's outcome {string}", function (this: AttemptWorld, ran: string) {
+  const conclusion = concluded(this);
+  assert.ok(conclusion);
+  const row = { cancelRequested: false } as JobRow;
+  const options = { idempotent: false, mayRetry: false, at: 1 };
+  const change = changeAfterAttempt(row, conclusion, options);
+  assert.equal(change?.type === 'finish' && change.ran, ran);
+});
+
 Then('the attempt has sent no stop', function (this: AttemptWorld) {
   assert.ok(!this.commands.some(({ type }) => type === 'stop'));
 });
--- a/packages/core/src/gang/attempt.ts
+++ b/packages/core/src/gang/attempt.ts
@@ -31,6 +31,8 @@
   | { type: 'row-unwritten' }
   | { type: 'row-unknown' }
   | { type: 'member-ended'; member: number; end: TaskEnd }
+  /** Its guard has been out of contact for so long that it may be stopping the member by itself. */
+  | { type: 'member-silent'; member: number; detail: string }
   /** The guard or worker is gone, and the member's lease has surely ended. */
   | { type: 'member-lost'; member: number; detail: string }
   | { type: 'cancel' }
@@ -137,6 +139,9 @@
         return [{ type: 'settle-row' }];
       case 'member-ended':
         return this.#memberEnded(event.member, event.end);
+      case 'member-silent':
+        if (this.#phase !== 'running') return [];
+        return this.#halt('failed', event.detail, event.member);
       case 'member-lost':
         this.#end(event.member, { lost: true });
         return this.#halt(this.#started ? 'failed' : 'unplaced', event.detail, event.member);
--- a/packages/core/src/job/job.ts
+++ b/packages/core/src/job/job.ts
@@ -1,6 +1,7 @@
 /** Jobs: durable work of one or more tasks, with a row in the table for as long as it matters. */
 import * as z from 'zod';
 import { memberSchema, shapeSchema } from '../gang/shape.js';
+import { contactTimesSchema } from '../lease/contact-times.js';
 import { incarnationSchema, nameSchema } from '../vm/vm.js';
 
 /** What a caller submits. Declared run times are hints: they are often far from the truth. */
@@ -56,7 +57,14 @@
   /** Owner term that wrote `started`. */
   term: z.int().min(0),
   members: z
-    .array(memberSchema.extend({ guard: nameSchema, incarnation: incarnationSchema }))
+    .array(
+      memberSchema.extend({
+        guard: nameSchema,
+        incarnation: incarnationSchema,
+        /** As its guard told them: a later owner may never reach it. */
+        contact: z.optional(contactTimesSchema),
+      }),
+    )
     .default([]),
   cancelRequested: z.boolean().default(false),
   /** Where the last checkpoint lies; the next attempt continues from it. */
--- a/packages/core/src/message/message.ts
+++ b/packages/core/src/message/message.ts
@@ -5,6 +5,7 @@
 import { problemSchema } from '../error/problem.js';
 import { memberSchema } from '../gang/shape.js';
 import { jobRowSchema, ranSchema } from '../job/job.js';
+import { contactTimesSchema } from '../lease/contact-times.js';
 import { timelineEventSchema } from '../timeline/event.js';
 import { announcementSchema } from '../upstream/upstream.js';
 import { incarnationSchema, nameSchema } from '../vm/vm.js';
@@ -187,7 +188,10 @@
   // Owner to guard: gangs. All idempotent by (key, attempt, member).
   'gang.reserve': {
     req: gangReserveSchema,
-    res: z.strictObject({ state: reservationStateSchema }),
+    res: z.strictObject({
+      state: reservationStateSchema,
+      contact: z.optional(contactTimesSchema),
+    }),
   },
   /** Passes the barrier. Answers `ended` with the end if the reservation is gone. */
   'gang.start': {
@@ -214,6 +218,17 @@
   },
   'task.ended': { req: taskEndSchema, res: none },
   'task.usage': { req: z.strictObject({ usages: z.array(taskUsageSchema) }), res: none },
+  // Guard to another entry than the owner's.
+  /** Whether the owner that the guard knows, or one that replaced it, is alive as far as the entry can tell. */
+  'owner.reachable': {
+    req: z.strictObject({
+      failureDomain: nameSchema,
+      term: z.int().min(1),
+      /** Absent: it has said itself that it no longer owns the failure domain. */
+      holder: z.optional(z.strictObject({ id: nameSchema, incarnation: incarnationSchema })),
+    }),
+    res: z.strictObject({ reachable: z.boolean() }),
+  },
   // Entry to entry.
   'owner.changed': {
     req: z.strictObject({
--- a/packages/core/src/settings/settings.ts
+++ b/packages/core/src/settings/settings.ts
@@ -81,6 +81,8 @@
   /** Announcements to entries expire after this long. */
   announceTtlMs: z.int().min(500).default(10_000),
   taskLeaseMs: z.int().min(500).default(10_000),
+  /** Without an answer of its owner for this long, a guard stops its tasks unless the owner is gone. */
+  ownerSilenceMs: z.int().min(500).max(600_000).default(20_000),
   /** Allowance for the worker's clock running slower than the guard's, as a share of the lease. */
   clockMargin: z.number().min(0).max(1).default(0.1),
   limits: z
--- a/packages/entry/src/owner/attempt-runner.ts
+++ b/packages/entry/src/owner/attempt-runner.ts
@@ -22,10 +22,8 @@
   ttlMs: number;
   /** All members must be ready within this time. */
   readyMs: number;
-  /** Silence of a guard after which its members count as lost and their job may run elsewhere. */
+  /** Silence of a guard after which a claim's hold counts as lost. Tasks are lost by their guard's own times. */
   lostAfterMs: number;
-  /** The same for jobs that can't run again: an answer is worth waiting for. */
-  unknownAfterMs: number;
 }
 
 /** Limits unless an owner is given others. */
@@ -33,7 +31,6 @@
   ttlMs: 15_000,
   readyMs: 60_000,
   lostAfterMs: 30_000,
-  unknownAfterMs: 300_000,
 };
 
 /** What an attempt is made from. */
--- a/packages/entry/src/owner/domain-owner.ts
+++ b/packages/entry/src/owner/domain-owner.ts
@@ -137,6 +137,11 @@
     if (this.#open) await this.#claims.changed(account, id);
   }
 
+  /** A call of this guard is being answered: it takes that as a sign that it is in contact with its owner. */
+  guardAnswered(guard: string): void {
+    this.#own.orders.noteAnswered(guard, this.#ctx.clock.now());
+  }
+
   /** A guard says that a member is prepared. */
   taskReady({ ref, incarnation }: MethodReq<'task.ready'>): void {
     const runner = this.#jobs.runner(ref.key);
--- a/packages/entry/src/owner/fake-guard.support.ts
+++ b/packages/entry/src/owner/fake-guard.support.ts
@@ -16,6 +16,9 @@
   type Worker,
 } from '@zincspan/core';
 
+/** Fits settings of 20 s of silence and leases of about 18 s. */
+export const FAKE_CONTACT = { silenceMs: 20_000, fencedMs: 60_000 };
+
 interface Orders {
   order: Order;
   ref: AttemptRef;
@@ -113,7 +116,7 @@
   #reserve(req: GangReserve): unknown {
     const { state } = this.book.reserve(req, this.worker, this.#clock.now());
     if (state === 'preparing' && this.autoReady) this.book.ready(req.ref);
-    return { state: this.book.find(req.ref)?.state ?? state };
+    return { state: this.book.find(req.ref)?.state ?? state, contact: FAKE_CONTACT };
   }
 
   #start({ ref, order }: Orders): unknown {
--- a/packages/entry/src/owner/guard-orders.ts
+++ b/packages/entry/src/owner/guard-orders.ts
@@ -43,6 +43,9 @@
 export class GuardOrders {
   readonly #options: Required<GuardOrdersOptions>;
 
+  /** When a call of each guard was answered last, in monotonic ms: it counts that as contact. */
+  readonly #answeredAt = new Map<string, number>();
+
   constructor({ timeoutMs = 3000, ...options }: GuardOrdersOptions) {
     this.#options = { timeoutMs, ...options };
   }
@@ -52,6 +55,16 @@
     return this.#options.directory.guardIncarnation(guard);
   }
 
+  /** A call of this guard is being answered. */
+  noteAnswered(guard: string, now: number): void {
+    this.#answeredAt.set(guard, now);
+  }
+
+  /** When a call of this guard was answered last, if ever. */
+  answeredAt(guard: string): number | undefined {
+    return this.#answeredAt.get(guard);
+  }
+
   /** Sends an order to one incarnation of a guard. `extraMs` is added to the time allowed for the answer. */
   async send<M extends OrderMethod>(
     to: { guard: string; incarnation: string },
--- a/packages/entry/src/owner/handlers.ts
+++ b/packages/entry/src/owner/handlers.ts
@@ -18,6 +18,10 @@
       ownerFor(owners, peer).taskUsage(req);
       return {};
     },
+    'owner.reachable': (req, peer) => {
+      owners.local(req.failureDomain)?.guardAnswered(peer.process.id);
+      return { reachable: owners.isReachable(req) };
+    },
     'job.queued': ({ row, version }) => {
       ownerOf(owners, row.failureDomain).jobQueued(row, version);
       return {};
@@ -30,8 +34,8 @@
     'row.wait': async ({ key, timeoutMs }) => ({
       changed: await owners.waitForChange(key, timeoutMs),
     }),
-    'owner.changed': async ({ failureDomain }) => {
-      await owners.ownerChanged(failureDomain);
+    'owner.changed': async (req) => {
+      await owners.ownerChanged(req);
       return {};
     },
   };
@@ -39,7 +43,9 @@
 
 /** The owner that a guard means: that of its own failure domain. */
 function ownerFor(owners: Owners, { process }: Peer): DomainOwner {
-  return ownerOf(owners, process.failureDomain);
+  const owner = ownerOf(owners, process.failureDomain);
+  owner.guardAnswered(process.id);
+  return owner;
 }
 
 function ownerOf(owners: Owners, failureDomain: string): DomainOwner {
--- a/packages/entry/src/owner/job-keeper.ts
+++ b/packages/entry/src/owner/job-keeper.ts
@@ -172,7 +172,7 @@
       orders,
       timers,
       clock: ctx.clock,
-      limits: kind.idempotent ? limits : { ...limits, lostAfterMs: limits.unknownAfterMs },
+      limits,
       writeRow: (onUnknown) => this.#writeStarted(entry, runner, onUnknown),
       onConclude: (conclusion) =>
         this.#own.background('conclusion', this.#conclude(entry, runner, conclusion)),
--- a/packages/entry/src/owner/member-driver.ts
+++ b/packages/entry/src/owner/member-driver.ts
@@ -1,15 +1,15 @@
 /**
  * Carries out the orders for one member of an attempt on its guard, again and again until each has surely been
  * answered, its guard has been replaced, or the guard has been silent for so long that the member's lease is over.
+ *
+ * A guard that is cut off stops its tasks by itself. By its own times the rest of the gang is stopped once it may
+ * be about to, and the member counts as lost once it surely has.
  */
 import type { TaskEnd } from '@zincspan/core';
-import type { OrderResult } from './guard-orders.js';
+import { GuardSilence } from './guard-silence.js';
 import type { MemberDriverOptions, PlacedMember } from './placed-member.js';
 import { backoffMs, pause } from './timers.js';
 
-/** A reservation has surely dropped by itself after this many times its time, whatever the guard's clock. */
-const LAPSE_MARGIN = 1.5;
-
 /** Outcome of one try: over, again soon, or again only to renew. */
 type Try = 'over' | 'again' | 'renew';
 
@@ -28,16 +28,14 @@
 
   #stopping: { checkpoint: boolean; limitMs: number } | undefined;
 
-  #silentSince: number | undefined;
-
-  /** When an order that renews the reservation may have arrived last. */
-  #renewedAt = Number.NEGATIVE_INFINITY;
+  readonly #silence: GuardSilence;
 
   #placed: PlacedMember;
 
   constructor(options: MemberDriverOptions) {
     this.#options = options;
     this.#placed = options.placed;
+    this.#silence = new GuardSilence(options);
   }
 
   get placed(): PlacedMember {
@@ -117,13 +115,16 @@
       const outcome = this.#isReplaced() ? await this.#tryReplaced() : await attempt();
       if (outcome === 'over' || signal.aborted) return;
       if (this.#isSurelyOver()) this.#lose('Its guard has been silent for too long.');
-      else await pause(timers, outcome === 'renew' ? ttlMs / 3 : backoffMs(tries), signal);
+      else this.#tellSilence();
+      if (!signal.aborted) {
+        await pause(timers, outcome === 'renew' ? ttlMs / 3 : backoffMs(tries), signal);
+      }
     }
   }
 
   async #tryReserve(): Promise<Try> {
     const { orders, ref, ttlMs, task, within } = this.#options;
-    const { guard, incarnation, ...member } = this.#placed;
+    const { guard, incarnation, contact, ...member } = this.#placed;
     const { signal } = this.#round;
     const result = await orders.send({ guard, incarnation }, 'gang.reserve', {
       ref,
@@ -133,15 +134,16 @@
       ...(within === undefined ? {} : { within }),
     });
     if (signal.aborted) return 'over';
-    this.#noteSilence(result);
+    this.#silence.note(result);
     if (result.type === 'refused') return this.#drop(result.problem.detail);
     if (result.type === 'not-sent' && !this.#mayBeReserved) {
       return this.#drop('No link to its guard.');
     }
     this.#mayBeReserved = true;
-    if (result.type !== 'not-sent') this.#renewedAt = this.#options.clock.now();
+    if (result.type !== 'not-sent') this.#silence.noteRenewed();
     if (result.type !== 'done') return 'again';
     const { state } = result.res;
+    this.#placed = { ...this.#placed, contact: result.res.contact };
     if (state === 'preparing') return 'renew';
     if (state !== 'ready' && state !== 'held') return this.#drop(`Its reservation is ${state}.`);
     this.ready();
@@ -154,7 +156,7 @@
     const { signal } = this.#round;
     const result = await orders.send(placed, 'gang.start', { ref });
     if (signal.aborted) return 'over';
-    this.#noteSilence(result);
+    this.#silence.note(result);
     // The guard may be about to learn that it started; other refusals end it for sure.
     if (result.type === 'refused' && result.problem.ran === 'unknown') return 'again';
     if (result.type === 'refused') return this.#tryStop(placed.incarnation);
@@ -174,7 +176,7 @@
     const result = await orders.send(to, 'gang.stop', req, { extraMs: limitMs });
     if (signal.aborted) return 'over';
     if (result.type !== 'done') {
-      this.#noteSilence({ type: 'lost' });
+      this.#silence.note({ type: 'lost' });
       return 'again';
     }
     return this.#over(result.res);
@@ -193,7 +195,7 @@
     const { signal } = this.#round;
     const result = await orders.send({ guard, incarnation }, 'gang.start', { ref });
     if (signal.aborted) return 'over';
-    this.#noteSilence(result);
+    this.#silence.note(result);
     if (result.type === 'refused') return this.#tryStop(incarnation);
     if (result.type !== 'done') return 'again';
     const { state, end } = result.res;
@@ -233,15 +235,14 @@
     return 'over';
   }
 
-  #noteSilence({ type }: Pick<OrderResult<unknown>, 'type'>): void {
-    const silent = type === 'not-sent' || type === 'lost';
-    this.#silentSince = silent ? (this.#silentSince ?? this.#options.clock.now()) : undefined;
+  #isSurelyOver(): boolean {
+    return this.#silence.isSurelyOver({ placed: this.#placed, started: this.#started });
   }
 
-  #isSurelyOver(): boolean {
-    if (this.#silentSince === undefined) return false;
-    const { clock, lostAfterMs, ttlMs } = this.#options;
-    if (this.#started) return clock.now() - this.#silentSince >= lostAfterMs;
-    return clock.now() - this.#renewedAt >= ttlMs * LAPSE_MARGIN;
+  /** The others of the gang needn't go on. */
+  #tellSilence(): void {
+    if (!this.#started || !this.#silence.hasBecomeLong(this.#placed)) return;
+    const detail = 'Its guard is out of contact and stops its tasks by itself.';
+    this.#options.tell({ type: 'member-silent', member: this.#placed.member, detail });
   }
 }
--- a/packages/entry/src/owner/owners.ts
+++ b/packages/entry/src/owner/owners.ts
@@ -164,8 +164,23 @@
   }
 
   /** Another entry says that a failure domain changed hands. */
-  async ownerChanged(failureDomain: string): Promise<void> {
-    await this.#keepers.get(failureDomain)?.step();
+  async ownerChanged({ failureDomain, term, holder }: MethodReq<'owner.changed'>): Promise<void> {
+    const keeper = this.#keepers.get(failureDomain);
+    // Without the table its word is all there is; guards must not take this entry for their owner any longer.
+    if (holder !== undefined && term > (keeper?.term ?? Infinity)) keeper?.staleTerm(term);
+    await keeper?.step();
+  }
+
+  /**
+   * For a guard that can't reach its owner: whether that owner, or one that took over from it, is alive as far as is
+   * known here. An owner of this entry's own is about to give its orders to the guard.
+   */
+  isReachable({ failureDomain, term, holder }: MethodReq<'owner.reachable'>): boolean {
+    if (this.local(failureDomain) !== undefined) return false;
+    const row = this.#keepers.get(failureDomain)?.row;
+    if (row?.holder !== undefined && row.term > term) return true;
+    if (holder === undefined) return false;
+    return this.#options.mesh.peer(holder.id)?.process.incarnation === holder.incarnation;
   }
 
   /** Holder, term and figures of each failure domain. */
--- a/packages/entry/src/owner/placed-member.ts
+++ b/packages/entry/src/owner/placed-member.ts
@@ -1,5 +1,12 @@
 /** A member of an attempt where it was placed, and what is needed to drive it. */
-import type { AttemptEvent, AttemptRef, Clock, Member, TaskSpec } from '@zincspan/core';
+import type {
+  AttemptEvent,
+  AttemptRef,
+  Clock,
+  ContactTimes,
+  Member,
+  TaskSpec,
+} from '@zincspan/core';
 import type { GuardOrders } from './guard-orders.js';
 import type { Timers } from './timers.js';
 
@@ -7,6 +14,8 @@
 export interface PlacedMember extends Member {
   guard: string;
   incarnation: string;
+  /** As its guard told them; absent before it has answered. */
+  contact?: ContactTimes | undefined;
 }
 
 /** What the members of one attempt have in common. Times in ms. */
@@ -17,7 +26,7 @@
   task?: TaskSpec | undefined;
   within?: string | undefined;
   ttlMs: number;
-  /** Silence of a guard after which a started member counts as lost. */
+  /** Silence of a guard after which a claim's hold counts as lost. */
   lostAfterMs: number;
   orders: GuardOrders;
   timers: Timers;
--- a/packages/entry/src/owner/recovery.feature
+++ b/packages/entry/src/owner/recovery.feature
@@ -58,12 +58,12 @@
     And the worker "w1" ends its tasks as "succeeded"
     Then the submitted job gets "succeeded"
 
-  Scenario: a long silence doesn't end a job that can't run again
+  Scenario: a silence ends no job before the guard has surely stopped it
     Given an owner with workers "w1"
     And a caller submits a "entry" gang of 1 tasks with 1 accelerators
     And the submitted job gets "started"
     When the guard of "w1" falls silent
-    And 120000 ms pass for the owner
+    And 59000 ms pass for the owner
     Then the submitted job is still "started"
     When the link to "w1" is cut for 100 ms
     And the worker "w1" ends its tasks as "succeeded"
--- a/packages/entry/src/owner/recovery.steps.ts
+++ b/packages/entry/src/owner/recovery.steps.ts
@@ -55,7 +55,10 @@
 When(
   'the owner is paused until the second entry owns the failure domain',
   async function (this: OwnerSteps) {
-    this.entryOf('entry-a').table.faults.down = true;
+    const { app, table } = this.entryOf('entry-a');
+    table.faults.down = true;
+    // Paused, it doesn't hear of its successor either.
+    Object.assign(app.handlers ?? {}, { 'owner.changed': () => ({}) });
     await this.timers.until('entry-b owns', () => this.entryOf('entry-b').owns);
     assert.ok(this.entryOf('entry-a').owns);
   },
--- a/packages/guard/src/entry-link/entry-links.ts
+++ b/packages/guard/src/entry-link/entry-links.ts
@@ -61,6 +61,11 @@
     return [...this.#dialers.values()].flatMap(({ link }) => (link ? [link] : []));
   }
 
+  /** Ids of the entries that are linked now. */
+  linked(): string[] {
+    return [...this.#dialers].flatMap(([id, { link }]) => (link ? [id] : []));
+  }
+
   /** Calls one entry. Rejects with LinkError `not-sent` if it isn't linked. */
   async call<M extends Method>(
     id: string,
--- a/packages/guard/src/gang/app.ts
+++ b/packages/guard/src/gang/app.ts
@@ -1,18 +1,22 @@
 /** Handlers for an owner's orders. */
 import type { Handlers, Order, Peer } from '@zincspan/core';
 import type { GangKeeper } from './gang-keeper.js';
+import type { OwnerContact } from './owner-contact.js';
 import type { OwnerReports } from './owner-reports.js';
 
 /** Registers `gang.*` and `guard.inventory`. An order that the book admits makes its sender the owner. */
 export function gangApp({
   keeper,
   reports,
+  contact,
 }: {
   keeper: GangKeeper;
   reports: OwnerReports;
+  contact: OwnerContact;
 }): Handlers {
   const admit = (peer: Peer, order: Order): void => {
     keeper.admit(order);
+    contact.noteOwner(peer, order);
     reports.noteOwner(peer, order);
   };
   return {
--- a/packages/guard/src/gang/gang-keeper.ts
+++ b/packages/guard/src/gang/gang-keeper.ts
@@ -1,6 +1,7 @@
 /** Carries out what the reservation book decides, on the worker beside this guard. */
 import {
   ReservationBook,
+  contactTimes,
   taskName,
   type AttemptRef,
   type GangReserve,
@@ -22,6 +23,7 @@
 import { draining, noWorker, notCleared, startLost, taskUnknown } from './gang-problem.js';
 import { GuardedTask } from './guarded-task.js';
 import { Leftovers } from './leftovers.js';
+import type { OwnerContact } from './owner-contact.js';
 import type { PlainEnd } from './task-end.js';
 import { jobOf, toRef, toTaskOrder } from './task-order.js';
 import type { WorkerClient } from './worker-client.js';
@@ -30,6 +32,7 @@
 export interface GangKeeperOptions {
   ctx: ProcessContext;
   settings: GuardSettings;
+  contact: Pick<OwnerContact, 'mayGoOn'>;
   onReady: (ref: AttemptRef) => void;
   onEnded: (end: TaskEnd) => void;
 }
@@ -133,7 +136,7 @@
     else if (!isNew) this.#tasks.get(taskName(req.ref))?.renew();
     if (isNew) this.#ctx.timeline.record('gang.reserved', req.ref.key, jobOf(req.ref));
     this.#alarm.set(this.#book.nextExpiryAt());
-    return { state };
+    return { state, contact: contactTimes(this.#options.settings) };
   }
 
   async start(ref: AttemptRef, order: Order): Promise<MethodRes<'gang.start'>> {
@@ -230,6 +233,8 @@
       leaseMs: taskLeaseMs,
       clockMargin,
       reservedMs: () => this.#book.reservedMs(ref, this.#now()),
+      mayGoOn: () => this.#options.contact.mayGoOn(),
+      onFenced: (from) => this.#noteFenced(from),
       onStatus: (from, status) => this.#noteStatus(from, status),
       onEnd: (from, end) => this.#noteEnd(from, end),
     });
@@ -263,6 +268,11 @@
     if (!this.#book.started(ref, this.#now())) void this.#tasks.get(taskName(ref))?.stop();
   }
 
+  #noteFenced({ name, ref }: GuardedTask): void {
+    this.#ctx.metrics.count('task.fenced');
+    this.#ctx.timeline.record('task.fenced', name, jobOf(ref));
+  }
+
   #noteEnd(task: GuardedTask, plain: PlainEnd): void {
     const end = this.#book.ended(task.ref, plain, this.#now());
     this.#tasks.delete(task.name);
--- a/packages/guard/src/gang/guarded-task.ts
+++ b/packages/guard/src/gang/guarded-task.ts
@@ -5,9 +5,13 @@
  * worker refuses a late start even if this process was paused between its check and its order. When the worker
  * falls silent for a lease, renewing stops for good: the task is over once the last renewal that may have arrived
  * has run out, with a margin for a slow clock.
+ *
+ * Once started it goes on only while this guard may let it (see owner-contact.ts); else it is stopped, after a
+ * checkpoint if it can have one. Its lease isn't renewed meanwhile, and so bounds how long that takes.
  */
 import type { AttemptRef, Clock, WorkerTask, WorkerTaskStatus } from '@zincspan/core';
-import { isEnded, toEnd, type PlainEnd } from './task-end.js';
+import { TaskCheckpoint } from './task-checkpoint.js';
+import { asFenced, isEnded, toEnd, type PlainEnd } from './task-end.js';
 import { TaskLease } from './task-lease.js';
 import type { TaskAnswer, WorkerClient } from './worker-client.js';
 
@@ -23,6 +27,10 @@
   clockMargin: number;
   /** Time left of the reservation; undefined once started. */
   reservedMs: () => number | undefined;
+  /** Asked before the lease of a started task is renewed. */
+  mayGoOn: () => Promise<boolean>;
+  /** It is stopped as it may not go on. */
+  onFenced: (task: GuardedTask) => void;
   /** Every status that the worker gives. */
   onStatus: (task: GuardedTask, status: WorkerTaskStatus) => void;
   /** It surely doesn't run any more. Called once. */
@@ -49,9 +57,9 @@
 
   #state: 'alive' | 'stopping' | 'ended' = 'alive';
 
-  #checkpoint: string | undefined;
+  readonly #checkpoint: TaskCheckpoint;
 
-  #checkpointing: Promise<boolean> | undefined;
+  #fenced = false;
 
   #timer: NodeJS.Timeout | undefined;
 
@@ -59,6 +67,7 @@
     this.#options = options;
     this.ref = options.ref;
     this.name = options.order.task;
+    this.#checkpoint = new TaskCheckpoint({ task: this.name, worker: options.worker });
     this.#lease = new TaskLease({ clock: options.clock, margin: options.clockMargin });
   }
 
@@ -99,13 +108,11 @@
 
   /** Asks for a checkpoint; the lease is renewed meanwhile. True if there is one now. */
   async checkpoint(limitMs: number): Promise<boolean> {
-    // A repeated order must not cut the checkpoint that is under way.
-    this.#checkpointing ??= this.#takeCheckpoint(limitMs);
-    return this.#checkpointing;
+    return this.#checkpoint.take(limitMs);
   }
 
   get isCheckpointing(): boolean {
-    return this.#checkpointing !== undefined;
+    return this.#checkpoint.isUnderWay;
   }
 
   async throttle(cores: number): Promise<boolean> {
@@ -157,20 +164,13 @@
     this.#state = 'ended';
   }
 
-  async #takeCheckpoint(limitMs: number): Promise<boolean> {
-    try {
-      const answer = await this.#options.worker.checkpoint(this.name, limitMs);
-      if (answer.outcome === 'done') this.#checkpoint = answer.checkpoint;
-      return answer.outcome === 'done';
-    } catch {
-      return false;
-    } finally {
-      this.#checkpointing = undefined;
-    }
-  }
-
   async #renew(): Promise<void> {
     clearTimeout(this.#timer);
+    if (this.#state !== 'alive' || this.#fenced) return;
+    if (this.#isStarted && !(await this.#options.mayGoOn())) {
+      await this.#fence();
+      return;
+    }
     if (this.#state !== 'alive') return;
     const leaseMs = this.#leaseMs();
     if (leaseMs === undefined) {
@@ -192,6 +192,18 @@
     this.#scheduleRenewal();
   }
 
+  get #isStarted(): boolean {
+    return this.#options.reservedMs() === undefined;
+  }
+
+  async #fence(): Promise<void> {
+    if (this.#state !== 'alive' || this.#fenced) return;
+    this.#fenced = true;
+    this.#options.onFenced(this);
+    if (this.#options.order.checkpointable) await this.checkpoint(this.#options.leaseMs / 2);
+    await this.stop();
+  }
+
   /** One order that grants a lease. */
   async #grant(leaseMs: number, order: () => Promise<TaskAnswer>): Promise<TaskAnswer> {
     const answer = await this.#lease.grant(leaseMs, order);
@@ -236,9 +248,8 @@
   }
 
   #withCheckpoint(end: PlainEnd): PlainEnd {
-    if (!this.#checkpoint) return end;
-    const outcome = end.outcome === 'stopped' ? 'checkpointed' : end.outcome;
-    return { ...end, outcome, checkpoint: this.#checkpoint };
+    const full = this.#checkpoint.addTo(end);
+    return this.#fenced ? asFenced(full) : full;
   }
 
   #end(end: PlainEnd): void {
--- a/packages/guard/src/gang/owner-reports.ts
+++ b/packages/guard/src/gang/owner-reports.ts
@@ -6,6 +6,7 @@
  */
 import {
   type AttemptRef,
+  type MethodReq,
   type Order,
   type Peer,
   type ProcessContext,
@@ -14,12 +15,16 @@
 } from '@zincspan/core';
 import { Alarm } from '../alarm.js';
 import type { EntryLinks } from '../entry-link/entry-links.js';
+import type { OwnerContact } from './owner-contact.js';
 
 const RETRY_MS = 500;
 const RETRY_ACKED_MS = 5000;
 const USAGE_EVERY_MS = 2000;
 const USAGE_BATCH = 64;
 
+/** What only the owner answers. */
+type ReportMethod = 'task.ready' | 'task.ended' | 'task.usage';
+
 interface Report {
   send: (owner: string) => Promise<unknown>;
   dueAt: number;
@@ -33,6 +38,8 @@
 
   readonly #links: EntryLinks;
 
+  readonly #contact: OwnerContact;
+
   readonly #usages: () => TaskUsage[];
 
   readonly #reports = new Map<string, Report>();
@@ -46,14 +53,17 @@
   constructor({
     ctx,
     links,
+    contact,
     usages,
   }: {
     ctx: ProcessContext;
     links: EntryLinks;
+    contact: OwnerContact;
     usages: () => TaskUsage[];
   }) {
     this.#ctx = ctx;
     this.#links = links;
+    this.#contact = contact;
     this.#usages = usages;
     this.#alarm = new Alarm({ clock: ctx.clock, ring: () => this.#sendDue() });
     links.onUp((link) => {
@@ -82,15 +92,13 @@
   ready(ref: AttemptRef): void {
     const { incarnation } = this.#ctx.self;
     this.#add(nameOf('ready', ref), true, (owner) =>
-      this.#links.call(owner, 'task.ready', { ref, incarnation }),
+      this.#call(owner, 'task.ready', { ref, incarnation }),
     );
   }
 
   ended(end: TaskEnd): void {
     this.#reports.delete(nameOf('ready', end.ref));
-    this.#add(nameOf('ended', end.ref), false, (owner) =>
-      this.#links.call(owner, 'task.ended', end),
-    );
+    this.#add(nameOf('ended', end.ref), false, (owner) => this.#call(owner, 'task.ended', end));
   }
 
   /** The owner has written the end down. */
@@ -148,11 +156,18 @@
     if (!this.#owner || usages.length === 0) return;
     for (let from = 0; from < usages.length; from += USAGE_BATCH) {
       const batch = usages.slice(from, from + USAGE_BATCH);
-      await this.#links
-        .call(this.#owner.id, 'task.usage', { usages: batch })
-        .catch(() => this.#ctx.metrics.count('report.failed'));
+      await this.#call(this.#owner.id, 'task.usage', { usages: batch }).catch(() =>
+        this.#ctx.metrics.count('report.failed'),
+      );
     }
   }
+
+  /** Each answer shows that the owner was there when it was called. */
+  async #call<M extends ReportMethod>(owner: string, method: M, req: MethodReq<M>): Promise<void> {
+    const sentAt = this.#ctx.clock.now();
+    await this.#links.call(owner, method, req);
+    this.#contact.noteAnswered(owner, sentAt);
+  }
 }
 
 function nameOf(what: string, { key, attempt, member }: AttemptRef): string {
--- a/packages/guard/src/gang/task-end.ts
+++ b/packages/guard/src/gang/task-end.ts
@@ -29,3 +29,9 @@
     ...(result === undefined ? {} : { result }),
   };
 }
+
+/** Stopped for want of an owner: neither the task's failure nor anybody's wish. */
+export function asFenced(end: PlainEnd): PlainEnd {
+  if (end.outcome !== 'stopped') return end;
+  return { ...end, outcome: 'lease-lapsed', detail: 'Stopped without contact with its owner.' };
+}
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -12,6 +12,7 @@
 import { EntryLinks } from './entry-link/entry-links.js';
 import { gangApp } from './gang/app.js';
 import { GangKeeper } from './gang/gang-keeper.js';
+import { OwnerContact } from './gang/owner-contact.js';
 import { OwnerReports } from './gang/owner-reports.js';
 import { requestApp } from './request/app.js';
 import { RequestRunner } from './request/request-runner.js';
@@ -79,21 +80,24 @@
     this.#holder = new UpstreamHolder({ ctx, ttlMs, upstream });
     this.#announcer = new Announcer({ ctx, settings, links: this.#links });
     this.#runner = new RequestRunner({ ctx, settings });
+    const contact = this.#contact();
     this.#keeper = new GangKeeper({
       ctx,
       settings,
+      contact,
       onReady: (ref) => this.#reports.ready(ref),
       onEnded: (end) => this.#reports.ended(end),
     });
     this.#reports = new OwnerReports({
       ctx,
       links: this.#links,
+      contact,
       usages: () => this.#keeper.usages(),
     });
     Object.assign(
       all,
       requestApp({ ctx, runner: this.#runner }),
-      gangApp({ keeper: this.#keeper, reports: this.#reports }),
+      gangApp({ keeper: this.#keeper, reports: this.#reports, contact }),
       upstreamApp({ setDraining: (on) => this.#drainFor('order', on) }),
     );
     this.#listener = new UpstreamListener({
@@ -154,6 +158,14 @@
     };
   }
 
+  #contact(): OwnerContact {
+    const { clock, metrics } = this.#ctx;
+    const { ownerSilenceMs, taskLeaseMs } = this.#settings;
+    // The owner and then the others are asked between two renewals, before the lease is over.
+    const askMs = Math.min(1000, taskLeaseMs / 4);
+    return new OwnerContact({ clock, metrics, links: this.#links, ownerSilenceMs, askMs });
+  }
+
   async #offer(upstream: Upstream | undefined): Promise<void> {
     this.#runner.setRunner(upstream?.type === 'runner' ? upstream : undefined);
     if (upstream?.type !== 'worker') this.#keeper.leave();
--- a/packages/guard/src/test/fake-entry.support.ts
+++ b/packages/guard/src/test/fake-entry.support.ts
@@ -34,7 +34,13 @@
 }
 
 export class FakeEntry {
-  readonly ctx = makeContext('entry-1', 'entry');
+  readonly ctx: ProcessContext;
+
+  /** Whether it says so when a guard asks. */
+  readonly reachesOwner: boolean;
+
+  /** Times that it was asked after the owner. */
+  asked = 0;
 
   readonly announcements: Announcement[] = [];
 
@@ -50,6 +56,11 @@
 
   readonly #events = new EventEmitter();
 
+  constructor({ id = 'entry-1', reachesOwner = false } = {}) {
+    this.ctx = makeContext(id, 'entry');
+    this.reachesOwner = reachesOwner;
+  }
+
   async start(listen = '127.0.0.1:0'): Promise<string> {
     const handlers: Handlers = {
       'upstream.announce': (req) => this.#note(this.announcements, req, { bundleVersion: 0 }),
@@ -60,6 +71,10 @@
         return this.#note([], undefined, {});
       },
     };
+    handlers['owner.reachable'] = () => {
+      this.asked += 1;
+      return this.#note([], undefined, { reachable: this.reachesOwner });
+    };
     this.#server = new LinkServer({
       ctx: this.ctx,
       listen,
