--- a/packages/stand-ins/src/runner/runner-service.ts
+++ b/packages/stand-ins/src/runner/runner-service.ts
@@ -37,6 +37,7 @@
     });
     server.route([
       { method: 'GET', path: '/ledger', handler: () => this.ledger.read() },
+      { method: 'GET', path: '/in-use', handler: () => ({ inUse: this.#inUse }) },
       { method: 'GET', path: '/v1/health', handler: (req, h) => this.#health(h) },
       {
         method: 'POST',
--- a/packages/stand-ins/src/runner/runner.ts
+++ b/packages/stand-ins/src/runner/runner.ts
@@ -48,10 +48,19 @@
   });
   const server = createServer(listen, { schema: runnerFaultsSchema, faults: service.faults });
   service.register(server);
+  let announcer: Announcer | undefined;
+  server.route({
+    method: 'POST',
+    path: '/withdraw',
+    handler: async (_req, h) => {
+      await announcer?.withdraw();
+      return h.response().code(204);
+    },
+  });
   await server.start();
   const address = serverAddress(server);
   const runner = runnerSchema.parse({ type: 'runner', id, address, slots, connections, kinds });
-  const announcer = guard === undefined ? undefined : new Announcer({ guard, upstream: runner });
+  announcer = guard === undefined ? undefined : new Announcer({ guard, upstream: runner });
   void announcer?.start();
   const kill = async () => {
     announcer?.fallSilent();
--- a/packages/stand-ins/src/server/announcer.ts
+++ b/packages/stand-ins/src/server/announcer.ts
@@ -3,7 +3,7 @@
 import Wreck from '@hapi/wreck';
 
 /** Pause between announcements, in ms. */
-const REPEAT_MS = 2000;
+const REPEAT_MS = 500;
 
 /** Bound on one announcement, in ms. */
 const TIMEOUT_MS = 1000;
@@ -23,7 +23,7 @@
     this.#upstream = upstream;
   }
 
-  /** Announces now and every two seconds. Resolves after the first try. */
+  /** Announces now and twice a second. Resolves after the first try. */
   async start(): Promise<void> {
     await this.#send('POST', this.#upstream);
     if (this.#ended) return;
