--- a/packages/daemon/src/settings/settings-file.steps.ts
+++ b/packages/daemon/src/settings/settings-file.steps.ts
@@ -17,6 +17,9 @@
   run: { status: number | null; output: string };
 }
 
+/** A process may be slow to start on a busy machine; the verdict is its exit. */
+const PROCESS = { timeout: 60_000 };
+
 const MAIN = fileURLToPath(new URL('../main.js', import.meta.url));
 
 function exampleFile(name: string): string {
@@ -105,12 +108,13 @@
 
 When(
   'zincspand checks the example settings {string}',
+  PROCESS,
   async function (this: SettingsWorld, name: string) {
     await check(this, exampleFile(name));
   },
 );
 
-When('zincspand checks that copy', async function (this: SettingsWorld) {
+When('zincspand checks that copy', PROCESS, async function (this: SettingsWorld) {
   await check(this, this.copy);
 });
 
