Retry a failed job on another worker than the one that failed it

Cause: a worker that fails everything is free again at once, so a retry went back to it, and again, until the account's retries were spent. No job of that account ever finished elsewhere, so the failures never counted against the worker and it was not quarantined. Ruled out: the health rules (they judge right once a retry runs elsewhere), the reports of failed members (they name the worker). Change: a retry keeps off the workers that failed the job while another that takes new work could host it, and waits for that one; a job that fails on two workers is suspect as before, and goes anywhere. Unit scenario "a retry waits for another worker rather than fail on the same again" fails without the change to the placer.

--- a/packages/core/src/scheduler/placer.ts
+++ b/packages/core/src/scheduler/placer.ts
@@ -105,22 +105,19 @@
   #searchOnce(
     where: string,
     { key, spec }: QueuedJob,
-    {
-      kind,
-      now,
-      slots,
-      pressing,
-    }: { kind: Kind; now: number; slots: Slots; pressing: boolean },
+    { kind, now, slots, pressing }: { kind: Kind; now: number; slots: Slots; pressing: boolean },
   ): Member[] | undefined {
     const { shape } = spec;
     const job = { key, spec };
-    const memo = memoKey(where, shape, kind, this.#reservations.classOf(key, pressing));
-    if (this.#failed.has(memo)) return undefined;
+    const shunned = this.#shunned(job, kind);
+    const reserved = this.#reservations.classOf(key, pressing);
+    const memo = shunned.length > 0 ? undefined : memoKey(where, shape, kind, reserved);
+    if (memo !== undefined && this.#failed.has(memo)) return undefined;
     const members = findPlacement(this.#state.capacity, {
       shape,
       spread: kind.spread,
       slots: (worker, asked) => {
-        if (!this.#mayUse(worker, job, kind, now)) return 0;
+        if (shunned.includes(worker.id) || !this.#mayUse(worker, job, kind, now)) return 0;
         return slots(worker, asked);
       },
     });
@@ -128,6 +125,14 @@
     return members;
   }
 
+  /** A retry waits for another worker than the one that failed it, if there is any that could take it. */
+  #shunned({ key, spec }: Pick<QueuedJob, 'key' | 'spec'>, { spread }: Kind): string[] {
+    const { health, workers } = this.#state;
+    const failedOn = health.failedOn(key);
+    if (failedOn.length === 0) return failedOn;
+    return workers.couldFitWithout(failedOn, spec.shape, spread) ? failedOn : [];
+  }
+
   #mayUse(
     worker: WorkerCapacity,
     { key, spec }: Pick<QueuedJob, 'key' | 'spec'>,
