--- a/packages/core/src/scheduler/contract-scheduler.feature
+++ b/packages/core/src/scheduler/contract-scheduler.feature
@@ -68,3 +68,16 @@
     And domain jobs of guests fill it with renders of 8 accelerators
     When the domain's w0 is lost and comes back before its job's end is told
     Then the domain counts 8 accelerators free before and after
+
+  Scenario: a job that fits isn't hidden behind many that don't
+    Given a domain of 3 workers
+    And domain jobs of guests fill it with renders of 8 accelerators
+    When the domain gets 600 renders of guests of 8 accelerators
+    And the domain gets an entry of film without accelerators
+    Then the domain runs that entry
+
+  Scenario: an evicted job that can't be checkpointed gets firm room
+    Given a domain of 3 workers
+    When a preview of guests was evicted twice in the domain while deeds had claimed nothing
+    And the domain's deeds claims its block
+    Then the domain doesn't evict that preview again
--- a/packages/core/src/scheduler/contract-scheduler.steps.ts
+++ b/packages/core/src/scheduler/contract-scheduler.steps.ts
@@ -358,3 +358,27 @@
     assert.equal(this.domain.scheduler.summary(this.domain.now).free, free);
   },
 );
+
+When('the domain gets an entry of film without accelerators', function (this: DomainWorld) {
+  this.job = this.domain.submit('film', 'entry', shapeOf(1, 0, 'worker'));
+});
+
+Then('the domain runs that entry', function (this: DomainWorld) {
+  assert.ok(this.domain.running.has(this.job));
+});
+
+When(
+  'a preview of guests was evicted twice in the domain while deeds had claimed nothing',
+  function (this: DomainWorld) {
+    this.job = this.domain.submitEvicted('guests', 'preview', shapeOf(1, 4, 'worker'), 2);
+    assert.ok(this.domain.running.has(this.job));
+  },
+);
+
+Then("the domain doesn't evict that preview again", function (this: DomainWorld) {
+  assert.ok(this.domain.held.has(this.claim));
+  assert.deepEqual(
+    this.domain.of('evict').filter(({ key }) => key === this.job),
+    [],
+  );
+});
--- a/packages/core/src/scheduler/domain.support.ts
+++ b/packages/core/src/scheduler/domain.support.ts
@@ -119,6 +119,17 @@
     return key;
   }
 
+  /** Queues a job that has been evicted before. */
+  submitEvicted(account: string, kind: string, shape: Shape, evictions: number): string {
+    this.#made += 1;
+    const key = `jobs/${account}/j${this.#made}`;
+    const spec = { kind, shape, params: {}, declaredRunMs: 60_000 };
+    const job = { key, account, spec, submittedAt: this.now, attempt: evictions, evictions };
+    this.#jobs.set(key, job);
+    this.tell({ type: 'job-queued', job });
+    return key;
+  }
+
   claim(account: string, guarantee: string): string {
     this.#made += 1;
     const key = `claims/${account}/c${this.#made}`;
