--- a/packages/bench/src/route/bench-entry.ts
+++ b/packages/bench/src/route/bench-entry.ts
@@ -32,6 +32,7 @@
   { type: 'answered' } | { type: 'refused'; problem: Problem } | { type: 'deadline' };
 
 const TICK_MS = 100;
+const RETRY_SHARE = 0.1;
 
 /** One entry. */
 export class BenchEntry {
@@ -79,7 +80,7 @@
     runners.forEach(({ id, failureDomain: domain, slots }) =>
       chooser.announce({ id, failureDomain: domain, slots, kinds: [] }),
     );
-    const budget = new RetryBudget();
+    const budget = new RetryBudget({ share: () => RETRY_SHARE });
     const hedging = new HedgePolicy({ latency, budget, ...version.hedge });
     this.#limits = version.limiter !== undefined;
     this.#limiter = new AccountLimiter({ entries, ...version.limiter });
--- a/packages/bench/src/route/request-route.ts
+++ b/packages/bench/src/route/request-route.ts
@@ -3,6 +3,7 @@
   HedgePolicy,
   LatencyTracker,
   Problem,
+  RequestEnd,
   RetryBudget,
   RunnerChooser,
 } from '@zincspan/core';
@@ -28,8 +29,6 @@
   ended: boolean;
 }
 
-const RETRY_SHARE = 0.1;
-
 /** Takes one request to its end, and its attempts to theirs. */
 export class RequestRoute {
   readonly #deps: RouteDeps;
@@ -42,6 +41,9 @@
 
   #over = false;
 
+  /** Two attempts were open at once. */
+  #copied = false;
+
   constructor(deps: RouteDeps, req: BenchRequest, done: (end: RequestEnding) => void) {
     this.#deps = deps;
     this.#req = req;
@@ -50,7 +52,7 @@
 
   start(): void {
     const { time, budget } = this.#deps;
-    budget.firstAttempt(this.#req.account, RETRY_SHARE);
+    budget.firstAttempt(this.#req.account);
     const refused = this.#attempt();
     if (refused) {
       this.#finish({ type: 'refused', problem: refused });
@@ -67,11 +69,11 @@
   /** The runner doesn't answer any more: an idempotent request is tried elsewhere, under the budget. */
   runnerSilent(id: string): void {
     const { budget } = this.#deps;
-    const open = this.#attempts.filter(({ ended }) => !ended);
+    const open = this.#openAttempts();
     if (this.#over || !this.#req.idempotent || open.length !== 1 || open[0]?.runner.id !== id) {
       return;
     }
-    if (budget.take(this.#req.account)) this.#attempt();
+    if (budget.take(this.#req.account)) this.#copy();
   }
 
   /** Sends one more copy; returns the problem if no runner can take it. */
@@ -90,6 +92,14 @@
     return undefined;
   }
 
+  #copy(): void {
+    if (this.#attempt() === undefined) this.#copied = true;
+  }
+
+  #openAttempts(): Attempt[] {
+    return this.#attempts.filter(({ ended }) => !ended);
+  }
+
   #send(attempt: Attempt): void {
     const { time, linkMs } = this.#deps;
     const delayMs = linkMs(attempt.runner);
@@ -105,8 +115,8 @@
     if (delayMs === undefined) return;
     time.after(delayMs, () => {
       const utilisation = chooser.utilisation(kind, time.now);
-      if (this.#over || !hedging?.mayHedge({ account, kind, utilisation })) return;
-      this.#attempt();
+      if (this.#over || this.#openAttempts().length !== 1) return;
+      if (hedging?.mayHedge({ account, kind, utilisation })) this.#copy();
     });
   }
 
@@ -115,19 +125,19 @@
     const { kind } = this.#req;
     if (attempt.ended) return;
     Object.assign(attempt, { ended: true });
-    const ms = result.outcome === 'answered' ? result.serviceMs : undefined;
-    chooser.ended(attempt.runner.id, { kind, how: 'answered', ms, load: result.load }, time.now);
+    const end = whatItSaysOfItsRunner(result);
+    chooser.ended(attempt.runner.id, { kind, ...end, load: result.load }, time.now);
     if (this.#over) return;
     if (result.outcome === 'answered') {
       const won = attempt !== this.#attempts[0];
-      if (this.#attempts.length > 1) this.#deps.hedging?.copyEnded(kind, { won });
+      if (this.#copied) this.#deps.hedging?.copyEnded(kind, { won });
       this.#finish({ type: 'answered' });
     } else this.#refusedByGuard(result.problem);
   }
 
   /** Not run there: another runner may have room. */
   #refusedByGuard(cause: Problem): void {
-    if (this.#attempts.some(({ ended }) => !ended)) return;
+    if (this.#openAttempts().length > 0) return;
     const mayRetry = this.#deps.budget.take(this.#req.account);
     const refused = mayRetry ? this.#attempt() : cause;
     if (refused) this.#finish({ type: 'refused', problem: refused });
@@ -141,7 +151,7 @@
   #finish(end: RequestEnding): void {
     if (this.#over) return;
     this.#over = true;
-    this.#attempts.filter(({ ended }) => !ended).forEach((attempt) => this.#abandon(attempt));
+    this.#openAttempts().forEach((attempt) => this.#abandon(attempt));
     this.#done(end);
   }
 
@@ -154,3 +164,9 @@
     time.after(linkMs(attempt.runner), () => attempt.runner.cancel(attempt.id));
   }
 }
+
+/** A guard's own refusal says nothing of its runner. */
+function whatItSaysOfItsRunner(result: RunnerAnswer): Pick<RequestEnd, 'how' | 'ms'> {
+  if (result.outcome === 'problem') return { how: 'abandoned' };
+  return { how: 'answered', ms: result.serviceMs };
+}
--- a/packages/core/src/request/account-limiter.steps.ts
+++ b/packages/core/src/request/account-limiter.steps.ts
@@ -24,6 +24,32 @@
   },
 );
 
+Given(
+  'an account limiter of capacity {int} and bound {int} for accounts {string}',
+  function (this: World, capacity: number, most: number, names: string) {
+    this.refused = [];
+    this.limiter = new AccountLimiter({ entries: () => 1, capacity, most });
+    this.limiter.setAccounts(names.split(',').map(account));
+  },
+);
+
+When(
+  "the runners' capacity becomes {int} at the limiter",
+  function (this: World, capacity: number) {
+    this.limiter.setCapacity(capacity);
+  },
+);
+
+When(
+  '{int} requests of account {string} take {int} ms each at the limiter',
+  function (this: World, count: number, name: string, ms: number) {
+    for (let i = 0; i < count; i += 1) {
+      this.limiter.start(name, 0);
+      this.limiter.ended(name, ms);
+    }
+  },
+);
+
 When(
   'account {string} asks for {int} requests at the limiter',
   function (this: World, name: string, count: number) {
@@ -64,6 +90,15 @@
   },
 );
 
+Then("the limiter's refusals name a bound of {int}", function (this: World, bound: number) {
+  assert.ok(this.refused.every(({ facts }) => facts?.bound === bound));
+});
+
+Then("the limiter's refusals are about {int} ms apart", function (this: World, apart: number) {
+  const [first = 0, second = 0] = this.refused.map(({ retryAfterMs = 0 }) => retryAfterMs);
+  assert.ok(Math.abs(second - first - apart) <= 0.05 * apart, `${first} ${second}`);
+});
+
 Then('an account limiter keeps its counts for any starts and ends', function () {
   const step = fc.record({ name: fc.constantFrom('a', 'b', 'c'), start: fc.boolean() });
   const keepsCounts = fc.property(fc.array(step, { maxLength: 300 }), (steps) => {
--- a/packages/core/src/request/account-limiter.ts
+++ b/packages/core/src/request/account-limiter.ts
@@ -12,6 +12,8 @@
 const ACTIVE_MS = 1000;
 /** Weight of the latest request in the mean time that an account's requests take. */
 const ALPHA = 0.05;
+/** Taken for the time of a request until some have ended. */
+const ASSUMED_MS = 100;
 
 interface AccountLoad {
   weight: number;
@@ -28,6 +30,13 @@
 
   readonly #busyShare: number;
 
+  readonly #most: number;
+
+  readonly #pacer = new RetryPacer();
+
+  /** Time that requests take, over all accounts. */
+  #meanMs = ASSUMED_MS;
+
   readonly #accounts = new Map<string, AccountLoad>();
 
   #capacity: number;
@@ -38,17 +47,21 @@
     entries,
     capacity = 1000,
     busyShare = 0.8,
+    most = Infinity,
   }: {
     /** Entries among which quotas are divided, this one included. */
     entries: () => number;
-    /** Requests in progress that the runners and this entry can carry. */
+    /** Requests in progress that the runners can carry from this entry. */
     capacity?: number;
     /** Share of the capacity in use at which weighted parts are enforced. */
     busyShare?: number;
+    /** Bound of this entry over all accounts, whatever the capacity. */
+    most?: number;
   }) {
     this.#entries = entries;
-    this.#capacity = capacity;
+    this.#capacity = Math.min(most, capacity);
     this.#busyShare = busyShare;
+    this.#most = most;
   }
 
   /** Weights and quotas from the bundle in force. */
@@ -64,18 +77,20 @@
 
   /** What can be in progress now; it changes with the runners. */
   setCapacity(capacity: number): void {
-    this.#capacity = Math.max(1, capacity);
+    this.#capacity = Math.max(1, Math.min(this.#most, capacity));
   }
 
   /** Admits a request, counting it until `ended`, or refuses it at once. */
   start(account: string, now: number): LimiterAnswer {
     const load = this.#load(account);
     load.askedAt = now;
+    if (this.#inProgress >= this.#most) return this.#refuseAll(now);
     const quota = Math.ceil(load.quota / Math.max(1, this.#entries()));
     if (load.inProgress >= quota) return this.#refuse('quota-exceeded', account, quota, now);
-    const part = this.#part(load, now);
-    const busy = this.#inProgress >= this.#capacity * this.#busyShare;
-    if (busy && load.inProgress >= part) return this.#refuse('overloaded', account, part, now);
+    if (this.#inProgress >= this.#capacity * this.#busyShare) {
+      const part = this.#part(load, now);
+      if (load.inProgress >= part) return this.#refuse('overloaded', account, part, now);
+    }
     load.inProgress += 1;
     this.#inProgress += 1;
     return { type: 'admitted' };
@@ -87,6 +102,7 @@
     load.inProgress = Math.max(0, load.inProgress - 1);
     this.#inProgress = Math.max(0, this.#inProgress - 1);
     load.meanMs += ALPHA * (ms - load.meanMs);
+    this.#meanMs += ALPHA * (ms - this.#meanMs);
   }
 
   /** Requests in progress, of an account or in all. */
@@ -119,6 +135,18 @@
     return { type: 'refused', problem: problem(kind, { detail, remedy, retryAfterMs, facts }) };
   }
 
+  #refuseAll(now: number): LimiterAnswer {
+    const bound = this.#most;
+    const retryAfterMs = this.#pacer.next(now, bound / Math.max(1, this.#meanMs));
+    const detail = `This entry has ${this.#inProgress} requests in progress; ${bound} may be.`;
+    const remedy = 'Send the request again after retryAfterMs; another entry may have room.';
+    const facts = { inProgress: this.#inProgress, bound };
+    return {
+      type: 'refused',
+      problem: problem('overloaded', { detail, remedy, retryAfterMs, facts }),
+    };
+  }
+
   #load(account: string): AccountLoad {
     const known = this.#accounts.get(account);
     if (known) return known;
@@ -127,7 +155,7 @@
       quota: 200,
       inProgress: 0,
       askedAt: Number.NEGATIVE_INFINITY,
-      meanMs: 100,
+      meanMs: ASSUMED_MS,
       pacer: new RetryPacer(),
     };
     this.#accounts.set(account, made);
--- a/packages/core/src/request/runner-chooser.ts
+++ b/packages/core/src/request/runner-chooser.ts
@@ -155,10 +155,10 @@
     this.#ejector.ended(id, how, now);
   }
 
-  /** Requests that may be in flight from this entry over all usable runners of a kind. */
-  capacity(kind: string, now: number): number {
+  /** Requests that may be in flight from this entry over all usable runners of a kind, or of any. */
+  capacity(kind: string | undefined, now: number): number {
     const context = this.#context(now);
-    return this.#serving({ kind })
+    return this.#serving(kind === undefined ? {} : { kind })
       .filter(({ runner }) => this.#ejector.health(runner.id, now) === 'closed')
       .reduce(
         (total, { runner, occupancy }) =>
@@ -183,12 +183,12 @@
     return this.#known.get(id)?.occupancy.inFlight ?? 0;
   }
 
-  #serving({ kind, exclude }: { kind: string; exclude?: ReadonlySet<string> }): Known[] {
+  #serving({ kind, exclude }: { kind?: string; exclude?: ReadonlySet<string> }): Known[] {
     return [...this.#known.values()].filter(
       ({ runner, draining }) =>
         !draining &&
         !exclude?.has(runner.id) &&
-        (runner.kinds.length === 0 || runner.kinds.includes(kind)),
+        (kind === undefined || runner.kinds.length === 0 || runner.kinds.includes(kind)),
     );
   }
 
--- a/packages/entry/src/owner/job-commits.ts
+++ b/packages/entry/src/owner/job-commits.ts
@@ -15,10 +15,11 @@
 export class JobCommits {
   readonly #own: Ownership;
 
-  readonly #retries = new RetryBudget();
+  readonly #retries: RetryBudget;
 
   constructor(own: Ownership) {
     this.#own = own;
+    this.#retries = new RetryBudget({ share: () => policyOf(own, 'retryBudget', 0) });
   }
 
   /** Writes that an attempt starts. Gives up on a table that is down only once the attempt is to end anyway. */
@@ -36,7 +37,7 @@
       return entry.record.row.cancelRequested ? 'cancelled' : 'superseded';
     }
     if (written !== 'written') return 'unwritten';
-    if (before === 0) this.#retries.firstAttempt(account, policyOf(this.#own, 'retryBudget', 0));
+    if (before === 0) this.#retries.firstAttempt(account);
     return 'written';
   }
 
--- a/packages/entry/src/request/app.ts
+++ b/packages/entry/src/request/app.ts
@@ -1,6 +1,6 @@
 /** The request path as a part of an entry. */
+import { AccountLimiter } from '@zincspan/core';
 import type { EntryApp, EntryDeps } from '../app.js';
-import { RequestAdmission } from './admission.js';
 import { KeyRows } from './key-rows.js';
 import { KeySweeper } from './key-sweeper.js';
 import { KindDirectory } from './kind-directory.js';
@@ -18,7 +18,10 @@
   const { ctx, settings, bundles, upstreams, mesh, table } = deps;
   const entries = (): number => mesh.peers().length + 1;
   const most = settings.limits.requestsInProgress;
-  const admission = new RequestAdmission({ ctx, bundles, most, entries });
+  const limiter = new AccountLimiter({ entries, most, capacity: most });
+  const followAccounts = (): void => limiter.setAccounts(bundles.current?.bundle.accounts ?? []);
+  bundles.subscribe(followAccounts);
+  followAccounts();
   const ids = new RequestIds({ incarnation: ctx.self.incarnation });
   const pool = new RunnerPool({ ctx, bundles, upstreams, entries });
   const router = new RequestRouter({ ctx, upstreams, pool });
@@ -27,7 +30,7 @@
   const sweeper = new KeySweeper({ ctx, table, isMyTurn });
   const kinds = new KindDirectory({ bundles });
   const refusals = new RefusalNotes({ ctx });
-  const followCapacity = (): void => admission.setCapacity(pool.capacity());
+  const followCapacity = (): void => limiter.setCapacity(pool.capacity());
   // At once, or requests right after a runner came would still be held to what there was without it.
   upstreams.onChange(followCapacity);
   bundles.subscribe(followCapacity);
@@ -39,7 +42,7 @@
         ctx,
         settings,
         kinds,
-        admission,
+        limiter,
         router,
         keyed,
         ids,
@@ -50,7 +53,7 @@
       timer = setInterval(() => {
         pool.checkSilence();
         followCapacity();
-        ctx.metrics.gauge('request.in-progress', admission.inProgress);
+        ctx.metrics.gauge('request.in-progress', limiter.inProgress());
       }, REVIEW_EVERY_MS);
     },
     drain: () => keyed.whenWritten(),
@@ -59,6 +62,6 @@
       sweeper.stop();
       await keyed.whenWritten();
     },
-    status: () => ({ inProgress: admission.inProgress, ejected: pool.ejected() }),
+    status: () => ({ inProgress: limiter.inProgress(), ejected: pool.ejected() }),
   };
 }
--- a/packages/entry/src/request/request-route.ts
+++ b/packages/entry/src/request/request-route.ts
@@ -4,12 +4,12 @@
   ProblemError,
   problem,
   toProblem,
+  type AccountLimiter,
   type EntrySettings,
   type Kind,
   type ProcessContext,
 } from '@zincspan/core';
 import { callingAccount } from '../http/auth.js';
-import type { RequestAdmission } from './admission.js';
 import type { Answer } from './attempt.js';
 import type { KindDirectory } from './kind-directory.js';
 import type { KeyedAnswer, KeyedRequests } from './keyed-requests.js';
@@ -24,7 +24,7 @@
   ctx: ProcessContext;
   settings: Pick<EntrySettings, 'limits'>;
   kinds: KindDirectory;
-  admission: RequestAdmission;
+  limiter: AccountLimiter;
   router: RequestRouter;
   keyed: KeyedRequests;
   ids: RequestIds;
@@ -61,11 +61,11 @@
   h: ResponseToolkit,
   deps: RequestRouteDeps,
 ): Promise<ResponseObject> {
-  const { ctx, ids, settings } = deps;
+  const { ctx, ids, limiter, settings } = deps;
   const order = readOrder(req, deps.kinds, ids);
   const deadlineMs = readDeadline(req, settings.limits);
   const key = readKey(req);
-  const leave = enter(order, deps);
+  admit(order, deps);
   const life = new RequestLife({ clock: ctx.clock, deadlineMs });
   endWithCaller(req, life);
   const startedAt = ctx.clock.now();
@@ -77,9 +77,10 @@
     deps.refusals.note(order, toProblem(err));
     throw err;
   } finally {
+    const ms = ctx.clock.now() - startedAt;
     life.end();
-    leave();
-    ctx.metrics.timing('request.ms', ctx.clock.now() - startedAt, { kind: order.kind.name });
+    limiter.ended(order.account, ms);
+    ctx.metrics.timing('request.ms', ms, { kind: order.kind.name });
   }
 }
 
@@ -94,13 +95,12 @@
   return { answer: await router.run(order, { life }), requestId: order.requestId };
 }
 
-function enter({ account, kind, requestId }: RequestOrder, deps: RequestRouteDeps): () => void {
-  try {
-    return deps.admission.enter(account);
-  } catch (err) {
-    deps.refusals.note({ account, kind, requestId }, toProblem(err));
-    throw err;
-  }
+/** Counts the request, or refuses it at once. */
+function admit(order: RequestOrder, { ctx, limiter, refusals }: RequestRouteDeps): void {
+  const admission = limiter.start(order.account, ctx.clock.now());
+  if (admission.type === 'admitted') return;
+  refusals.note(order, admission.problem);
+  throw new ProblemError(admission.problem);
 }
 
 /** hapi tells of a lost caller only while the body is still arriving; the response's end tells always. */
@@ -143,7 +143,7 @@
     );
   }
   if (kind.path === 'request') return kind;
-  throw badInput(`Kind ${name} is a kind of job.`, 'Submit it with PUT /v1/jobs.');
+  throw badInput(`Kind ${name} is a kind of job.`, 'Submit it with POST /v1/jobs.');
 }
 
 function readDeadline(req: Request, limits: EntrySettings['limits']): number {
--- a/packages/entry/src/request/request-router.ts
+++ b/packages/entry/src/request/request-router.ts
@@ -8,7 +8,12 @@
 } from '@zincspan/core';
 import type { UpstreamDirectory } from '../membership/upstream-directory.js';
 import { runAttempt, type Answer, type AttemptEnd, type AttemptTarget } from './attempt.js';
-import { firstToAnswer, type StartedAttempt } from './hedge.js';
+import {
+  AttemptRace,
+  type RaceEnd,
+  type StartAttempt,
+  type StartedAttempt,
+} from './attempt-race.js';
 import type { RequestLife } from './request-life.js';
 import { toRequestRun, type RequestOrder } from './request-order.js';
 import type { ChosenRunner, RunnerPool } from './runner-pool.js';
@@ -43,10 +48,14 @@
 
   readonly #pool: RunnerPool;
 
+  /** Idempotent requests under way. */
+  readonly #races = new Set<AttemptRace>();
+
   constructor({ ctx, upstreams, pool }: RequestRouterOptions) {
     this.#ctx = ctx;
     this.#upstreams = upstreams;
     this.#pool = pool;
+    pool.onSilence((runner) => this.#races.forEach((race) => race.runnerSilent(runner)));
   }
 
   /** The runner's answer. Throws ProblemError with a truthful `ran` over all attempts. */
@@ -72,35 +81,64 @@
     }
   }
 
-  /** One attempt, with a second copy elsewhere if it takes longer than most of its kind. */
+  /** One attempt; of an idempotent kind with a copy elsewhere when it takes long or its runner falls silent. */
   async #attempt(
     order: RequestOrder,
     runner: ChosenRunner,
     options: RouteOptions,
     tried: Set<string>,
-  ): Promise<{ end: AttemptEnd; runner: string }> {
-    const { kind, account } = order;
-    const { life } = options;
+  ): Promise<RaceEnd> {
+    const { life, beforeSend } = options;
     tried.add(runner.id);
     const { id: guard, incarnation } = runner.peer.process;
-    await options.beforeSend?.({ guard, incarnation });
+    await beforeSend?.({ guard, incarnation });
     if (life.over !== undefined) {
       return { end: { type: 'life-over', sent: false }, runner: runner.id };
     }
     const first = this.#start(order, runner, options);
+    if (!order.kind.idempotent) return { end: await first.end, runner: runner.id };
+    return this.#race(order, first, () => this.#startElsewhere(order, options, tried), life);
+  }
+
+  async #race(
+    { account, kind }: RequestOrder,
+    first: StartedAttempt,
+    elsewhere: StartAttempt,
+    life: RequestLife,
+  ): Promise<RaceEnd> {
+    const resend: StartAttempt = () => (this.#pool.mayRetry(account) ? elsewhere() : undefined);
+    const hedge: StartAttempt = () =>
+      this.#pool.mayHedge(account, kind) ? this.#counted('request.hedged', elsewhere()) : undefined;
+    const race = new AttemptRace({ first, resend });
     const delayMs = this.#pool.hedgeDelayMs(kind, life.timeLeftMs());
-    if (delayMs === undefined) return { end: await first.end, runner: runner.id };
-    return firstToAnswer(first, {
-      delayMs,
-      life,
-      second: () => {
-        const choice = this.#pool.choose(kind, life.timeLeftMs(), tried);
-        if (choice.type === 'refused' || !this.#pool.mayHedge(account, kind)) return undefined;
-        tried.add(choice.runner.id);
-        this.#ctx.metrics.count('request.hedged');
-        return this.#start(order, choice.runner, options);
-      },
-    });
+    const timer = delayMs === undefined ? undefined : setTimeout(() => race.copy(hedge), delayMs);
+    this.#races.add(race);
+    try {
+      const ended = await race.end;
+      if (ended.copyWon !== undefined) this.#pool.copyEnded(kind, { won: ended.copyWon });
+      return ended;
+    } finally {
+      clearTimeout(timer);
+      this.#races.delete(race);
+    }
+  }
+
+  #startElsewhere(
+    order: RequestOrder,
+    options: RouteOptions,
+    tried: Set<string>,
+  ): StartedAttempt | undefined {
+    const { life } = options;
+    if (life.over !== undefined) return undefined;
+    const choice = this.#pool.choose(order.kind, life.timeLeftMs(), tried);
+    if (choice.type === 'refused') return undefined;
+    tried.add(choice.runner.id);
+    return this.#start(order, choice.runner, options);
+  }
+
+  #counted<T>(name: string, started: T | undefined): T | undefined {
+    if (started !== undefined) this.#ctx.metrics.count(name);
+    return started;
   }
 
   #start(
@@ -108,10 +146,16 @@
     { id, peer }: ChosenRunner,
     { life, keepRunning = false }: RouteOptions,
   ): StartedAttempt {
-    let cancelled = false;
+    const { clock } = this.#ctx;
+    const kind = order.kind.name;
+    const sentAt = clock.now();
+    let open = true;
+    const note = (end: RequestEnd): void => {
+      if (open) this.#pool.ended(id, end);
+      open = false;
+    };
     const cancel = (): void => {
-      if (cancelled) return;
-      cancelled = true;
+      note({ kind, how: 'abandoned', ms: clock.now() - sentAt });
       peer.call('request.cancel', { requestId: order.requestId }).catch(() => undefined);
     };
     const settleWithinMs = order.kind.idempotent ? IDEMPOTENT_SETTLE_MS : undefined;
@@ -120,7 +164,7 @@
       life,
       ...(settleWithinMs === undefined ? {} : { settleWithinMs }),
     }).then((attemptEnd) => {
-      this.#pool.ended(id, toRequestEnd(order, attemptEnd, cancelled));
+      note({ kind, ...whatItSaysOfItsRunner(attemptEnd, clock.now() - sentAt) });
       if (attemptEnd.type === 'life-over' && !keepRunning) cancel();
       return attemptEnd;
     });
@@ -137,16 +181,23 @@
   }
 }
 
-/** What an attempt's end says of its runner. */
-function toRequestEnd({ kind }: RequestOrder, end: AttemptEnd, cancelled: boolean): RequestEnd {
-  const load = 'load' in end ? end.load : undefined;
-  if (end.type === 'answered') {
-    const how = end.answer.status >= SERVER_ERROR ? 'failed' : 'answered';
-    return { kind: kind.name, how, ms: end.serviceMs, load };
+/** What an attempt that took `ms` says of its runner. A guard's own refusal says nothing of it. */
+function whatItSaysOfItsRunner(end: AttemptEnd, ms: number): Omit<RequestEnd, 'kind'> {
+  switch (end.type) {
+    case 'answered': {
+      const how = end.answer.status >= SERVER_ERROR ? 'failed' : 'answered';
+      return { how, ms: end.serviceMs, load: end.load };
+    }
+    case 'refused': {
+      const { load, problem: cause } = end;
+      if (cause.kind === 'upstream-failed') return { how: 'failed', load };
+      return { how: 'abandoned', load, ...(cause.ran === 'not-run' ? {} : { ms }) };
+    }
+    case 'life-over':
+      return { how: 'abandoned', ...(end.sent ? { ms } : {}) };
+    default:
+      return { how: 'failed' };
   }
-  const given = cancelled || end.type === 'life-over';
-  const busy = end.type === 'refused' && end.problem.kind !== 'upstream-failed';
-  return { kind: kind.name, how: given || busy ? 'abandoned' : 'failed', load };
 }
 
 function withRan(cause: Problem, ran: Ran): ProblemError {
--- a/packages/entry/src/request/runner-pool.ts
+++ b/packages/entry/src/request/runner-pool.ts
@@ -5,6 +5,7 @@
   LatencyTracker,
   RetryBudget,
   RunnerChooser,
+  type Ejection,
   type Kind,
   type Peer,
   type Problem,
@@ -51,9 +52,11 @@
 
   readonly #chooser: RunnerChooser;
 
-  readonly #budget = new RetryBudget();
+  readonly #budget: RetryBudget;
 
-  readonly #hedges = new HedgePolicy({ latency: this.#latency, budget: this.#budget });
+  readonly #hedges: HedgePolicy;
+
+  readonly #silenceListeners = new Set<(runner: string) => void>();
 
   /** Linked runners' guards by runner id. */
   readonly #guards = new Map<string, string>();
@@ -62,13 +65,12 @@
     this.#ctx = ctx;
     this.#bundles = bundles;
     this.#upstreams = upstreams;
+    const share = (): number => bundles.current?.bundle.policy.retryBudget ?? 0;
+    this.#budget = new RetryBudget({ share });
+    this.#hedges = new HedgePolicy({ latency: this.#latency, budget: this.#budget });
     this.#ejector = new Ejector({
       latency: this.#latency,
-      onEject: ({ runner, why, until }) => {
-        const forMs = Math.round(until - ctx.clock.now());
-        ctx.metrics.count('runner.ejected');
-        ctx.timeline.record('runner.ejected', runner, { why, forMs });
-      },
+      onEject: (ejection) => this.#noteEjection(ejection),
     });
     this.#chooser = new RunnerChooser({
       random,
@@ -105,7 +107,7 @@
 
   /** Notes the first attempt of a request, which earns its account a share of a retry. */
   firstAttempt(account: string): void {
-    this.#budget.firstAttempt(account, this.#bundles.current?.bundle.policy.retryBudget ?? 0);
+    this.#budget.firstAttempt(account);
   }
 
   /** Takes one retry from the account's budget, if it has one left. */
@@ -126,10 +128,19 @@
     return this.#hedges.mayHedge({ account, kind: kind.name, utilisation });
   }
 
+  /** A request of which two copies were under way was answered: by a later copy, or by the first. */
+  copyEnded(kind: Kind, { won }: { won: boolean }): void {
+    this.#hedges.copyEnded(kind.name, { won });
+  }
+
+  /** Calls `fn` when a runner is taken out because it doesn't answer any more. */
+  onSilence(fn: (runner: string) => void): void {
+    this.#silenceListeners.add(fn);
+  }
+
   /** Requests that this entry may have in flight over all runners. */
   capacity(): number {
-    const now = this.#ctx.clock.now();
-    return Math.max(0, ...this.#kinds().map(({ name }) => this.#chooser.capacity(name, now)));
+    return this.#chooser.capacity(undefined, this.#ctx.clock.now());
   }
 
   /** Takes silent runners out of choice; call it every 100 ms or so. */
@@ -148,6 +159,13 @@
     return kinds.filter(({ path }) => path === 'request');
   }
 
+  #noteEjection({ runner, why, until }: Ejection): void {
+    const { clock, metrics, timeline } = this.#ctx;
+    metrics.count('runner.ejected');
+    timeline.record('runner.ejected', runner, { why, forMs: Math.round(until - clock.now()) });
+    if (why === 'silent') this.#silenceListeners.forEach((fn) => fn(runner));
+  }
+
   #peer(runner: string): Peer | undefined {
     const guard = this.#guards.get(runner);
     return guard === undefined ? undefined : this.#upstreams.guardPeer(guard);
