Mend what writing the pages found: addresses in use, commands, the demo's start

Cause: found by running every command of the README and the pages. Change: an address that can't be listened on is named with the reason and the remedy (an entry died of an unhandled event, a guard told the reader to report it); the bundled binaries are executable; the balancer of the demo waits until every entry is ready (a job sent right after the rollout could meet an entry without the bundle, 401); an unknown guarantee is not-run with a remedy that fits; guards' problems have type, title and status as entries' have, from one function.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export * from './request/slot-queue.js';
 export * from './timeline/event.js';
 export * from './error/problem.js';
+export * from './error/problem-json.js';
 export * from './table/table.js';
 export * from './table/table-api.js';
 export * from './message/message.js';
--- a/packages/e2e/src/demo/demo.ts
+++ b/packages/e2e/src/demo/demo.ts
@@ -43,8 +43,8 @@
     'Starting a platform, 2 entries, 8 runners and 12 workers with a guard each, as separate processes.',
   );
   await deployment.start();
-  balancer.start();
   await rollOutExample(deployment);
+  await balancer.start();
 
   say('An overnight gang of film-crews takes two whole workers; weddings match lenses meanwhile.');
   const gang = await submitJob(crews, balancer.pick(), readExample('tuul/jobs/reel-render.json'));
--- a/packages/e2e/src/load/balancer.ts
+++ b/packages/e2e/src/load/balancer.ts
@@ -19,7 +19,11 @@
     this.#ready = urls;
   }
 
-  start(): void {
+  /** Starts to check; resolves once every entry is ready. */
+  async start(): Promise<void> {
+    do {
+      await this.#check();
+    } while (this.#ready.length < this.#urls.length);
     this.#timer = setInterval(() => {
       void this.#check();
     }, CHECK_EVERY_MS);
--- a/packages/entry/src/claim/claim-service.ts
+++ b/packages/entry/src/claim/claim-service.ts
@@ -82,7 +82,7 @@
   #guarantee(account: string, name: string): Guarantee {
     const guarantees = this.#options.bundles.current?.bundle.guarantees ?? [];
     const known = guarantees.find((each) => each.name === name && each.account === account);
-    if (known === undefined) throw notFound('guarantee', name);
+    if (known === undefined) throw noGuarantee(name);
     return known;
   }
 
@@ -174,3 +174,12 @@
     }),
   );
 }
+
+function noGuarantee(name: string): ProblemError {
+  return new ProblemError(
+    problem('not-found', {
+      detail: `This account has no guarantee ${name}.`,
+      remedy: 'Claim a guarantee that the bundle in force gives this account.',
+    }),
+  );
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,7 +8,7 @@
   ProcessContext,
   Table,
 } from '@zincspan/core';
-import { linkTraffic } from '@zincspan/link';
+import { linkTraffic, listenProblem } from '@zincspan/link';
 import type { EntryApp, EntryAppFactory, EntryDeps } from './app.js';
 import type { BundleSource } from './bundle-source.js';
 import { AccountDirectory } from './http/account-directory.js';
@@ -91,7 +91,7 @@
   async start(): Promise<void> {
     await this.#links?.start();
     await this.#inTurn((app) => app.start?.());
-    await this.server.start();
+    await this.#listenForCallers();
     this.#note('entry.started');
   }
 
@@ -129,6 +129,14 @@
     return { draining: this.#gate.isDraining, traffic, ...Object.fromEntries(parts) };
   }
 
+  async #listenForCallers(): Promise<void> {
+    try {
+      await this.server.start();
+    } catch (err) {
+      throw listenProblem(this.#settings.listenHttp, err as NodeJS.ErrnoException);
+    }
+  }
+
   #onPeer(peer: Peer): void {
     if (peer.process.role === 'guard') this.upstreams.linkUp(peer);
     else this.mesh.linkUp(peer);
--- a/packages/entry/src/http/problem-response.ts
+++ b/packages/entry/src/http/problem-response.ts
@@ -2,16 +2,16 @@
 import type { Boom } from '@hapi/boom';
 import type { Lifecycle, Request, ResponseObject, ResponseToolkit } from '@hapi/hapi';
 import {
+  PROBLEM_MEDIA_TYPE,
   PROBLEM_STATUS,
   ProblemError,
   problem,
+  problemBody,
   toProblem,
   type Problem,
   type ProblemKind,
 } from '@zincspan/core';
 
-const MEDIA_TYPE = 'application/problem+json';
-
 /** Kinds for the statuses that hapi answers by itself. */
 const KIND_OF_STATUS: Record<number, ProblemKind> = {
   400: 'bad-input',
@@ -33,29 +33,13 @@
   'not-authenticated': 'Send "Authorization: Bearer <token>" with a token of your account.',
 };
 
-/** Body of a problem answer. */
-export function problemBody(cause: Problem, status: number): object {
-  const { kind, ran, detail, remedy, retryAfterMs, facts } = cause;
-  return {
-    type: `urn:zincspan:problem:${kind}`,
-    title: kind,
-    status,
-    detail,
-    kind,
-    ran,
-    remedy,
-    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
-    ...(facts === undefined ? {} : { facts }),
-  };
-}
-
 /** Answers a problem, with `Retry-After` in whole seconds where another try makes sense. */
 export function problemResponse(
   h: ResponseToolkit,
   cause: Problem,
   { status = PROBLEM_STATUS[cause.kind] }: { status?: number } = {},
 ): ResponseObject {
-  const res = h.response(problemBody(cause, status)).code(status).type(MEDIA_TYPE);
+  const res = h.response(problemBody(cause, status)).code(status).type(PROBLEM_MEDIA_TYPE);
   if (cause.kind === 'not-authenticated') res.header('www-authenticate', 'Bearer');
   if (cause.retryAfterMs === undefined) return res;
   return res.header('retry-after', String(Math.ceil(cause.retryAfterMs / 1000)));
--- a/packages/guard/src/upstream/upstream-listener.ts
+++ b/packages/guard/src/upstream/upstream-listener.ts
@@ -10,16 +10,17 @@
  *   GET    /ready         200 while the upstream is offered, else 503
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import {
   ProblemError,
+  PROBLEM_MEDIA_TYPE,
   PROBLEM_STATUS,
   problem,
+  problemBody,
   toProblem,
   upstreamSchema,
   type Upstream,
 } from '@zincspan/core';
-import { parseAddress } from '@zincspan/link';
+import { listenOn } from '@zincspan/link';
 
 const MAX_ANNOUNCEMENT_BYTES = 16_384;
 const MAX_CONNECTIONS = 32;
@@ -48,13 +49,8 @@
   }
 
   /** Starts to listen; answers the address. */
-  async start(): Promise<string> {
-    const { host, port } = parseAddress(this.#options.listen);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
-    return `${host}:${(this.#server.address() as AddressInfo).port}`;
+  start(): Promise<string> {
+    return listenOn(this.#server, this.#options.listen);
   }
 
   async stop(): Promise<void> {
@@ -71,8 +67,8 @@
     } catch (err) {
       const cause = toProblem(err);
       const status = PROBLEM_STATUS[cause.kind];
-      res.writeHead(status, { 'content-type': 'application/problem+json' });
-      res.end(JSON.stringify(cause));
+      res.writeHead(status, { 'content-type': PROBLEM_MEDIA_TYPE });
+      res.end(JSON.stringify(problemBody(cause)));
     }
   }
 
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,5 +1,6 @@
 /** Links between zincspan's processes: typed calls over WebSockets, with heartbeats and redial. */
 export * from './address.js';
+export * from './listen.js';
 export * from './dialer.js';
 export * from './link.js';
 export * from './link-server.js';
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -1,9 +1,9 @@
 /** Accepts links from dialers. */
 import { createServer, type Server } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { WebSocketServer, type WebSocket } from 'ws';
 import { AcceptedPeers } from './accepted-peers.js';
-import { parseAddress } from './address.js';
+import { listenOn } from './listen.js';
 import { MAX_FRAME_BYTES, type Proof } from './frame.js';
 import { challenge } from './handshake.js';
 import { Link } from './link.js';
@@ -53,17 +53,14 @@
       clientTracking: false,
     });
     this.#http.on('connection', (socket: Socket) => this.#admit(socket));
+    // It repeats the HTTP server's errors, which `start` reports.
+    this.#sockets.on('error', () => undefined);
     this.#sockets.on('connection', (socket, req) => this.#shakeHands(socket, req.socket));
   }
 
   /** Starts to listen; answers the address. */
-  async start(): Promise<string> {
-    const { host, port } = parseAddress(this.#options.listen);
-    await new Promise<void>((resolve, reject) => {
-      this.#http.once('error', reject);
-      this.#http.listen(port, host, resolve);
-    });
-    return `${host.includes(':') ? `[${host}]` : host}:${(this.#http.address() as AddressInfo).port}`;
+  start(): Promise<string> {
+    return listenOn(this.#http, this.#options.listen);
   }
 
   /** Live links. */
--- /dev/null
+++ b/packages/link/src/listen.feature
@@ -0,0 +1,7 @@
+@listen
+Feature: listening on an address of the settings
+
+  Scenario: an address in use is named with the remedy
+    Given a listener on a free loopback address
+    When another listener is started on the same address
+    Then the second listener is refused with the address and a remedy
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,6 +2,7 @@
  * Bundles the two binaries. One file per role instead of hundreds of modules: a guard's VM gives it 64 MB, and
  * separate modules cost it most of that.
  */
+import { chmodSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const BINARIES = [
@@ -37,8 +38,11 @@
         'mv',
         'source-map-support',
       ],
-      banner: { js: REQUIRE_BANNER },
+      banner: { js: `#!/usr/bin/env node\n${REQUIRE_BANNER}` },
       logLevel: 'warning',
     }),
   ),
 );
+
+// npm links them as commands.
+BINARIES.forEach(({ outdir }) => chmodSync(`${outdir}/main.js`, 0o755));
