--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -32,6 +32,9 @@
 const STARVING_MS = 10_800_000;
 const STARVING_SOONEST_MS = 1_800_000;
 
+/** A place to clear for a gang is looked for again after this long. */
+const GANG_RETRY_MS = 10_000;
+
 /** What a pass works with. */
 export interface PassParts {
   state: DomainState;
@@ -69,6 +72,11 @@
 
   #urgentLeft = MAX_URGENT;
 
+  #gangsLeft = 1;
+
+  /** When a place to clear was last looked for, by job. */
+  readonly #triedAt = new Map<string, number>();
+
   #blocked = 0;
 
   /** Blocked jobs by account and kind. */
@@ -99,6 +107,7 @@
 
   forget(key: string): void {
     this.#toldLate.delete(key);
+    this.#triedAt.delete(key);
     this.#parts.reservations.drop(key);
   }
 
@@ -113,6 +122,7 @@
     this.#parts.reservations.beginPass();
     this.#clearing = [];
     this.#urgentLeft = MAX_URGENT;
+    this.#gangsLeft = 1;
     this.#blocked = 0;
     this.#blockedOf.clear();
     for (const job of jobs) {
@@ -174,6 +184,15 @@
     return true;
   }
 
+  /** Looking for a place to clear is dear: one gang in a pass, and each only now and then. */
+  #mayTryGang(key: string, now: number): boolean {
+    if (this.#gangsLeft === 0) return false;
+    if (now - (this.#triedAt.get(key) ?? -Infinity) < GANG_RETRY_MS) return false;
+    this.#gangsLeft -= 1;
+    this.#triedAt.set(key, now);
+    return true;
+  }
+
   #starvingMs(): number {
     const { fragmentationWeight } = this.#parts.state.view.policy;
     return STARVING_MS + (STARVING_SOONEST_MS - STARVING_MS) * fragmentationWeight;
@@ -218,6 +237,7 @@
     const { defragmentAfterMs } = state.view.policy;
     if (now - job.submittedAt < defragmentAfterMs) return [];
     if (rooms.moving > state.capacity.racks.size / RACKS_PER_MOVE) return [];
+    if (!this.#mayTryGang(job.key, now)) return [];
     const waitMs =
       reservation === undefined ? defragmentAfterMs : Math.max(0, reservation.at - now);
     const isStarving = now - job.submittedAt >= this.#starvingMs() && rooms.moving === 0;
