--- a/packages/e2e/src/support/bundle-steps.support.ts
+++ b/packages/e2e/src/support/bundle-steps.support.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import { readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { VersionFalls } from '../audit/version-falls.js';
 import { versionsAt } from '../audit/entry-view.js';
 import type { BundleText } from '../deployment/rollout.js';
 import type { ClientRun, OperatorShell } from '../deployment/operator-shell.js';
@@ -11,8 +11,6 @@
 import type { E2eWorld } from './e2e-world.support.js';
 import { until } from './until.js';
 
-const SAMPLE_MS = 100;
-
 const runs = new WeakMap<E2eWorld, Map<string, ClientRun>>();
 
 let proposals = 0;
@@ -131,61 +129,18 @@
   }).catch((err: Error) => assert.fail(`${err.message} ${JSON.stringify([...(seen ?? [])])}`));
 });
 
-/** Watches versions at all entries; keeps the falls that it sees. */
-class VersionWatch {
-  readonly falls: string[] = [];
-
-  samples = 0;
-
-  #running = true;
-
-  readonly #highest = new Map<string, number>();
-
-  #done: Promise<void> | undefined;
-
-  start(world: E2eWorld): void {
-    this.#done = this.#watch(world);
-  }
-
-  async stop(): Promise<void> {
-    this.#running = false;
-    await this.#done;
-  }
-
-  async #watch({ deployment }: E2eWorld): Promise<void> {
-    while (this.#running) {
-      await Promise.all(
-        deployment.layout.entries.map(async ({ id }) => {
-          const versions = await versionsAt(deployment, id).catch(() => new Map<string, number>());
-          versions.forEach((version, process) => this.#note(process, version));
-        }),
-      );
-      await sleep(SAMPLE_MS);
-    }
-  }
-
-  /** A process that has just started has no bundle yet: 0 isn't a fall, as it serves nothing then. */
-  #note(process: string, version: number): void {
-    if (version <= 0) return;
-    this.samples += 1;
-    const highest = this.#highest.get(process) ?? 0;
-    if (version < highest) this.falls.push(`${process} fell from ${highest} to ${version}`);
-    this.#highest.set(process, Math.max(highest, version));
-  }
-}
-
-const watches = new WeakMap<E2eWorld, VersionWatch>();
+const watches = new WeakMap<E2eWorld, VersionFalls>();
 
 When('versions are watched', function (this: E2eWorld) {
-  const watch = new VersionWatch();
+  const watch = new VersionFalls(this.deployment);
   watches.set(this, watch);
-  watch.start(this);
+  watch.start();
 });
 
 Then('no version has fallen', async function (this: E2eWorld) {
   const watch = watches.get(this)!;
   await watch.stop();
-  assert.deepEqual(watch.falls, []);
+  assert.deepEqual(watch.seen, []);
   assert.ok(watch.samples > 0);
 });
 
