--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -32,6 +32,9 @@
 const STARVING_MS = 10_800_000;
 const STARVING_SOONEST_MS = 1_800_000;
 
+/** Places cleared for one gang. Evicted from them by urgent work, it would only close the room again. */
+const MAX_TURNS = 2;
+
 /** A place to clear for a gang is looked for again after this long. */
 const GANG_RETRY_MS = 10_000;
 
@@ -193,6 +196,13 @@
     return true;
   }
 
+  /** Waited too long for room; not while urgent jobs wait themselves, nor once it has had its turns. */
+  #isStarving({ submittedAt, evictions = 0 }: QueuedJob, now: number): boolean {
+    const { queued, rooms } = this.#parts;
+    if (queued.urgentJobs > 0 || rooms.moving > 0 || evictions >= MAX_TURNS) return false;
+    return now - submittedAt >= this.#starvingMs();
+  }
+
   #starvingMs(): number {
     const { fragmentationWeight } = this.#parts.state.view.policy;
     return STARVING_MS + (STARVING_SOONEST_MS - STARVING_MS) * fragmentationWeight;
@@ -240,7 +250,7 @@
     if (!this.#mayTryGang(job.key, now)) return [];
     const waitMs =
       reservation === undefined ? defragmentAfterMs : Math.max(0, reservation.at - now);
-    const isStarving = now - job.submittedAt >= this.#starvingMs() && rooms.moving === 0;
+    const isStarving = this.#isStarving(job, now);
     const moves =
       rooms.forGang(job, waitMs, now) ?? (isStarving ? rooms.forStarving(job, now) : undefined);
     if (moves === undefined) return [];
