--- a/packages/core/src/scheduler/admissions.ts
+++ b/packages/core/src/scheduler/admissions.ts
@@ -19,6 +19,9 @@
 
   #refusals: Decision[] = [];
 
+  /** Jobs by the claim that they are to run in. */
+  readonly #waitingFor = new Map<string, Set<string>>();
+
   /** Queued before the workers were known; checked once they are. */
   #unchecked: QueuedJob[] = [];
 
@@ -44,9 +47,22 @@
       return false;
     }
     this.#unchecked.push(job);
+    if (job.spec.claim === undefined) return true;
+    const claim = claimKey(job);
+    const jobs = this.#waitingFor.get(claim) ?? new Set();
+    this.#waitingFor.set(claim, jobs.add(job.key));
     return true;
   }
 
+  /** A claim has ended: jobs that still wait for it have nowhere to run. */
+  claimReleased(claim: string): void {
+    this.#waitingFor.get(claim)?.forEach((key) => {
+      const job = this.#state.queue.get(key);
+      if (job !== undefined) this.#refuseClaim(job);
+    });
+    this.#waitingFor.delete(claim);
+  }
+
   /** Refusals due. What can never run is refused only once the workers are known. */
   decide(now: number): Decision[] {
     if (now >= this.#state.workers.settledAt() && this.#state.workers.size > 0) {
@@ -62,6 +78,10 @@
 
   /** Refused jobs that were waiting, to be taken out of the queue. */
   #checkFit(job: QueuedJob): void {
+    if (job.spec.claim !== undefined) {
+      if (!this.#claims.has(claimKey(job))) this.#refuseClaim(job);
+      return;
+    }
     const kind = this.#state.view.kind(job.spec.kind);
     const answer = this.#state.workers.couldEverFit(job.spec.shape, kind.spread);
     if (answer.fits) return;
@@ -70,11 +90,24 @@
       key: job.key,
       problem: problem('never-fits', {
         detail: answer.reason,
+        ran: ranBefore(job),
         remedy: 'Submit a smaller gang or a wider adjacency.',
       }),
     });
   }
 
+  #refuseClaim(job: QueuedJob): void {
+    this.#refusals.push({
+      type: 'refuse',
+      key: job.key,
+      problem: problem('not-found', {
+        detail: `Claim ${job.spec.claim} isn't held any more.`,
+        ran: ranBefore(job),
+        remedy: 'Submit the job without a claim, or claim again.',
+      }),
+    });
+  }
+
   #overQuota({ account, spec, attempt }: QueuedJob): Problem | undefined {
     const quota = this.#state.view.account(account)?.quota;
     if (quota === undefined || attempt > 0) return undefined;
@@ -99,7 +132,7 @@
 
   #beyondClaim({ account, spec }: QueuedJob): Problem | undefined {
     if (spec.claim === undefined) return undefined;
-    const claim = this.#claims.get(`claims/${account}/${spec.claim}`);
+    const claim = this.#claims.get(claimKey({ account, spec }));
     if (claim === undefined || sizeOf(spec.shape) <= claim.size) return undefined;
     return problem('never-fits', {
       detail: `The gang asks for ${sizeOf(spec.shape)} accelerators; claim ${spec.claim} has ${claim.size}.`,
@@ -108,3 +141,13 @@
     });
   }
 }
+
+/** Key of the claim that a job is to run in. */
+function claimKey({ account, spec }: Pick<QueuedJob, 'account' | 'spec'>): string {
+  return `claims/${account}/${spec.claim}`;
+}
+
+/** A job that was evicted or retried did run, if not to its end. */
+function ranBefore({ attempt }: QueuedJob): 'ran' | 'not-run' {
+  return attempt > 0 ? 'ran' : 'not-run';
+}
--- a/packages/core/src/scheduler/contract-scheduler.feature
+++ b/packages/core/src/scheduler/contract-scheduler.feature
@@ -81,3 +81,11 @@
     When a preview of guests was evicted twice in the domain while deeds had claimed nothing
     And the domain's deeds claims its block
     Then the domain doesn't evict that preview again
+
+  Scenario: a job whose claim is released is refused
+    Given a domain of 6 workers
+    When the domain's deeds claims its block
+    And a job of deeds is submitted within the domain's claim
+    And another job of deeds is submitted within the domain's claim
+    And the domain's claim is released
+    Then the domain refuses it as not-found
--- a/packages/core/src/scheduler/contract-scheduler.steps.ts
+++ b/packages/core/src/scheduler/contract-scheduler.steps.ts
@@ -305,10 +305,13 @@
   );
 });
 
-When("a job of deeds is submitted within the domain's claim", function (this: DomainWorld) {
-  const claim = this.claim.split('/')[2]!;
-  this.job = this.domain.submit('deeds', 'render', shapeOf(2, 8, 'rack'), { claim });
-});
+When(
+  /^(?:a|another) job of deeds is submitted within the domain's claim$/,
+  function (this: DomainWorld) {
+    const claim = this.claim.split('/')[2]!;
+    this.job = this.domain.submit('deeds', 'render', shapeOf(2, 8, 'rack'), { claim });
+  },
+);
 
 Then("the domain runs it on the claim's accelerators", function (this: DomainWorld) {
   const running = this.domain.running.get(this.job);
@@ -382,3 +385,7 @@
     [],
   );
 });
+
+When("the domain's claim is released", function (this: DomainWorld) {
+  this.domain.release(this.claim);
+});
--- a/packages/core/src/scheduler/contract-scheduler.ts
+++ b/packages/core/src/scheduler/contract-scheduler.ts
@@ -170,7 +170,10 @@
     if (event.type === 'claim-asked') this.#claims.ask(event);
     if (event.type === 'claim-found') this.#claims.found(event);
     if (event.type === 'claim-held') this.#claims.confirm(event.key);
-    if (event.type === 'claim-released') this.#claims.release(event.key);
+    if (event.type === 'claim-released') {
+      this.#claims.release(event.key);
+      this.#admissions.claimReleased(event.key);
+    }
     if (event.type === 'claim-unplaced') {
       this.#claims.unplaced(event.key);
       if (event.worker !== undefined) this.#watch.suspend(event.worker, now);
