Don't take a good token for a wrong one before a bundle is in force

Cause: an entry that had just started answered 401 "The token belongs to no client account" until its first bundle came, as it knew no accounts. A caller gives up on 401. Ruled out: changed tokens (the same caller was answered right before and after). Change: without a bundle, account routes answer 503 overloaded with Retry-After, not run. After: the scenario passes.

--- a/packages/entry/src/http/account-directory.ts
+++ b/packages/entry/src/http/account-directory.ts
@@ -25,6 +25,11 @@
     return this.#byDigest.get(createHash('sha256').update(token).digest('hex'));
   }
 
+  /** False until a first bundle is in force: then no token tells anything yet. */
+  get isKnown(): boolean {
+    return this.#bundles.current !== undefined;
+  }
+
   /** The account of this name. */
   byName(name: string): ClientAccount | undefined {
     return this.#byName.get(name);
--- a/packages/entry/src/http/auth.ts
+++ b/packages/entry/src/http/auth.ts
@@ -12,6 +12,7 @@
 }
 
 const BEARER = /^Bearer +([\x21-\x7e]{1,512})$/i;
+const RETRY_AFTER_MS = 1000;
 
 /** Token by which an upstream without a guard announces itself to an entry: derived from a link key. */
 export function upstreamToken(linkKey: string): string {
@@ -26,7 +27,9 @@
   const upstreamTokens = linkKeys.map((key) => Buffer.from(upstreamToken(key)));
   server.auth.scheme('account-token', () => ({
     authenticate: (req, h) => {
-      const account = accounts.byToken(bearerToken(req));
+      const token = bearerToken(req);
+      if (!accounts.isKnown) throw noBundleYet();
+      const account = accounts.byToken(token);
       if (account === undefined) throw notAuthenticated('The token belongs to no client account.');
       return h.authenticated({ credentials: { account } });
     },
@@ -62,6 +65,17 @@
   return a.length === b.length && timingSafeEqual(a, b);
 }
 
+/** Just started, or before the first rollout: a caller with a good token must not take it for refused. */
+function noBundleYet(): ProblemError {
+  return new ProblemError(
+    problem('overloaded', {
+      detail: 'No configuration bundle is in force here yet, so no account is known.',
+      remedy: 'Use another entry, or try again after the time given by Retry-After.',
+      retryAfterMs: RETRY_AFTER_MS,
+    }),
+  );
+}
+
 function notAuthenticated(detail: string): ProblemError {
   return new ProblemError(
     problem('not-authenticated', {
--- a/packages/entry/src/http/http.feature
+++ b/packages/entry/src/http/http.feature
@@ -34,6 +34,14 @@
     And the HTTP server gets "GET /ready"
     Then the HTTP answer has status 200
 
+  Scenario: an entry without a bundle doesn't take a token for a wrong one
+    Given an entry's HTTP server without a bundle
+    When the HTTP server gets "POST /v1/requests/match"
+    Then the HTTP answer is problem "overloaded" with status 503
+    When a bundle without that token is put in force at the HTTP server
+    And the HTTP server gets "POST /v1/requests/match"
+    Then the HTTP answer is problem "not-authenticated" with status 401
+
   Scenario: a draining entry is healthy but not ready
     Given an entry's HTTP server
     When the HTTP server's entry drains
