--- a/packages/e2e/src/deployment/lossy-network.ts
+++ b/packages/e2e/src/deployment/lossy-network.ts
@@ -45,6 +45,16 @@
     });
   }
 
+  /** Cuts the links between these processes, and refuses new ones. */
+  part(processes: string[]): void {
+    this.#pairs
+      .filter(({ from, to }) => processes.includes(from) && processes.includes(to))
+      .forEach(({ proxy }) => {
+        Object.assign(proxy.faults, { refuse: true });
+        proxy.cutOpen();
+      });
+  }
+
   /** Delays all bytes of all links. */
   delay(delayMs: number): void {
     this.#pairs.forEach(({ proxy }) => {
--- a/packages/e2e/src/support/request-fault-steps.support.ts
+++ b/packages/e2e/src/support/request-fault-steps.support.ts
@@ -2,7 +2,7 @@
 import { Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import type { Silence } from '@zincspan/stand-ins';
-import { upstreamsAt } from '../audit/entry-view.js';
+import { upstreamsAt, versionsAt } from '../audit/entry-view.js';
 import type { VmProcess } from '../deployment/vm-process.js';
 import type { E2eWorld } from './e2e-world.support.js';
 import { stateOf, untilLinked } from './faulty-world.support.js';
@@ -65,6 +65,19 @@
   stateOf(this).network.delay(delayMs);
 });
 
+When('the entries lose each other', async function (this: E2eWorld) {
+  const entries = this.deployment.layout.entries.map(({ id }) => id);
+  stateOf(this).network.part(entries);
+  await Promise.all(
+    entries.map((entry) =>
+      until(`${entry} to be alone`, async () => {
+        const reached = [...(await versionsAt(this.deployment, entry)).keys()];
+        return !reached.some((other) => other !== entry && entries.includes(other));
+      }),
+    ),
+  );
+});
+
 When('all links are cut', function (this: E2eWorld) {
   const { network } = stateOf(this);
   this.deployment.layout.entries.forEach(({ id }) => network.cut(id));
