Send figures in full datagrams, and a timing once

Cause: hot-shots sends a datagram for each figure unless it is given a buffer, and a timing went out three times: CountingMetrics.timing counted through this.count, which StatsdMetrics sends on, so the collector also got a counter of the timing's own name, without its tags.

Ruled out: dropping figures of the request path (operators watch them), and sampling (totals would no longer agree with the status page).

Change: figures wait until they fill 1400 bytes, or for 1 s; close sends what waits. Totals in memory are kept as before, without being sent again.

--- a/packages/core/src/process/metrics.ts
+++ b/packages/core/src/process/metrics.ts
@@ -14,8 +14,8 @@
 
   readonly gauges = new Map<string, number>();
 
-  count(name: string, by = 1): void {
-    this.counters.set(name, (this.counters.get(name) ?? 0) + by);
+  count(name: string, by = 1, _tags?: Record<string, string>): void {
+    this.#add(name, by);
   }
 
   gauge(name: string, value: number): void {
@@ -23,7 +23,11 @@
   }
 
   timing(name: string, ms: number, _tags?: Record<string, string>): void {
-    this.count(name);
-    this.count(`${name}.ms`, ms);
+    this.#add(name, 1);
+    this.#add(`${name}.ms`, ms);
+  }
+
+  #add(name: string, by: number): void {
+    this.counters.set(name, (this.counters.get(name) ?? 0) + by);
   }
 }
--- a/packages/daemon/src/metrics/statsd-metrics.ts
+++ b/packages/daemon/src/metrics/statsd-metrics.ts
@@ -4,6 +4,10 @@
 
 type Tags = Record<string, string>;
 
+/** Figures wait for others until they fill a datagram that no network splits, or for this long. */
+const DATAGRAM_BYTES = 1400;
+const FLUSH_EVERY_MS = 1000;
+
 /** Counts in memory and, where settings name a collector, sends over UDP. */
 export class StatsdMetrics extends CountingMetrics {
   readonly #client: StatsD;
@@ -17,6 +21,8 @@
       mock: metrics === undefined,
       prefix: metrics?.prefix ?? '',
       globalTags: { process: id, role, failureDomain },
+      maxBufferSize: DATAGRAM_BYTES,
+      bufferFlushInterval: FLUSH_EVERY_MS,
       // A collector that is away must never disturb the daemon.
       errorHandler: () => super.count('metrics.send-failed'),
     });
@@ -37,7 +43,7 @@
     this.#client.timing(name, ms, tags);
   }
 
-  /** Stops sending; totals stay readable. */
+  /** Sends what waits and stops sending; totals stay readable. */
   close(): void {
     this.#client.close(() => undefined);
   }
