Say not-run of a started job that every guard bars and never started

Cause: a job whose row says started was never called not-run, though its owner may know that nothing ran: a cancellation during the write stops every member before any start, and reservations may lapse before a start reaches their guards. The caller was told unknown and couldn't safely submit again.

Ruled out: trusting any never-started end. A replaced guard can't vouch for its earlier life; an owner's own conclusion from a refused renewal has no tombstone behind it, so another owner could still start; and an attempt before may have run, so that the row now says whether it is the first that was started (absent, as in older rows: it may not be).

Change: an end counts as barred only if the guard's life that reserved the member said it. If all members are barred and never started, and no attempt before was started, the outcome is not-run. The job machine refuses it otherwise.

Before: "a job written as started, whose start reached no guard in time" ended as unknown.

--- a/packages/core/src/gang/attempt.feature
+++ b/packages/core/src/gang/attempt.feature
@@ -42,6 +42,29 @@
     When its row turns out to be written
     Then the attempt stops 2 members and starts 0
 
+  Scenario: a job whose guards all bar it and never started it surely didn't run
+    Given an attempt of 2 members whose row is being written
+    When the attempt is cancelled
+    And its row turns out to be written
+    And its member 0 is barred and never started
+    And its member 1 is barred and never started
+    Then the attempt makes the job's outcome "not-run"
+
+  Scenario: a member whose guard was replaced can't tell that it never started
+    Given an attempt of 2 members whose row is being written
+    When the attempt is cancelled
+    And its row turns out to be written
+    And its member 0 is barred and never started
+    And its member 1 ends as "never-started" after 0 ms
+    Then the attempt makes the job's outcome "unknown"
+
+  Scenario: a job that was started before can't be said not to have run
+    Given an attempt of 1 members whose row is being written
+    When the attempt is cancelled
+    And its row turns out to be written
+    And its member 0 is barred and never started
+    Then the attempt makes the outcome of a job started before "unknown"
+
   Scenario: a cancellation outranks an eviction
     Given an attempt of 1 members that runs
     When the attempt is evicted with its checkpoint
--- a/packages/core/src/gang/attempt.steps.ts
+++ b/packages/core/src/gang/attempt.steps.ts
@@ -100,6 +100,14 @@
   for (let member = 0; member < tasks; member += 1) feed(world, { type: 'member-ready', member });
 }
 
+function checkOutcome(world: AttemptWorld, ran: string, row: Pick<JobRow, 'isFirstStart'>): void {
+  const conclusion = concluded(world);
+  assert.ok(conclusion);
+  const options = { idempotent: false, mayRetry: false, at: 1 };
+  const change = changeAfterAttempt(row as JobRow, conclusion, options);
+  assert.equal(change?.type === 'finish' && change.ran, ran);
+}
+
 function concluded({ commands }: AttemptWorld): AttemptConclusion | undefined {
   const last = commands.find(({ type }) => type === 'conclude');
   return last?.type === 'conclude' ? last.conclusion : undefined;
@@ -137,6 +145,11 @@
   },
 );
 
+When('its member {int} is barred and never started', function (this: AttemptWorld, member: number) {
+  const end: TaskEnd = { ...endOf(member, 'never-started'), ranMs: 0 };
+  feed(this, { type: 'member-ended', member, end, barred: true });
+});
+
 When(
   'the guard of its member {int} falls out of contact',
   function (this: AttemptWorld, member: number) {
@@ -222,14 +235,16 @@
 });
 
 Then("the attempt makes the job's outcome {string}", function (this: AttemptWorld, ran: string) {
-  const conclusion = concluded(this);
-  assert.ok(conclusion);
-  const row = { cancelRequested: false } as JobRow;
-  const options = { idempotent: false, mayRetry: false, at: 1 };
-  const change = changeAfterAttempt(row, conclusion, options);
-  assert.equal(change?.type === 'finish' && change.ran, ran);
+  checkOutcome(this, ran, { isFirstStart: true });
 });
 
+Then(
+  'the attempt makes the outcome of a job started before {string}',
+  function (this: AttemptWorld, ran: string) {
+    checkOutcome(this, ran, { isFirstStart: false });
+  },
+);
+
 Then('the attempt has sent no stop', function (this: AttemptWorld) {
   assert.ok(!this.commands.some(({ type }) => type === 'stop'));
 });
--- a/packages/core/src/gang/attempt.ts
+++ b/packages/core/src/gang/attempt.ts
@@ -30,7 +30,8 @@
   /** The row surely wasn't written. */
   | { type: 'row-unwritten' }
   | { type: 'row-unknown' }
-  | { type: 'member-ended'; member: number; end: TaskEnd }
+  /** `barred`: by the word of the guard's life that reserved it, which never starts it any more. */
+  | { type: 'member-ended'; member: number; end: TaskEnd; barred?: boolean }
   /** Its guard has been out of contact for so long that it may be stopping the member by itself. */
   | { type: 'member-silent'; member: number; detail: string }
   /** The guard or worker is gone, and the member's lease has surely ended. */
@@ -38,6 +39,8 @@
   | { type: 'cancel' }
   | { type: 'evict'; limitMs: number; checkpoint: boolean };
 
+type EventOf<T extends AttemptEvent['type']> = Extract<AttemptEvent, { type: T }>;
+
 /** What the runner of the attempt is to do. */
 export type AttemptCommand =
   | { type: 'reserve'; member: number }
@@ -58,6 +61,8 @@
       member?: number;
       /** Whether a task surely ran. */
       ran: boolean;
+      /** Whether none did: every member is barred, and never started. */
+      neverStarted: boolean;
       ranMs: number;
       /** The members' checkpoints packed into one, if every member left one. */
       checkpoint?: string;
@@ -72,6 +77,8 @@
   state: MemberState;
   end?: TaskEnd;
   lost: boolean;
+  /** It surely never started. */
+  neverStarted?: boolean;
 }
 
 /** State of one attempt. Feed it events with `apply` and carry out the commands that it returns. */
@@ -138,7 +145,7 @@
         this.#phase = 'settling';
         return [{ type: 'settle-row' }];
       case 'member-ended':
-        return this.#memberEnded(event.member, event.end);
+        return this.#memberEnded(event);
       case 'member-silent':
         if (this.#phase !== 'running') return [];
         return this.#halt('failed', event.detail, event.member);
@@ -187,9 +194,10 @@
     return this.#stopAll();
   }
 
-  #memberEnded(member: number, end: TaskEnd): AttemptCommand[] {
+  #memberEnded({ member, end, barred = false }: EventOf<'member-ended'>): AttemptCommand[] {
     const record = this.#members[member];
     if (record === undefined || record.state === 'ended') return [];
+    record.neverStarted = barred && end.outcome === 'never-started';
     this.#end(member, { end });
     if (end.outcome === 'succeeded') return this.#concludeIfDone();
     const reason = this.#started ? 'failed' : 'unplaced';
@@ -258,6 +266,7 @@
       detail: stop.detail,
       ...where,
       ran: ends.some(({ outcome, ranMs }) => outcome !== 'never-started' && ranMs > 0),
+      neverStarted: this.#members.every(({ neverStarted = false }) => neverStarted),
       ranMs: Math.max(0, ...ends.map(({ ranMs }) => ranMs)),
       ...(checkpoint === undefined ? {} : { checkpoint }),
       results: ends.map(({ result }) => result),
--- a/packages/core/src/job/conclusion.ts
+++ b/packages/core/src/job/conclusion.ts
@@ -27,7 +27,7 @@
   }
   if (conclusion.end === 'succeeded') return succeed(conclusion, at);
   if (conclusion.end === 'cancelled' || row.cancelRequested) {
-    return finish(conclusion, { state: 'cancelled', kind: 'cancelled', at });
+    return finish(row, conclusion, { state: 'cancelled', kind: 'cancelled', at });
   }
   // A task that failed did run, and may have done what must be done once only.
   const checkpoint = conclusion.end === 'failed' ? undefined : conclusion.checkpoint;
@@ -36,7 +36,7 @@
     const change: JobChange = { type: 'requeue', ended: true, idempotent };
     return checkpoint === undefined ? change : { ...change, checkpoint };
   }
-  return finish(conclusion, { state: 'failed', kind: failureKind(conclusion), at });
+  return finish(row, conclusion, { state: 'failed', kind: failureKind(conclusion), at });
 }
 
 /** The change that ends a queued job for which no reservation is held. */
@@ -57,10 +57,12 @@
 }
 
 function finish(
-  { ran, detail }: Ended,
+  row: JobRow,
+  { ran, neverStarted, detail }: Ended,
   { state, kind, at }: { state: 'failed' | 'cancelled'; kind: string; at: number },
 ): JobChange {
-  return { type: 'finish', state, ran: ran ? 'ran' : 'unknown', kind, detail, at };
+  const otherwise = neverStarted && row.isFirstStart === true ? 'not-run' : 'unknown';
+  return { type: 'finish', state, ran: ran ? 'ran' : otherwise, kind, detail, at };
 }
 
 function failureKind({ end }: Ended): string {
--- a/packages/core/src/job/job-machine.feature
+++ b/packages/core/src/job/job-machine.feature
@@ -19,6 +19,9 @@
       | started   | 1        | requeue from its checkpoint | queued              |
       | started   | 1        | requeue before it has ended | refused             |
       | started   | 1        | finish unknown              | failed, unknown     |
+      | started   | 1        | finish not run              | refused             |
+      | first     | 1        | finish not run              | failed, not-run     |
+      | queued    | 0        | finish not run              | refused             |
       | queued    | 0        | finish unknown              | refused             |
       | succeeded | 1        | request-cancel              | refused             |
       | started   | 1        | request-cancel              | started             |
--- a/packages/core/src/job/job-machine.steps.ts
+++ b/packages/core/src/job/job-machine.steps.ts
@@ -15,6 +15,9 @@
   workers: Worker[];
 }
 
+/** Names of the examples that aren't a row's state by themselves. */
+const STATES: Record<string, string> = { wanted: 'queued', first: 'started' };
+
 function rowOf(state: string, attempt: number): JobRow {
   return jobRowSchema.parse({
     id: 'deed-1',
@@ -22,7 +25,8 @@
     failureDomain: 'kakkanad',
     spec: { kind: 'index', shape: { tasks: 2, acceleratorsPerTask: 4 } },
     digest: '',
-    state: state === 'wanted' ? 'queued' : state,
+    state: STATES[state] ?? state,
+    ...(state === 'first' ? { isFirstStart: true } : {}),
     attempt,
     term: 1,
     cancelRequested: state === 'wanted',
@@ -56,6 +60,7 @@
     'requeue from its checkpoint': { ...requeue, idempotent: false, checkpoint: '["c"]' },
     'requeue before it has ended': { ...requeue, ended: false },
     'finish unknown': { type: 'finish', state: 'failed', ran: 'unknown', kind: 'lost', at: 5 },
+    'finish not run': { type: 'finish', state: 'failed', ran: 'not-run', kind: 'lost', at: 5 },
     'request-cancel': { type: 'request-cancel' },
   };
   const change = changes[name];
@@ -72,6 +77,7 @@
     end: end as 'lost',
     detail: '',
     ran: true,
+    neverStarted: false,
     ranMs: 10,
     results: [],
     ...(left ? { checkpoint: '["c"]' } : {}),
--- a/packages/core/src/job/job-machine.ts
+++ b/packages/core/src/job/job-machine.ts
@@ -1,7 +1,8 @@
 /**
  * The only door through which a job row changes. Each function is pure: a row and a change in, a new row or a
  * problem out. The rules of truthfulness live here:
- * - `not-run` is said only of a job that was never started, once every reservation for it is surely gone;
+ * - `not-run` is said only of a job that was never started, once every reservation for it is surely gone, or of one
+ *   whose first attempt was written as started, but whose guards all bar it and say that it never was;
  * - a job whose kind is not idempotent gets no second attempt, unless that continues from a checkpoint.
  */
 import { problem, type Problem } from '../error/problem.js';
@@ -31,7 +32,8 @@
   | {
       type: 'finish';
       state: 'succeeded' | 'failed' | 'cancelled';
-      ran: 'ran' | 'unknown';
+      /** `not-run`: every member is barred and never started. */
+      ran: JobOutcome['ran'];
       kind: string;
       detail?: string;
       result?: unknown;
@@ -91,6 +93,7 @@
       ...row,
       state: 'started',
       attempt: change.attempt,
+      isFirstStart: row.attempt === 0,
       term: change.term,
       members: change.members,
       startedAt: row.startedAt ?? change.at,
@@ -126,6 +129,9 @@
 
 function finish(row: JobRow, change: Extract<JobChange, { type: 'finish' }>): JobChangeResult {
   if (row.state !== 'started') return refused(row, `it is ${row.state}, not started`);
+  if (change.ran === 'not-run' && row.isFirstStart !== true) {
+    return refused(row, 'an earlier attempt may have run');
+  }
   return { ok: true, row: ended(row, change.state, change, change.at) };
 }
 
--- a/packages/core/src/job/job.ts
+++ b/packages/core/src/job/job.ts
@@ -54,6 +54,8 @@
   state: jobStateSchema,
   /** Attempts started so far; the current one while `started`. */
   attempt: z.int().min(0),
+  /** True: no attempt before the current one was started. Absent: one may have run. */
+  isFirstStart: z.optional(z.boolean()),
   /** Owner term that wrote `started`. */
   term: z.int().min(0),
   members: z
--- a/packages/entry/src/owner/fake-guard.support.ts
+++ b/packages/entry/src/owner/fake-guard.support.ts
@@ -90,6 +90,13 @@
     );
   }
 
+  /** Lets go of what wasn't started in time. */
+  lapse(): void {
+    this.book.expire(this.#clock.now()).forEach((ref) => {
+      this.#end(ref, 'never-started', { ranMs: 0 });
+    });
+  }
+
   count(state: string): number {
     return this.book.inventory().filter((each) => each.state === state).length;
   }
--- a/packages/entry/src/owner/hardship.feature
+++ b/packages/entry/src/owner/hardship.feature
@@ -21,6 +21,16 @@
     And the worker "w1" has started 0 tasks
     And no reservation is left on "w1, w2"
 
+  Scenario: a job written as started, whose start reached no guard in time, is truthfully not run
+    Given an owner with workers "w1"
+    And the worker "w1" prepares slowly
+    And a caller submits a "entry" gang of 1 tasks with 1 accelerators
+    And the worker "w1" holds a reservation
+    When the worker "w1" has prepared, and is cut off until its reservation has lapsed
+    Then the submitted job gets "failed"
+    And the submitted job's outcome is "not-run" and "lost"
+    And the worker "w1" has started 0 tasks
+
   Scenario: no end is told before the silent member's reservation has surely lapsed
     Given an owner with workers "w1, w2"
     And the worker "w2" prepares slowly
--- a/packages/entry/src/owner/hardship.steps.ts
+++ b/packages/entry/src/owner/hardship.steps.ts
@@ -88,3 +88,17 @@
   const made = this.entryOf('entry-a').ctx.metrics.counters.get('job.placed') ?? 0;
   assert.ok(made > 1 && made <= most, `It made ${made}.`);
 });
+
+When(
+  'the worker {string} has prepared, and is cut off until its reservation has lapsed',
+  async function (this: OwnerSteps, worker: string) {
+    const guard = this.guard(worker);
+    const prepared = guard.prepare();
+    guard.closed = true;
+    await prepared;
+    await this.untilState(this.job, 'started');
+    await this.timers.pass(16_000);
+    guard.lapse();
+    this.relink(guard);
+  },
+);
--- a/packages/entry/src/owner/member-driver.ts
+++ b/packages/entry/src/owner/member-driver.ts
@@ -74,7 +74,8 @@
   /** The guard said by itself that the member has ended. */
   ended(end: TaskEnd): void {
     this.close();
-    this.#options.tell({ type: 'member-ended', member: this.#placed.member, end });
+    const barred = end.incarnation === this.#options.placed.incarnation;
+    this.#options.tell({ type: 'member-ended', member: this.#placed.member, end, barred });
   }
 
   /** Something happened to the guard: asks it again how the member stands. */
