Send jobs to live failure domains, and move those that a lost one holds

Cause: an entry that isn't the owner of a failure domain took the wait there as 0, and `KnownWorkers` counted workers for an hour after they were lost, so jobs went on to a dead failure domain and stayed queued there. `KnownWorkers` also knew only the workers that were there when somebody asked, so that a shape could be refused as "never fits" for good.

Ruled out: asking each owner at submission (latency; a dead owner holds submissions up); moving jobs by the entries that sent them (several could, and none knows what is reserved).

Change: owners tell the other entries free accelerators and expected waits (`owner.summary`, on change at most once a second, else every 5 s). The choice counts live workers, these waits, and what was sent since. "Never fits" rests on the workers of the last hour, as membership changes tell them. An owner moves a waiting job that its live workers can't host for 10 s, or whose wait is a minute longer than elsewhere: a row change `move`, the active row in the same transaction, then `job.queued`. Jobs inside a claim stay. The row keeps the highest attempt number given to guards (`lastAttempt`). An owner's writes are only for rows of its own failure domain, so that one that was paused can't start a job that was moved.

Moves didn't exist.

Conclusion: a lost failure domain holds no jobs that another could run. An entry of an older release can't read rows with `lastAttempt`; jobs move only to failure domains whose owners tell summaries. Claims that lie in a lost failure domain are not moved.

--- a/packages/core/src/message/message.ts
+++ b/packages/core/src/message/message.ts
@@ -166,6 +166,24 @@
 });
 export type TaskUsage = z.infer<typeof taskUsageSchema>;
 
+// --- What owners tell other entries ------------------------------------------------------------------------------
+
+/** Sizes of gangs, in accelerators, whose expected waits an owner tells. */
+export const WAIT_SIZES = [1, 8, 16, 32, 64, 128] as const;
+
+/** How a failure domain stands, told by its owner so that any entry can choose among failure domains. */
+export const ownerSummarySchema = z.strictObject({
+  failureDomain: nameSchema,
+  term: z.int().min(1),
+  workers: z.int().min(0),
+  /** Accelerators that are free now. */
+  free: z.int().min(0),
+  queued: z.int().min(0),
+  /** Expected wait in ms of a job that isn't urgent, for each of WAIT_SIZES. */
+  waitsMs: z.array(z.int().min(0)).max(WAIT_SIZES.length),
+});
+export type OwnerSummary = z.infer<typeof ownerSummarySchema>;
+
 const order = z.strictObject({ order: orderSchema, ref: attemptRefSchema });
 
 /**
@@ -238,6 +256,8 @@
     }),
     res: none,
   },
+  /** Told again when it changes, and every few seconds. */
+  'owner.summary': { req: ownerSummarySchema, res: none },
   'job.queued': { req: z.strictObject({ row: jobRowSchema, version: z.int() }), res: none },
   'job.cancel': {
     req: z.strictObject({ account: nameSchema, id: nameSchema }),
--- a/packages/entry/src/job/job-service.ts
+++ b/packages/entry/src/job/job-service.ts
@@ -19,7 +19,6 @@
 import { notFound, reading } from './body.js';
 import { digestOf, idOfKey, newId } from './job-id.js';
 import type { JobRecord, JobStore } from './job-store.js';
-import type { KnownWorkers } from './known-workers.js';
 import { chooseFailureDomain } from './placement-choice.js';
 import type { QueueCounts } from './queue-counts.js';
 
@@ -37,7 +36,6 @@
   claims: ClaimStore;
   counts: QueueCounts;
   owners: Owners;
-  knownWorkers: KnownWorkers;
 }
 
 /** A submission's answer; `isNew` is false for a repeat of an idempotency key. */
@@ -144,13 +142,10 @@
   }
 
   async #failureDomain(account: string, id: string, spec: JobSpec): Promise<string> {
-    const { owners, knownWorkers } = this.#options;
+    const { owners } = this.#options;
     if (spec.claim !== undefined) return this.#claimedDomain(account, spec.claim);
-    return chooseFailureDomain(id, spec.shape, {
-      failureDomains: owners.failureDomains,
-      knownWorkers,
-      expectedWaitMs: (each) => owners.local(each)?.expectedWaitMs(account, spec.kind, spec.shape),
-    });
+    const { kind, shape } = spec;
+    return chooseFailureDomain(id, shape, owners.outlook.view({ account, kind, shape }));
   }
 
   async #claimedDomain(account: string, id: string): Promise<string> {
@@ -190,6 +185,7 @@
     ctx.metrics.count('job.accepted');
     ctx.timeline.record('job.accepted', key, { job: key, failureDomain: row.failureDomain });
     counts.added(row.account);
+    owners.outlook.sent(row.failureDomain, row.spec.shape);
     // Not awaited: the job is safe in its row, and the owner would find it there.
     void owners.jobQueued(row, created.version);
     return { row, isNew: true };
--- a/packages/entry/src/job/job-store.ts
+++ b/packages/entry/src/job/job-store.ts
@@ -94,20 +94,29 @@
 
   /** Replaces a job's row, and the one beside it, if they still stand as read. */
   async save(record: JobRecord, row: JobRow): Promise<JobRecord | 'conflict'> {
-    const { account, id, failureDomain } = row;
-    const activeVersion =
-      record.activeVersion ?? (await this.#activeVersion({ failureDomain, account, id }));
+    const { account, id } = row;
     const result = await this.#writer.write([
       { key: jobKey(account, id), ifVersion: record.version, value: row },
-      {
-        key: activeJobKey(failureDomain, account, id),
-        ifVersion: activeVersion,
-        value: activeValue(row),
-      },
+      ...(await this.#activeWrites(record, row)),
     ]);
     if (result.outcome === 'conflict') return 'conflict';
-    const [version = 0, newActiveVersion] = result.versions;
-    return { row, version, activeVersion: newActiveVersion };
+    return { row, version: result.versions[0] ?? 0, activeVersion: result.versions.at(-1) };
+  }
+
+  /** Writes of the row beside a job; that of a job which moves leaves the failure domain it was in. */
+  async #activeWrites(record: JobRecord, row: JobRow): Promise<RowWrite[]> {
+    const { account, id, failureDomain } = row;
+    const before = record.row.failureDomain;
+    const beforeVersion = record.activeVersion ?? (await this.#activeVersion(record.row));
+    const value = activeValue(row);
+    if (before === failureDomain) {
+      const key = activeJobKey(failureDomain, account, id);
+      return [{ key, ifVersion: beforeVersion, value }];
+    }
+    return [
+      { key: activeJobKey(before, account, id), ifVersion: beforeVersion, value: null },
+      { key: activeJobKey(failureDomain, account, id), ifVersion: 0, value },
+    ];
   }
 
   async #activeVersion({
--- a/packages/entry/src/job/known-workers.ts
+++ b/packages/entry/src/job/known-workers.ts
@@ -1,6 +1,6 @@
-/** Workers seen lately, so that one that is away for a moment doesn't make a shape "never" fit. */
+/** Workers that are there, and those seen lately: one that is away for a moment doesn't make a shape "never" fit. */
 import { canEverFit, type Clock, type FitAnswer, type Shape, type Worker } from '@zincspan/core';
-import type { UpstreamMember } from '../membership/upstream-member.js';
+import type { MembershipChange, UpstreamMember } from '../membership/upstream-member.js';
 
 /** A worker is counted for this long after it was announced last, in ms. */
 const REMEMBER_MS = 3_600_000;
@@ -11,6 +11,9 @@
 /** What is needed of the directory of upstreams. */
 export interface WorkerDirectory {
   workers(failureDomain: string): UpstreamMember<Worker>[];
+  /** The live link to a guard. */
+  guardPeer(guard: string): unknown;
+  onChange(fn: (change: MembershipChange) => void): () => void;
 }
 
 /** Options of `KnownWorkers`. Times in ms. */
@@ -27,26 +30,32 @@
 
   readonly #startedAt: number;
 
-  readonly #seen = new Map<string, Map<string, { worker: Worker; at: number }>>();
+  /** Workers that have left, by failure domain and id. */
+  readonly #left = new Map<string, Map<string, { worker: Worker; at: number }>>();
 
   constructor({ rememberMs = REMEMBER_MS, settleMs = SETTLE_MS, ...options }: KnownWorkersOptions) {
     this.#options = { rememberMs, settleMs, ...options };
     this.#startedAt = options.clock.now();
+    options.directory.onChange((change) => this.#changed(change));
+  }
+
+  /** Workers that could take work now: ready, and with a link to their guard. */
+  live(failureDomain: string): Worker[] {
+    const { directory } = this.#options;
+    return directory
+      .workers(failureDomain)
+      .filter(({ state, guard }) => state === 'ready' && directory.guardPeer(guard) !== undefined)
+      .map(({ upstream }) => upstream);
   }
 
   /** Workers of a failure domain that are there or were lately. */
   workers(failureDomain: string): Worker[] {
-    const { directory, clock, rememberMs } = this.#options;
-    const now = clock.now();
-    const seen = this.#seen.get(failureDomain) ?? new Map<string, { worker: Worker; at: number }>();
-    this.#seen.set(failureDomain, seen);
-    directory
-      .workers(failureDomain)
-      .forEach(({ upstream }) => seen.set(upstream.id, { worker: upstream, at: now }));
-    seen.forEach(({ at }, id) => {
-      if (now - at > rememberMs) seen.delete(id);
-    });
-    return [...seen.values()].map(({ worker }) => worker);
+    const { directory } = this.#options;
+    this.#forget();
+    const there = directory.workers(failureDomain).map(({ upstream }) => upstream);
+    const ids = new Set(there.map(({ id }) => id));
+    const away = [...(this.#left.get(failureDomain) ?? [])].filter(([id]) => !ids.has(id));
+    return [...there, ...away.map(([, { worker }]) => worker)];
   }
 
   /** Whether a shape fits the empty failure domain. */
@@ -64,4 +73,24 @@
     const { clock, settleMs } = this.#options;
     return clock.now() - this.#startedAt >= settleMs;
   }
+
+  #changed(change: MembershipChange): void {
+    if (change.type !== 'left') return;
+    const { upstream, failureDomain } = change.member;
+    if (upstream.type !== 'worker') return;
+    this.#forget();
+    const left = this.#left.get(failureDomain) ?? new Map<string, { worker: Worker; at: number }>();
+    this.#left.set(failureDomain, left);
+    left.set(upstream.id, { worker: upstream, at: this.#options.clock.now() });
+  }
+
+  #forget(): void {
+    const { clock, rememberMs } = this.#options;
+    const now = clock.now();
+    this.#left.forEach((left) => {
+      left.forEach(({ at }, id) => {
+        if (now - at > rememberMs) left.delete(id);
+      });
+    });
+  }
 }
--- a/packages/entry/src/job/placement-choice.ts
+++ b/packages/entry/src/job/placement-choice.ts
@@ -1,39 +1,55 @@
 /** Which failure domain a new job goes to, and whether any could ever take it. */
-import { ProblemError, problem, type FitAnswer, type Shape } from '@zincspan/core';
+import { canEverFit, ProblemError, problem, type FitAnswer, type Shape } from '@zincspan/core';
 import { weight } from '../owner/preference.js';
 import type { KnownWorkers } from './known-workers.js';
 
+/** Wait taken for a failure domain whose owner wasn't heard of late, in ms: about that of a takeover. */
+const UNKNOWN_WAIT_MS = 5000;
+
 /** What is known of the failure domains. */
 export interface PlacementView {
   failureDomains: string[];
   knownWorkers: KnownWorkers;
-  /** Expected wait in ms where this entry is the owner; undefined elsewhere. */
+  /** Expected wait in ms as the owner has it; undefined where that isn't known. */
   expectedWaitMs: (failureDomain: string) => number | undefined;
+  /** Accelerators free as the owner has it; undefined where that isn't known. */
+  free?: (failureDomain: string) => number | undefined;
+}
+
+/** How good a failure domain is for a job; the lowest comes first. */
+export interface Rank {
+  waitMs: number;
+  free: number;
+  /** The hash spreads jobs among failure domains that are alike. */
+  weight: string;
 }
 
 /** The failure domain for a job; throws ProblemError `never-fits` with the numbers if there is none. */
 export function chooseFailureDomain(id: string, shape: Shape, view: PlacementView): string {
-  const fits = view.failureDomains.filter((each) => view.knownWorkers.fit(each, shape).fits);
-  if (fits.length === 0) return undecided(id, shape, view);
-  // The hash spreads jobs among failure domains of one size and wait.
-  const order = [...fits].sort((a, b) => compare(rank(a, id, view), rank(b, id, view)));
-  return order[0] ?? undecided(id, shape, view);
+  const { failureDomains, knownWorkers } = view;
+  const live = failureDomains.filter((each) => canEverFit(shape, knownWorkers.live(each)).fits);
+  // Without any that is alive it waits where it has fitted of late.
+  const fits =
+    live.length > 0 ? live : failureDomains.filter((each) => knownWorkers.fit(each, shape).fits);
+  const ranks = fits.map((each) => ({ each, rank: rankOf(each, id, view) }));
+  const [first] = ranks.sort((a, b) => compareByRank(a.rank, b.rank));
+  return first?.each ?? undecided(id, shape, view);
 }
 
-type Rank = [waitMs: number, accelerators: number, weight: string];
-
-function rank(failureDomain: string, id: string, view: PlacementView): Rank {
-  const waitMs = view.expectedWaitMs(failureDomain) ?? 0;
-  const accelerators = view.knownWorkers
-    .workers(failureDomain)
-    .reduce((sum, worker) => sum + worker.accelerators, 0);
-  return [waitMs, -accelerators, weight(failureDomain, id)];
+/** Ranks a failure domain for the job with this id. */
+export function rankOf(failureDomain: string, id: string, view: PlacementView): Rank {
+  const there = (): number =>
+    view.knownWorkers.live(failureDomain).reduce((sum, { accelerators }) => sum + accelerators, 0);
+  return {
+    waitMs: view.expectedWaitMs(failureDomain) ?? UNKNOWN_WAIT_MS,
+    free: view.free?.(failureDomain) ?? there(),
+    weight: weight(failureDomain, id),
+  };
 }
 
-function compare(a: Rank, b: Rank): number {
-  if (a[0] !== b[0]) return a[0] - b[0];
-  if (a[1] !== b[1]) return a[1] - b[1];
-  return a[2] < b[2] ? -1 : 1;
+/** Orders by the shorter wait, then by what is free, then by the hash. */
+export function compareByRank(a: Rank, b: Rank): number {
+  return a.waitMs - b.waitMs || b.free - a.free || (a.weight < b.weight ? -1 : 1);
 }
 
 /** Too early to say "never": the owner will decide once it has heard its guards. */
--- a/packages/entry/src/owner/app.ts
+++ b/packages/entry/src/owner/app.ts
@@ -60,9 +60,9 @@
   const claims = new ClaimStore({ table, writer });
   const { failureDomains } = owners;
   const counts = new QueueCounts({ store: jobs, clock: ctx.clock, failureDomains });
-  const shared = { ctx, bundles, owners, knownWorkers };
+  const shared = { ctx, bundles, owners };
   const jobService = new JobService({ ...shared, store: jobs, claims, counts });
-  const claimService = new ClaimService({ ...shared, store: claims });
+  const claimService = new ClaimService({ ...shared, knownWorkers, store: claims });
   return {
     name: 'owner',
     handlers: ownerHandlers(owners),
--- a/packages/entry/src/owner/domain-owner-options.ts
+++ b/packages/entry/src/owner/domain-owner-options.ts
@@ -4,6 +4,7 @@
 import type { KnownWorkers } from '../job/known-workers.js';
 import type { RowWatch } from '../job/row-watch.js';
 import type { AttemptLimits } from './attempt-runner.js';
+import type { Elsewhere } from './job-mover.js';
 import type { Timers } from './timers.js';
 import type { OwnerDirectory } from './worker-watch.js';
 
@@ -29,6 +30,8 @@
   onOutdated: () => void;
   /** Whether the table is known to be down: placements wait, as they couldn't be written. */
   isStoreDown?: () => boolean;
+  /** Other failure domains that jobs may be moved to. */
+  elsewhere: Elsewhere;
   timers?: Timers;
   limits?: AttemptLimits;
 }
--- a/packages/entry/src/owner/domain-owner.ts
+++ b/packages/entry/src/owner/domain-owner.ts
@@ -22,6 +22,7 @@
 import type { DomainOwnerOptions } from './domain-owner-options.js';
 import { GuardOrders } from './guard-orders.js';
 import { JobKeeper } from './job-keeper.js';
+import { JobMover } from './job-mover.js';
 import type { Ownership } from './ownership.js';
 import { recover, reconcile, rescan } from './recovery.js';
 import { SystemTimers, type Timers } from './timers.js';
@@ -53,6 +54,8 @@
 
   readonly #decisions: DecisionRunner;
 
+  readonly #mover: JobMover;
+
   #scheduler: DomainScheduler | undefined;
 
   /** The kind of scheduler that the bundle asked for when this owner began. */
@@ -84,6 +87,13 @@
       knownWorkers: options.knownWorkers,
       isStoreDown: options.isStoreDown ?? (() => false),
     });
+    this.#mover = new JobMover({
+      own: this.#own,
+      jobs: this.#jobs,
+      elsewhere: options.elsewhere,
+      waitMs: ({ account, spec }) => this.expectedWaitMs(account, spec.kind, spec.shape) ?? 0,
+      isStoreDown: options.isStoreDown ?? (() => false),
+    });
   }
 
   /** Rebuilds the view, settles what is found half-way, and starts deciding. */
@@ -100,6 +110,7 @@
     this.#unsubscribe?.();
     this.#cancelTimer?.();
     this.#cancelRescan?.();
+    this.#mover.stop();
     this.#own.workers.stop();
     this.#jobs.close();
     this.#claims.close();
@@ -214,6 +225,7 @@
       claims: this.#claims.size,
     });
     this.#planRescan();
+    this.#mover.start();
     this.#wake();
   }
 
--- a/packages/entry/src/owner/handlers.ts
+++ b/packages/entry/src/owner/handlers.ts
@@ -22,6 +22,10 @@
       owners.local(req.failureDomain)?.guardAnswered(peer.process.id);
       return { reachable: owners.isReachable(req) };
     },
+    'owner.summary': (req) => {
+      owners.outlook.summaries.take(req);
+      return {};
+    },
     'job.queued': ({ row, version }) => {
       ownerOf(owners, row.failureDomain).jobQueued(row, version);
       return {};
--- a/packages/entry/src/owner/job-commits.ts
+++ b/packages/entry/src/owner/job-commits.ts
@@ -68,8 +68,18 @@
     change: (row: JobRow) => JobChange | undefined,
     extra: { onUnknown?: () => void; giveUp?: () => boolean } = {},
   ): Promise<Commit> {
-    const { jobs, timers, signal, watch } = this.#own;
-    const written = await commitJob({ entry, change, store: jobs, timers, signal, ...extra });
+    const { jobs, timers, signal, watch, failureDomain } = this.#own;
+    // Once moved, a job is its new owner's, also for an owner that was paused and doesn't know.
+    const ifHere = (row: JobRow): JobChange | undefined =>
+      row.failureDomain === failureDomain ? change(row) : undefined;
+    const written = await commitJob({
+      entry,
+      change: ifHere,
+      store: jobs,
+      timers,
+      signal,
+      ...extra,
+    });
     if (written === 'written') watch.changed(entry.key);
     return written;
   }
--- a/packages/entry/src/owner/job-entry.ts
+++ b/packages/entry/src/owner/job-entry.ts
@@ -27,7 +27,7 @@
   return {
     key,
     record,
-    lastAttempt: Math.max(record.row.attempt, lastAttempt),
+    lastAttempt: Math.max(record.row.attempt, record.row.lastAttempt ?? 0, lastAttempt),
     refusals: 0,
     evictions: 0,
     savedMs: 0,
--- a/packages/entry/src/owner/job-keeper.ts
+++ b/packages/entry/src/owner/job-keeper.ts
@@ -115,6 +115,18 @@
     await this.#withdraw(key, change);
   }
 
+  /** Jobs that wait and of which nothing is reserved. */
+  idle(): JobEntry[] {
+    return [...this.#entries.values()].filter(isIdle);
+  }
+
+  /** Gives a queued job to another failure domain. The record as written, or undefined if it stays. */
+  async move(entry: JobEntry, failureDomain: string): Promise<JobRecord | undefined> {
+    const { key, lastAttempt } = entry;
+    const change = { type: 'move', failureDomain, lastAttempt } as const;
+    return (await this.#withdraw(key, change)) ? entry.record : undefined;
+  }
+
   /** Cancels a job: a queued one at once, another once its members have stopped. */
   async cancel(key: string): Promise<void> {
     const entry = this.#entries.get(key);
@@ -232,8 +244,10 @@
       Object.assign(entry, { savedMs: entry.savedMs + conclusion.ranMs });
     }
     tellConclusion(this.#own, { entry, runner, conclusion });
-    if (row.state === 'queued') return;
-    if (row.state === 'started' && row.attempt === runner.attempt) {
+    const isHere = row.failureDomain === this.#own.failureDomain;
+    if (!isHere) this.#own.post({ type: 'job-cancelled', key: entry.key });
+    else if (row.state === 'queued') return;
+    if (isHere && row.state === 'started' && row.attempt === runner.attempt) {
       // Resuming it would conclude it the same way for ever.
       throw new Error(`The end of attempt ${runner.attempt} of ${entry.key} was not accepted.`);
     }
@@ -244,7 +258,7 @@
 
   async #withdraw(key: string, change: JobChange): Promise<boolean> {
     const entry = this.#entries.get(key);
-    if (entry === undefined || entry.closing || entry.runner !== undefined) return false;
+    if (entry === undefined || !isIdle(entry)) return false;
     entry.closing = true;
     // First, so that it isn't placed while its end is being written. It may have been, and wait for the table.
     this.#own.post({ type: 'job-unplaced', key });
@@ -252,7 +266,9 @@
     const written = await this.#commits.withdrawn(entry, change);
     entry.closing = false;
     if (written === 'closed') return false;
-    this.#note(`job.${entry.record.row.state}`, entry);
+    const { state, failureDomain } = entry.record.row;
+    if (failureDomain === this.#own.failureDomain) this.#note(`job.${state}`, entry);
+    else this.#note('job.moved', entry, { to: failureDomain });
     this.#drop(entry);
     this.adopt(entry.record, entry);
     return written === 'written';
@@ -269,3 +285,8 @@
     ctx.timeline.record(type, key, { ...detail, job: key, failureDomain });
   }
 }
+
+/** Whether a job waits, with nothing reserved and nothing being written. */
+function isIdle({ runner, closing }: JobEntry): boolean {
+  return runner === undefined && !closing;
+}
--- a/packages/entry/src/owner/owner-world.support.ts
+++ b/packages/entry/src/owner/owner-world.support.ts
@@ -5,6 +5,7 @@
   bundleSchema,
   jobRowSchema,
   quietContext,
+  ReservationBook,
   type Bundle,
   type CountingMetrics,
   type Handlers,
@@ -82,7 +83,8 @@
     this.ctx = context(id, timers);
     this.table = new MemoryTable({ store: world.store });
     this.upstreams = new UpstreamDirectory({ ctx: this.ctx });
-    const settings = testSettings({ id });
+    const { failureDomains } = world;
+    const settings = testSettings({ id, failureDomains });
     const accounts = new AccountDirectory({ bundles: world.bundles });
     this.server = createHttpServer({ ctx: this.ctx, settings, accounts });
     const make = ownerApp({
@@ -119,13 +121,16 @@
     };
   }
 
+  /** Whether it owns every failure domain. */
   get owns(): boolean {
-    const { hall } = this.app.status?.() as { hall: { summary: unknown } };
-    return hall.summary !== null;
+    const owners = this.app.status?.() as Record<string, { summary: unknown }>;
+    return Object.values(owners).every(({ summary }) => summary !== null);
   }
 }
 
 export class OwnerWorld {
+  failureDomains = ['hall'];
+
   readonly timers = new ManualTimers();
 
   readonly store = new RowStore();
@@ -149,11 +154,11 @@
       entry.mesh.linkUp(other.asPeer());
     });
     this.ownerEntries.set(id, entry);
-    this.guards.forEach((guard) => OwnerWorld.#announce(entry, guard));
+    this.guards.forEach((guard) => OwnerWorld.announce(entry, guard));
     return entry;
   }
 
-  addWorker(id: string): FakeGuard {
+  addWorker(id: string, failureDomain = 'hall'): FakeGuard {
     const worker = {
       type: 'worker' as const,
       id,
@@ -165,15 +170,18 @@
       accelerators: 8,
     };
     const guard = new FakeGuard({ worker, clock: this.timers.clock });
+    const process = { ...guard.process, failureDomain };
+    const { incarnation } = process;
+    Object.assign(guard, { process, book: new ReservationBook({ incarnation, failureDomain }) });
     this.guards.set(id, guard);
-    this.ownerEntries.forEach((entry) => OwnerWorld.#announce(entry, guard));
+    this.ownerEntries.forEach((entry) => OwnerWorld.announce(entry, guard));
     return guard;
   }
 
   /** The guard's links come back, perhaps in a new life. */
   relink(guard: FakeGuard): void {
     Object.assign(guard, { closed: false });
-    this.ownerEntries.forEach((entry) => OwnerWorld.#announce(entry, guard));
+    this.ownerEntries.forEach((entry) => OwnerWorld.announce(entry, guard));
   }
 
   guard(id: string): FakeGuard {
@@ -235,13 +243,13 @@
     await this.timers.until(`job ${id} is ${state}`, () => this.row(id).state === state);
   }
 
-  static #announce(entry: OwnerEntry, guard: FakeGuard): void {
+  static announce(entry: OwnerEntry, guard: FakeGuard): void {
     const { process, worker } = guard;
     entry.upstreams.linkUp(guard);
     entry.upstreams.announce(
       {
         upstream: worker,
-        failureDomain: 'hall',
+        failureDomain: process.failureDomain,
         guard: process.id,
         incarnation: process.incarnation,
         sequence: 1,
--- a/packages/entry/src/owner/owners.ts
+++ b/packages/entry/src/owner/owners.ts
@@ -17,7 +17,9 @@
 import type { SchedulerFactory } from './domain-owner-options.js';
 import { DomainOwner } from './domain-owner.js';
 import { LeaseKeeper } from './lease-keeper.js';
+import { Outlook } from './outlook.js';
 import { preferenceRank } from './preference.js';
+import { SummaryTeller } from './summary-teller.js';
 import { SystemTimers, type Timers } from './timers.js';
 import type { OwnerDirectory } from './worker-watch.js';
 
@@ -58,9 +60,29 @@
 
   readonly #owners = new Map<string, DomainOwner>();
 
+  /** All failure domains compared, for the choice of one. */
+  readonly outlook: Outlook;
+
+  readonly #teller: SummaryTeller;
+
   constructor(options: OwnersOptions) {
     this.#options = options;
     this.#timers = options.timers ?? new SystemTimers();
+    const { ctx, knownWorkers, mesh, settings } = options;
+    this.outlook = new Outlook({
+      clock: ctx.clock,
+      failureDomains: settings.failureDomains,
+      knownWorkers,
+      local: (failureDomain) => this.local(failureDomain),
+    });
+    this.#teller = new SummaryTeller({
+      clock: ctx.clock,
+      timers: this.#timers,
+      peers: () => mesh.peers(),
+      owners: () => this.all(),
+      onLook: (summary) => this.outlook.summaries.take(summary),
+      onMissed: () => this.#missed('owner.summary'),
+    });
     options.settings.failureDomains.forEach((failureDomain) => {
       this.#keepers.set(failureDomain, this.#keeper(failureDomain));
     });
@@ -72,6 +94,7 @@
 
   start(): void {
     this.#keepers.forEach((keeper) => keeper.start());
+    this.#teller.start();
   }
 
   /** Hands every failure domain over, so that another entry needn't wait for the leases to lapse. */
@@ -80,6 +103,7 @@
   }
 
   stop(): void {
+    this.#teller.stop();
     this.#keepers.forEach((keeper) => keeper.stop());
     this.#owners.forEach((owner) => owner.close());
     this.#owners.clear();
@@ -239,6 +263,11 @@
       onStaleTerm: (highestTerm) => keeper?.staleTerm(highestTerm),
       onOutdated: () => this.#reopen(failureDomain, term),
       isStoreDown: () => keeper?.isStoreDown ?? false,
+      elsewhere: {
+        isHosted: (each, shape) => this.outlook.isHosted(each, shape),
+        best: (row) => this.outlook.best(row),
+        moved: (row, version) => this.#moved(row, version),
+      },
       ...(limits === undefined ? {} : { limits }),
     });
     this.#owners.set(failureDomain, owner);
@@ -256,6 +285,12 @@
     this.#gained(failureDomain, term);
   }
 
+  #moved(row: JobRow, version: number): void {
+    this.outlook.sent(row.failureDomain, row.spec.shape);
+    // Not awaited: the new owner would find the job by its rescan.
+    void this.jobQueued(row, version);
+  }
+
   async #handOver(failureDomain: string): Promise<void> {
     const keeper = this.#keepers.get(failureDomain);
     const term = keeper?.term;
