--- a/packages/e2e/src/support/load-steps.support.ts
+++ b/packages/e2e/src/support/load-steps.support.ts
@@ -6,11 +6,12 @@
 import { RequestLoop } from '../load/request-loop.js';
 import type { E2eWorld } from './e2e-world.support.js';
 import { stateOf } from './faulty-world.support.js';
-import { describe, runnersOf, sendNamed } from './request-steps.support.js';
+import { describe, ledgersOf, runnersOf, sendNamed } from './request-steps.support.js';
 import { until } from './until.js';
 
 const KINDS = ['match', 'booking'];
 const SHOWN = 5;
+const SLOTS = 8;
 const LONG_MS = 400;
 
 const loops = new WeakMap<E2eWorld, RequestLoop[]>();
@@ -93,6 +94,14 @@
   assert.deepEqual(late.map(describe).slice(0, SHOWN), [], 'Told only after deadlines had passed.');
 });
 
+Then('every runner had all its slots in use', async function (this: E2eWorld) {
+  const ledgers = await ledgersOf(this);
+  assert.deepEqual(
+    ledgers.map(({ maxInUse }) => maxInUse),
+    ledgers.map(() => SLOTS),
+  );
+});
+
 When('requests go on at {word}', function (this: E2eWorld, entry: string) {
   const loop = new RequestLoop({
     send: (name, kind) => sendNamed(this, { kind, name: `${entry}-${name}`, entry, serviceMs: 15 }),
