Choose among hundreds of runners as fast as among ten

Cause: each choice walked over all runners several times, copied and shuffled them, and worked the kind's median out anew from its histogram for each; the entry's pool built the set of unlinked runners for each choice besides.

Change: KnownRunners keeps the runners of each kind and draws them lazily, so a choice looks at runners until the policy has the 12 that it weighs: the same distribution as before, without a walk. Only when no runner has room for an even queue are all of them seen. LatencyTracker keeps quantiles until the next latency is added; the ejector keeps the runners that are out. Links are asked for of drawn runners only. Expected costs moved into RunnerCosts. Without a collector the daemon makes no StatsD client at all; it formatted every figure before.

--- a/packages/bench/src/route/policy-version.ts
+++ b/packages/bench/src/route/policy-version.ts
@@ -25,6 +25,8 @@
 
 /** Any runner, whatever its load. */
 export class RandomChoice implements ChoicePolicy {
+  readonly sample = Infinity;
+
   pick(candidates: Candidate[], random: Random): Candidate {
     return candidates[Math.floor(random() * candidates.length)] as Candidate;
   }
@@ -32,6 +34,8 @@
 
 /** Each runner in turn. */
 export class RoundRobinChoice implements ChoicePolicy {
+  readonly sample = Infinity;
+
   #turn = 0;
 
   pick(candidates: Candidate[]): Candidate {
--- a/packages/core/src/request/choice-policy.ts
+++ b/packages/core/src/request/choice-policy.ts
@@ -11,8 +11,10 @@
 /** Uniform numbers in [0, 1). */
 export type Random = () => number;
 
-/** Picks one of at least one candidates. */
+/** Picks one of the candidates, of which there is at least one. */
 export interface ChoicePolicy {
+  /** Candidates that it weighs, drawn at random; all of them, in a constant order, if Infinity. */
+  readonly sample: number;
   pick(candidates: Candidate[], random: Random): Candidate;
 }
 
@@ -21,7 +23,7 @@
  * spaces the requests to each runner evenly.
  */
 export class SampledChoice implements ChoicePolicy {
-  readonly #choices: number;
+  readonly sample: number;
 
   readonly #tolerance: number;
 
@@ -33,28 +35,14 @@
     /** Costs within this share of the least count as equal. */
     tolerance?: number;
   } = {}) {
-    this.#choices = choices;
+    this.sample = choices;
     this.#tolerance = tolerance;
   }
 
-  pick(candidates: Candidate[], random: Random): Candidate {
-    const sample = draw(candidates, this.#choices, random);
-    const costs = sample.map((candidate) => candidate.cost());
+  pick(candidates: Candidate[]): Candidate {
+    const costs = candidates.map((candidate) => candidate.cost());
     const least = Math.min(...costs) * (1 + this.#tolerance);
-    const cheap = sample.filter((_, i) => (costs[i] as number) <= least);
+    const cheap = candidates.filter((_, i) => (costs[i] as number) <= least);
     return cheap.reduce((best, next) => (next.turn < best.turn ? next : best));
   }
 }
-
-/** `count` distinct items in random order. */
-function draw<T>(items: T[], count: number, random: Random): T[] {
-  const pool = [...items];
-  const size = Math.min(count, pool.length);
-  for (let i = 0; i < size; i += 1) {
-    const at = i + Math.floor(random() * (pool.length - i));
-    const item = pool[at] as T;
-    pool[at] = pool[i] as T;
-    pool[i] = item;
-  }
-  return pool.slice(0, size);
-}
--- a/packages/core/src/request/ejector.ts
+++ b/packages/core/src/request/ejector.ts
@@ -37,6 +37,9 @@
 
   readonly #records = new Map<string, RunnerRecord>();
 
+  /** Runners that are ejected or half-open. */
+  readonly #out = new Set<string>();
+
   constructor({
     latency,
     failuresToEject = 5,
@@ -74,6 +77,7 @@
 
   remove(runner: string): void {
     this.#records.delete(runner);
+    this.#out.delete(runner);
     this.#latency.forget(runner);
   }
 
@@ -123,7 +127,12 @@
 
   /** Runners that are out now. */
   ejected(now: number): string[] {
-    return [...this.#records.keys()].filter((id) => this.health(id, now) === 'ejected');
+    return [...this.#out].filter((id) => this.health(id, now) === 'ejected');
+  }
+
+  /** Runners on trial now. */
+  halfOpen(now: number): string[] {
+    return [...this.#out].filter((id) => this.health(id, now) === 'half-open');
   }
 
   #answered(runner: string, record: RunnerRecord, now: number): void {
@@ -137,7 +146,12 @@
   #probeAnswered(runner: string, record: RunnerRecord, now: number): void {
     if (record.probes < PROBES_TO_CLOSE) return;
     if (this.#isSlow(runner, PROBES_TO_CLOSE)) this.#eject(runner, record, 'slow', now);
-    else record.close();
+    else this.#close(runner, record);
+  }
+
+  #close(runner: string, record: RunnerRecord): void {
+    record.close();
+    this.#out.delete(runner);
   }
 
   #failed(runner: string, record: RunnerRecord, now: number): void {
@@ -168,15 +182,15 @@
   }
 
   #eject(runner: string, record: RunnerRecord, why: Ejection['why'], now: number): void {
-    if (record.state === 'closed' && !this.#hasRoom(now)) return;
+    if (record.state === 'closed' && !this.#hasRoom()) return;
     const doublings = Math.min(record.ejections, LONGEST_DOUBLINGS);
+    this.#out.add(runner);
     record.eject(now + this.#ejectMs * 2 ** doublings);
     this.#onEject({ runner, why, until: record.until });
   }
 
-  #hasRoom(now: number): boolean {
+  #hasRoom(): boolean {
     const bound = Math.max(1, Math.floor(this.#records.size * this.#maxShare));
-    const out = [...this.#records.keys()].filter((id) => this.health(id, now) !== 'closed');
-    return out.length < bound && this.#records.size > 1;
+    return this.#out.size < bound && this.#records.size > 1;
   }
 }
--- a/packages/core/src/request/latency-tracker.ts
+++ b/packages/core/src/request/latency-tracker.ts
@@ -7,6 +7,12 @@
 const LARGEST_RATIO = 50;
 const MAX_KINDS = 2000;
 
+/** A kind's latencies, with the quantiles asked for since the last one was added. */
+interface KindLatency {
+  histogram: DecayedHistogram;
+  quantiles: Map<number, number | undefined>;
+}
+
 interface RunnerLatency {
   /** Mean of latency over the kind's median: 1 is like everyone else. */
   slowness: number;
@@ -15,7 +21,7 @@
 
 /** Latencies as one entry sees them, in ms. */
 export class LatencyTracker {
-  readonly #kinds = new Map<string, DecayedHistogram>();
+  readonly #kinds = new Map<string, KindLatency>();
 
   readonly #runners = new Map<string, RunnerLatency>();
 
@@ -47,7 +53,9 @@
     seen.slowness += alpha * (ratio - seen.slowness);
     seen.samples += 1;
     this.#runners.set(runner, seen);
-    this.#histogram(kind).add(Math.max(0.01, ms), { censored: atLeast });
+    const { histogram, quantiles } = this.#kind(kind);
+    histogram.add(Math.max(0.01, ms), { censored: atLeast });
+    quantiles.clear();
   }
 
   /** Median of the kind. */
@@ -57,12 +65,15 @@
 
   /** A quantile of the kind over all runners; undefined while nothing is known. */
   quantile(kind: string, q: number): number | undefined {
-    return this.#kinds.get(kind)?.quantile(q);
+    const known = this.#kinds.get(kind);
+    if (known === undefined) return undefined;
+    if (!known.quantiles.has(q)) known.quantiles.set(q, known.histogram.quantile(q));
+    return known.quantiles.get(q);
   }
 
   /** Answers behind the kind's quantiles, recent ones counting most. */
   weight(kind: string): number {
-    return this.#kinds.get(kind)?.weight ?? 0;
+    return this.#kinds.get(kind)?.histogram.weight ?? 0;
   }
 
   /** How slow a runner is: 1 is like its peers. */
@@ -79,14 +90,14 @@
     this.#runners.delete(runner);
   }
 
-  #histogram(kind: string): DecayedHistogram {
+  #kind(kind: string): KindLatency {
     const known = this.#kinds.get(kind);
     if (known) return known;
     if (this.#kinds.size >= MAX_KINDS) {
       const [oldest] = this.#kinds.keys();
       if (oldest !== undefined) this.#kinds.delete(oldest);
     }
-    const made = new DecayedHistogram({ decay: 0.998 });
+    const made = { histogram: new DecayedHistogram({ decay: 0.998 }), quantiles: new Map() };
     this.#kinds.set(kind, made);
     return made;
   }
--- a/packages/core/src/request/runner-choice.ts
+++ b/packages/core/src/request/runner-choice.ts
@@ -10,12 +10,13 @@
   kinds: string[];
 }
 
-/** What is asked. `exclude`: runners that can't be used, or were tried already. */
+/** What is asked. `exclude`: runners that were tried already; `reachable`: false of those without a link. */
 export interface ChoiceQuery {
   kind: string;
   idempotent: boolean;
   timeLeftMs?: number;
   exclude?: ReadonlySet<string>;
+  reachable?: (runner: string) => boolean;
 }
 
 export type Choice = { type: 'chosen'; runner: string } | { type: 'refused'; problem: Problem };
--- a/packages/core/src/request/runner-chooser.feature
+++ b/packages/core/src/request/runner-chooser.feature
@@ -22,3 +22,17 @@
     Given a runner chooser over 4 runners of 8 slots
     When runner "r0" takes 200 ms and the others 40 ms
     Then the runner chooser gives "r0" less than 15 percent of 400 requests
+
+  Scenario: a choice among many runners looks at a few
+    Given a runner chooser over 400 runners of 8 slots
+    Then the runner chooser asks for the link of at most 12 runners
+
+  Scenario: runners without a link are passed over
+    Given a runner chooser over 40 runners of 8 slots
+    Then the runner chooser picks "r37" if only that is linked
+    And the runner chooser refuses as "no-upstream" if none is linked
+
+  Scenario: a runner on trial gets one idempotent request at a time
+    Given a runner chooser over 40 runners of 8 slots
+    When runner "r7" was ejected as silent and is on trial
+    Then the runner chooser picks "r7" for an idempotent request, and another beside it
--- a/packages/core/src/request/runner-chooser.steps.ts
+++ b/packages/core/src/request/runner-chooser.steps.ts
@@ -13,6 +13,7 @@
 interface World {
   chooser: RunnerChooser;
   latency: LatencyTracker;
+  ejector: Ejector;
   problems: Problem[];
 }
 
@@ -20,8 +21,11 @@
   return { id, failureDomain: 'd', slots, kinds: [] };
 }
 
-function makeChooser(latency: LatencyTracker, random: () => number): RunnerChooser {
-  const ejector = new Ejector({ latency, slowFactor: Infinity });
+function makeChooser(
+  latency: LatencyTracker,
+  random: () => number,
+  ejector = new Ejector({ latency, slowFactor: Infinity }),
+): RunnerChooser {
   const entries = (): number => ENTRIES;
   return new RunnerChooser({ random, failureDomain: 'd', entries, latency, ejector });
 }
@@ -38,10 +42,12 @@
   function (this: World, count: number, slots: number) {
     let turn = 0;
     this.latency = new LatencyTracker();
-    this.chooser = makeChooser(this.latency, () => {
+    this.ejector = new Ejector({ latency: this.latency, slowFactor: Infinity });
+    const random = (): number => {
       turn += 1;
       return (turn * 0.618) % 1;
-    });
+    };
+    this.chooser = makeChooser(this.latency, random, this.ejector);
     for (let i = 0; i < count; i += 1) this.chooser.announce(runner(`r${i}`, slots));
   },
 );
@@ -140,3 +146,47 @@
   });
   fc.assert(keepsBounds);
 });
+
+When('runner {string} was ejected as silent and is on trial', function (this: World, id: string) {
+  this.chooser.started(id, 0);
+  this.ejector.checkSilence(1000, 0);
+  assert.deepEqual(this.ejector.ejected(1000), [id]);
+});
+
+Then(
+  'the runner chooser picks {string} for an idempotent request, and another beside it',
+  function (this: World, id: string) {
+    assert.equal(pick(this.chooser, 10_000), id);
+    assert.notEqual(pick(this.chooser, 10_000), id);
+  },
+);
+
+Then(
+  'the runner chooser asks for the link of at most {int} runners',
+  function (this: World, most: number) {
+    let asked = 0;
+    const reachable = (): boolean => {
+      asked += 1;
+      return true;
+    };
+    assert.equal(this.chooser.choose({ ...QUERY, reachable }, 0).type, 'chosen');
+    assert.ok(asked <= most, `${asked}`);
+  },
+);
+
+Then(
+  'the runner chooser picks {string} if only that is linked',
+  function (this: World, id: string) {
+    const reachable = (other: string): boolean => other === id;
+    const choice = this.chooser.choose({ ...QUERY, reachable }, 0);
+    assert.deepEqual(choice, { type: 'chosen', runner: id });
+  },
+);
+
+Then(
+  'the runner chooser refuses as {string} if none is linked',
+  function (this: World, kind: string) {
+    const choice = this.chooser.choose({ ...QUERY, reachable: () => false }, 0);
+    assert.ok(choice.type === 'refused' && choice.problem.kind === kind);
+  },
+);
--- a/packages/core/src/request/runner-chooser.ts
+++ b/packages/core/src/request/runner-chooser.ts
@@ -6,6 +6,7 @@
 import type { RunnerLoad } from '../message/message.js';
 import { SampledChoice, type Candidate, type ChoicePolicy, type Random } from './choice-policy.js';
 import type { Ejector } from './ejector.js';
+import { KnownRunners, hasRoom, isEligible, type KnownRunner } from './known-runners.js';
 import type { LatencyTracker } from './latency-tracker.js';
 import { RetryPacer } from './retry-pacer.js';
 import {
@@ -16,27 +17,24 @@
   type ChoiceQuery,
   type RequestEnd,
 } from './runner-choice.js';
-import { RunnerOccupancy, type LoadContext } from './runner-load.js';
+import { RunnerCosts } from './runner-costs.js';
+import type { LoadContext } from './runner-load.js';
 
-/** Share of the service time that a fully used runner counts dearer, before anyone waits. */
-const LOAD_COST = 0.2;
 /** Weight of one report in the usual load of other entries. */
 const USUAL_WEIGHT = 0.02;
 
-interface Known {
-  runner: ChoosableRunner;
-  draining: boolean;
-  /** Number of the choice that it was last picked by. */
-  turn: number;
-  occupancy: RunnerOccupancy;
+/** What was drawn for a choice: how many runners and slots, and of the open ones those with an even queue. */
+interface Drawn {
+  runners: number;
+  slots: number;
+  even: KnownRunner[];
+  others: KnownRunner[];
 }
 
 /** Runners as one entry sees them. Times in ms. */
 export class RunnerChooser {
   readonly #random: Random;
 
-  readonly #failureDomain: string;
-
   readonly #entries: () => number;
 
   readonly #latency: LatencyTracker;
@@ -49,11 +47,9 @@
 
   readonly #evenQueuePerSlot: number;
 
-  readonly #domainCostMs: number;
-
-  readonly #known = new Map<string, Known>();
+  readonly #costs: RunnerCosts;
 
-  readonly #reportLifeMs: number;
+  readonly #known: KnownRunners;
 
   /** Other entries' requests per slot, over all runners of late. */
   #othersPerSlot = 0;
@@ -92,23 +88,19 @@
     reportLifeMs?: number;
   }) {
     this.#random = random;
-    this.#failureDomain = failureDomain;
     this.#entries = entries;
     this.#latency = latency;
     this.#ejector = ejector;
     this.#policy = policy;
     this.#queuePerSlot = queuePerSlot;
     this.#evenQueuePerSlot = evenQueuePerSlot;
-    this.#domainCostMs = domainCostMs;
-    this.#reportLifeMs = reportLifeMs;
+    this.#costs = new RunnerCosts({ latency, failureDomain, domainCostMs });
+    this.#known = new KnownRunners({ reportLifeMs });
   }
 
   /** A runner is there, or has changed. Draining ones get nothing new. */
   announce(runner: ChoosableRunner, { draining = false } = {}): void {
-    const turn = this.#known.get(runner.id)?.turn ?? 0;
-    const occupancy =
-      this.#known.get(runner.id)?.occupancy ?? new RunnerOccupancy({ lifeMs: this.#reportLifeMs });
-    this.#known.set(runner.id, { runner, draining, turn, occupancy });
+    this.#known.put(runner, draining);
     this.#ejector.add(runner.id);
   }
 
@@ -120,16 +112,13 @@
 
   /** Picks a runner, or refuses at once. Follow a choice with `started`. */
   choose(query: ChoiceQuery, now: number): Choice {
-    const serving = this.#serving(query);
-    if (serving.length === 0) return { type: 'refused', problem: noRunner(query) };
-    const usable = serving.filter((known) => this.#ejector.mayUse(known.runner.id, now));
     const context = this.#context(now);
-    const open = this.#open(usable, context).filter(
-      (known) => this.#waitMs(known, query.kind, context) < (query.timeLeftMs ?? Infinity),
-    );
-    if (open.length === 0) return { type: 'refused', problem: this.#full(query, serving, now) };
-    const probe = this.#probe(open, query, now);
+    const probe = this.#probe(query, context);
     if (probe) return { type: 'chosen', runner: probe.runner.id };
+    const drawn = this.#draw(query, context);
+    if (drawn.runners === 0) return { type: 'refused', problem: noRunner(query) };
+    const open = drawn.even.length > 0 ? drawn.even : drawn.others;
+    if (open.length === 0) return { type: 'refused', problem: this.#full(query, drawn, now) };
     const candidates = open.map((known) => this.#candidate(known, query.kind, context));
     return { type: 'chosen', runner: this.#policy.pick(candidates, this.#random).id };
   }
@@ -158,7 +147,8 @@
   /** Requests that may be in flight from this entry over all usable runners of a kind, or of any. */
   capacity(kind: string | undefined, now: number): number {
     const context = this.#context(now);
-    return this.#serving(kind === undefined ? {} : { kind })
+    return this.#known
+      .serving(kind)
       .filter(({ runner }) => this.#ejector.health(runner.id, now) === 'closed')
       .reduce(
         (total, { runner, occupancy }) =>
@@ -169,7 +159,7 @@
 
   /** Share of the slots for a kind in use, as far as known; may exceed 1. */
   utilisation(kind: string, now: number): number {
-    const serving = this.#serving({ kind });
+    const serving = this.#known.serving(kind);
     const slots = serving.reduce((total, { runner }) => total + runner.slots, 0);
     const context = this.#context(now);
     const used = serving.reduce(
@@ -183,16 +173,7 @@
     return this.#known.get(id)?.occupancy.inFlight ?? 0;
   }
 
-  #serving({ kind, exclude }: { kind?: string; exclude?: ReadonlySet<string> }): Known[] {
-    return [...this.#known.values()].filter(
-      ({ runner, draining }) =>
-        !draining &&
-        !exclude?.has(runner.id) &&
-        (kind === undefined || runner.kinds.length === 0 || runner.kinds.includes(kind)),
-    );
-  }
-
-  #report({ runner, occupancy }: Known, load: RunnerLoad, now: number): void {
+  #report({ runner, occupancy }: KnownRunner, load: RunnerLoad, now: number): void {
     const perSlot = occupancy.report(load, now) / runner.slots;
     this.#othersPerSlot += USUAL_WEIGHT * (perSlot - this.#othersPerSlot);
   }
@@ -201,52 +182,66 @@
     return { now, entries: this.#entries(), usualPerSlot: this.#othersPerSlot };
   }
 
-  /** Those with room; as long as there are any, those with room for little more than their slots. */
-  #open(usable: Known[], context: LoadContext): Known[] {
-    const within = (queuePerSlot: number): Known[] =>
-      usable.filter(
-        ({ runner, occupancy }) =>
-          occupancy.inFlight < occupancy.bound(runner.slots, queuePerSlot, context),
-      );
-    const even = within(Math.min(this.#evenQueuePerSlot, this.#queuePerSlot));
-    return even.length > 0 ? even : within(this.#queuePerSlot);
-  }
-
-  /** Half-open runners get a request that may be repeated elsewhere, if it should be slow or lost. */
-  #probe(open: Known[], { idempotent }: ChoiceQuery, now: number): Known | undefined {
-    if (!idempotent) return undefined;
-    return open.find(({ runner }) => this.#ejector.health(runner.id, now) === 'half-open');
+  /** Draws at random, until the policy has as many as it weighs or no runner is left. */
+  #draw(query: ChoiceQuery, context: LoadContext): Drawn {
+    const most = this.#policy.sample;
+    const order =
+      most === Infinity
+        ? this.#known.serving(query.kind)
+        : this.#known.inRandomOrder(query.kind, this.#random);
+    const drawn: Drawn = { runners: 0, slots: 0, even: [], others: [] };
+    for (const known of order) {
+      if (isEligible(known, query)) {
+        drawn.runners += 1;
+        drawn.slots += known.runner.slots;
+        this.#sort(known, drawn, query, context);
+      }
+      if (drawn.even.length >= most) break;
+    }
+    return drawn;
   }
 
-  #candidate(known: Known, kind: string, context: LoadContext): Candidate {
-    const { runner, turn } = known;
-    return { id: runner.id, turn, cost: () => this.#cost(known, kind, context) };
+  #sort(known: KnownRunner, drawn: Drawn, query: ChoiceQuery, context: LoadContext): void {
+    if (!hasRoom(known, this.#queuePerSlot, context)) return;
+    if (!this.#ejector.mayUse(known.runner.id, context.now)) return;
+    if (!this.#answersInTime(known, query, context)) return;
+    const evenQueue = Math.min(this.#evenQueuePerSlot, this.#queuePerSlot);
+    if (hasRoom(known, evenQueue, context)) drawn.even.push(known);
+    else if (drawn.others.length < this.#policy.sample) drawn.others.push(known);
   }
 
-  /** Expected ms to the answer: service, waiting for a slot, and the way there. */
-  #cost(known: Known, kind: string, context: LoadContext): number {
-    const { runner, occupancy } = known;
-    const load = occupancy.total(runner.slots, context) / runner.slots;
-    const farMs = runner.failureDomain === this.#failureDomain ? 0 : this.#domainCostMs;
-    const serviceMs = this.#serviceMs(known, kind);
-    return serviceMs * (1 + LOAD_COST * load) + this.#waitMs(known, kind, context) + farMs;
+  #answersInTime(
+    known: KnownRunner,
+    { kind, timeLeftMs = Infinity }: ChoiceQuery,
+    context: LoadContext,
+  ): boolean {
+    return this.#costs.waitMs(known, kind, context) < timeLeftMs;
   }
 
-  #serviceMs({ runner }: Known, kind: string): number {
-    return this.#latency.typicalMs(kind) * this.#latency.slowness(runner.id);
+  /** Half-open runners get a request that may be repeated elsewhere, if it should be slow or lost. */
+  #probe(query: ChoiceQuery, context: LoadContext): KnownRunner | undefined {
+    if (!query.idempotent) return undefined;
+    const halfOpen = this.#ejector.halfOpen(context.now);
+    if (halfOpen.length === 0) return undefined;
+    return this.#known
+      .serving(query.kind)
+      .filter((known) => halfOpen.includes(known.runner.id) && isEligible(known, query))
+      .find(
+        (known) =>
+          this.#ejector.mayUse(known.runner.id, context.now) &&
+          hasRoom(known, this.#queuePerSlot, context) &&
+          this.#answersInTime(known, query, context),
+      );
   }
 
-  /** Expected ms until a slot is free. */
-  #waitMs(known: Known, kind: string, context: LoadContext): number {
-    const { slots } = known.runner;
-    const excess = Math.max(0, known.occupancy.total(slots, context) + 1 - slots);
-    return (this.#serviceMs(known, kind) * excess) / slots;
+  #candidate(known: KnownRunner, kind: string, context: LoadContext): Candidate {
+    const { runner, turn } = known;
+    return { id: runner.id, turn, cost: () => this.#costs.answerMs(known, kind, context) };
   }
 
-  #full({ kind }: ChoiceQuery, serving: Known[], now: number): Problem {
-    const slots = serving.reduce((total, { runner }) => total + runner.slots, 0);
+  #full({ kind }: ChoiceQuery, { runners, slots }: Drawn, now: number): Problem {
     const perMs = slots / Math.max(1, this.#entries()) / this.#latency.typicalMs(kind);
     const retryAfterMs = this.#pacer.next(now, perMs);
-    return runnersFull({ kind, runners: serving.length, slots, retryAfterMs });
+    return runnersFull({ kind, runners, slots, retryAfterMs });
   }
 }
--- a/packages/daemon/src/metrics/statsd-metrics.ts
+++ b/packages/daemon/src/metrics/statsd-metrics.ts
@@ -10,16 +10,16 @@
 
 /** Counts in memory and, where settings name a collector, sends over UDP. */
 export class StatsdMetrics extends CountingMetrics {
-  readonly #client: StatsD;
+  readonly #client: StatsD | undefined;
 
   constructor({ id, role, failureDomain, metrics }: Settings) {
     super();
-    const [host, port] = splitAddress(metrics?.address ?? '127.0.0.1:8125');
+    if (metrics === undefined) return;
+    const [host, port] = splitAddress(metrics.address);
     this.#client = new StatsD({
       host,
       port,
-      mock: metrics === undefined,
-      prefix: metrics?.prefix ?? '',
+      prefix: metrics.prefix,
       globalTags: { process: id, role, failureDomain },
       maxBufferSize: DATAGRAM_BYTES,
       bufferFlushInterval: FLUSH_EVERY_MS,
@@ -30,22 +30,22 @@
 
   override count(name: string, by = 1, tags: Tags = {}): void {
     super.count(name, by);
-    this.#client.increment(name, by, tags);
+    this.#client?.increment(name, by, tags);
   }
 
   override gauge(name: string, value: number, tags: Tags = {}): void {
     super.gauge(name, value);
-    this.#client.gauge(name, value, tags);
+    this.#client?.gauge(name, value, tags);
   }
 
   override timing(name: string, ms: number, tags: Tags = {}): void {
     super.timing(name, ms);
-    this.#client.timing(name, ms, tags);
+    this.#client?.timing(name, ms, tags);
   }
 
   /** Sends what waits and stops sending; totals stay readable. */
   close(): void {
-    this.#client.close(() => undefined);
+    this.#client?.close(() => undefined);
   }
 }
 
--- a/packages/entry/src/request/runner-pool.ts
+++ b/packages/entry/src/request/runner-pool.ts
@@ -86,8 +86,13 @@
 
   /** Picks a runner whose guard is linked, beyond those tried, or says why there is none. */
   choose(kind: Kind, timeLeftMs: number, tried: ReadonlySet<string>): RunnerChoice {
-    const exclude = new Set([...tried, ...this.#unlinked()]);
-    const query = { kind: kind.name, idempotent: kind.idempotent, timeLeftMs, exclude };
+    const query = {
+      kind: kind.name,
+      idempotent: kind.idempotent,
+      timeLeftMs,
+      exclude: tried,
+      reachable: this.#isLinked,
+    };
     const choice = this.#chooser.choose(query, this.#ctx.clock.now());
     if (choice.type === 'refused') return choice;
     const peer = this.#peer(choice.runner);
@@ -171,9 +176,7 @@
     return guard === undefined ? undefined : this.#upstreams.guardPeer(guard);
   }
 
-  #unlinked(): string[] {
-    return [...this.#guards.keys()].filter((runner) => this.#peer(runner) === undefined);
-  }
+  readonly #isLinked = (runner: string): boolean => this.#peer(runner) !== undefined;
 
   #follow(change: MembershipChange): void {
     if (change.type === 'linked') return;
