Lose enough answers around a rollout that its own is among them

With 3 lost answers the renewals of owners' leases took them all before the rollout's write came. Now the next 40 are lost; a rollout that isn't known by its row when repeated fails the scenario.

--- a/packages/e2e/src/bundle/bundle.feature
+++ b/packages/e2e/src/bundle/bundle.feature
@@ -9,12 +9,13 @@
     Then one of "north" and "southern" is in force, the other told by whom and what to do
     And version 2 is in force in every process
     When proposal "third" is signed
-    And the table loses 3 answers and 0 writes
+    And the table loses 40 answers and 0 writes
     And lakshmi rolls "third" out until it is told how it ended
     Then rolling "third" out exits 0
     And version 3 is in force in every process
-    When proposal "fourth" is signed
-    And the table loses 2 answers and 2 writes
+    When the table comes-back
+    And proposal "fourth" is signed
+    And the table loses 20 answers and 20 writes
     And ganbold rolls "fourth" out until it is told how it ended
     Then rolling "fourth" out exits 0
     And version 4 is in force in every process
--- a/packages/e2e/src/support/bundle-steps.support.ts
+++ b/packages/e2e/src/support/bundle-steps.support.ts
@@ -37,7 +37,10 @@
   const proposal = proposalFile(world, name);
   writeFileSync(file, JSON.stringify(world.bundle(change)));
   const [first, second] = world.deployment.operators as [OperatorShell, OperatorShell];
-  await first.must('bundle', 'propose', file, '--out', proposal, '--note', name);
+  // Entries don't ask a store for a second or so after it failed; nothing has happened then.
+  await until(`proposal ${name}`, () =>
+    first.must('bundle', 'propose', file, '--out', proposal, '--note', name),
+  );
   await first.must('bundle', 'sign', proposal, '--offline');
   await second.must('bundle', 'sign', proposal, '--offline');
 }
