Prove that work that may run once isn't started again after its worker is lost

Cause: with the rule of one start taken out of the job machine the scenario still passed: after a guard's death the end is a failure, which another rule keeps from being retried. Change: a second job of the scenario loses its worker.

--- a/packages/e2e/src/job/job.feature
+++ b/packages/e2e/src/job/job.feature
@@ -76,7 +76,7 @@
       | proof | succeeded | ran | 2      |
     And every ledger agrees with every answer
 
-  Scenario: a job that may run once isn't started again after its guard was killed
+  Scenario: a job that may run once isn't started again after its guard or worker was lost
     Given a deployment of 1 failure domain with 2 entries, 0 runners and 2 workers in each
     When crews submits to entry-1:
       | name | kind  | tasks | runMs |
@@ -87,6 +87,15 @@
     Then these jobs end:
       | name | state  | ran | attempts | starts |
       | reel | failed | ran | 1        | 2      |
+    When crews submits to entry-1:
+      | name  | kind  | tasks | runMs |
+      | proof | entry | 2     | 20000 |
+    And job "proof" runs
+    And the process of worker-1-1 is lost
+    And worker-1-1 is started again
+    Then these jobs end:
+      | name  | state  | ran | starts |
+      | proof | failed | ran | 2      |
     And every ledger agrees with every answer
 
   Scenario: what is cancelled and told not run never ran
