Await states of tasks that last, and bundles at entries that were started again

Cause: under load a window of 700 ms in which a task was being prepared was missed, as workers that are slow answer polls for events slowly too; and an entry started again answers 401 until it has the bundle. Change: the worker that keeps a gang at its barrier is frozen until told otherwise; ledgers are read, which no fault delays; submissions await the bundle.

--- a/packages/e2e/src/gang/gang.feature
+++ b/packages/e2e/src/gang/gang.feature
@@ -18,7 +18,7 @@
 
   Scenario: a gang whose worker is lost before the barrier starts nothing
     Given a deployment of 1 failure domain with 2 entries, 0 runners and 2 workers in each
-    And worker-1-2 has the faults {"slowMs":3000}
+    And worker-1-2 has the faults {"freeze":true}
     When crews submits to entry-1:
       | name | kind  | tasks | runMs |
       | reel | entry | 2     | 1000  |
@@ -65,7 +65,7 @@
 
   Scenario: a guard frozen at the barrier past its lease starts nothing
     Given a deployment of 1 failure domain with 2 entries, 0 runners and 2 workers in each
-    And worker-1-2 has the faults {"slowMs":3000}
+    And worker-1-2 has the faults {"freeze":true}
     When crews submits to entry-1:
       | name | kind  | tasks | runMs |
       | reel | entry | 2     | 500   |
--- a/packages/e2e/src/job/job.feature
+++ b/packages/e2e/src/job/job.feature
@@ -10,19 +10,17 @@
       | name  | state     | ran | starts |
       | early | succeeded | ran | 1      |
     When the old owner is started again
-    And worker-1-1 has the faults {"slowMs":700}
-    And worker-1-2 has the faults {"slowMs":700}
+    And worker-1-2 has the faults {"freeze":true}
     And crews submits to the owner:
       | name     | kind  | tasks | runMs |
       | reserved | entry | 2     | 300   |
     And job "reserved" has 1 task preparing on its worker
     And the owner is killed
+    And worker-1-2 has the faults {}
     Then these jobs end:
       | name     | state     | ran | starts |
       | reserved | succeeded | ran | 2      |
     When the old owner is started again
-    And worker-1-1 has the faults {}
-    And worker-1-2 has the faults {}
     And crews submits to the owner:
       | name    | kind  | tasks | runMs |
       | running | entry | 2     | 3000  |
@@ -35,14 +33,14 @@
 
   Scenario: an owner frozen past its lease starts nothing a second time
     Given a deployment of 1 failure domain with 2 entries, 0 runners and 2 workers in each
-    And worker-1-1 has the faults {"slowMs":700}
-    And worker-1-2 has the faults {"slowMs":700}
+    And worker-1-2 has the faults {"freeze":true}
     When crews submits to the owner:
       | name | kind  | tasks | runMs |
       | reel | entry | 2     | 500   |
     And job "reel" has 1 task preparing on its worker
     And the old owner is frozen
     Then the failure domain is taken over
+    And worker-1-2 has the faults {}
     When crews submits to the other entry:
       | name  | kind  | runMs |
       | proof | entry | 300   |
@@ -56,8 +54,7 @@
 
   Scenario: answers of the table lost around the start are settled
     Given a deployment of 1 failure domain with 2 entries, 0 runners and 2 workers in each
-    And worker-1-1 has the faults {"slowMs":300}
-    And worker-1-2 has the faults {"slowMs":300}
+    And worker-1-2 has the faults {"slowMs":1500}
     When crews submits to the owner:
       | name | kind  | tasks | runMs |
       | reel | entry | 2     | 300   |
--- a/packages/e2e/src/support/job-calls.support.ts
+++ b/packages/e2e/src/support/job-calls.support.ts
@@ -31,9 +31,6 @@
 /** Accounts by the name of the job or claim that they asked for. */
 const accounts = new WeakMap<E2eWorld, Map<string, string>>();
 
-/** Entries at which the bundle was seen in force. */
-const knownAt = new WeakMap<E2eWorld, Set<string>>();
-
 function accountsOf(world: E2eWorld): Map<string, string> {
   const known = accounts.get(world) ?? new Map<string, string>();
   accounts.set(world, known);
@@ -74,14 +71,10 @@
   return answer;
 }
 
-/** An entry learns of a bundle a moment after its roll-out. */
+/** An entry learns of the bundle a moment after its roll-out, or after its own start. */
 async function untilKnown(world: E2eWorld, account: string, url: string): Promise<void> {
-  const known = knownAt.get(world) ?? new Set<string>();
-  knownAt.set(world, known);
   await eventually(async () => {
-    if (known.has(url)) return true;
     const { status } = await world.caller(account).call('GET', `${url}/v1/jobs?limit=1`);
-    if (status !== 401) known.add(url);
     return status !== 401;
   });
 }
--- a/packages/e2e/src/support/worker-ledgers.support.ts
+++ b/packages/e2e/src/support/worker-ledgers.support.ts
@@ -1,4 +1,5 @@
 /** What truly ran in a scenario: the workers' own ledgers, those of workers that were killed included. */
+import { setTimeout as pause } from 'node:timers/promises';
 import Wreck from '@hapi/wreck';
 import type { TaskEntry, WorkerLedger } from '@zincspan/stand-ins';
 import type { Deployment } from '../deployment/deployment.js';
@@ -12,8 +13,7 @@
   attempt: number;
 }
 
-/** Longest wait for a worker's next event, in ms. */
-const EVENT_MS = 1000;
+const POLL_MS = 20;
 
 /** Names of tasks, as `taskName` of @zincspan/core makes them. */
 const NAME_PATTERN = /^jobs~([^~]+)~([^~]+)~(\d+)~\d+$/;
@@ -67,25 +67,9 @@
     return open.reduce((sum, { violations }) => sum + violations, this.#closedViolations);
   }
 
-  /** Resolves with the tasks of a job once they satisfy `done`; looks again at each event of a worker. */
-  async until(job: string, done: (tasks: LedgerTask[]) => boolean): Promise<LedgerTask[]> {
-    for (;;) {
-      const next = await this.#nextEvents();
-      const tasks = await this.tasksOf(job);
-      if (done(tasks)) return tasks;
-      await next();
-    }
-  }
-
-  /** Notes where each worker's events stand; the answer waits for the next of any. */
-  async #nextEvents(): Promise<() => Promise<unknown>> {
-    const marks = await Promise.all(this.#running.map(async (each) => [each, await mark(each)]));
-    const waits = (marks as [UpstreamVm, number][]).map(
-      ([worker, after]) =>
-        () =>
-          readEvents(worker, after, EVENT_MS),
-    );
-    return () => Promise.race(waits.map((wait) => wait()));
+  /** Resolves once the tasks of a job satisfy `done`. Ledgers answer whatever faults their workers have. */
+  async until(job: string, done: (tasks: LedgerTask[]) => boolean): Promise<void> {
+    while (!done(await this.tasksOf(job))) await pause(POLL_MS);
   }
 
   get #workers(): UpstreamVm[] {
@@ -105,28 +89,6 @@
   return payload;
 }
 
-async function mark(worker: UpstreamVm): Promise<number> {
-  return (await readEvents(worker, 0, 0)).next;
-}
-
-/** A worker that answers nothing is asked again after the longest wait. */
-async function readEvents(
-  { vm }: UpstreamVm,
-  after: number,
-  waitMs: number,
-): Promise<{ next: number }> {
-  const url = `http://${vm.upstream}/v1/events?after=${after}&waitMs=${waitMs}`;
-  try {
-    const { payload } = await Wreck.get<{ next: number }>(url, {
-      json: true,
-      timeout: waitMs + EVENT_MS,
-    });
-    return payload;
-  } catch {
-    return { next: after };
-  }
-}
-
 function toTask(worker: string, entry: TaskEntry): LedgerTask {
   const [, account = '', id = entry.task, attempt = '0'] = NAME_PATTERN.exec(entry.task) ?? [];
   return { ...entry, worker, job: `${account}/${id}`, attempt: Number(attempt) };
