--- a/packages/e2e/src/support/worker-ledgers.support.ts
+++ b/packages/e2e/src/support/worker-ledgers.support.ts
@@ -67,9 +67,13 @@
     return open.reduce((sum, { violations }) => sum + violations, this.#closedViolations);
   }
 
-  /** Resolves once the tasks of a job satisfy `done`. Ledgers answer whatever faults their workers have. */
-  async until(job: string, done: (tasks: LedgerTask[]) => boolean): Promise<void> {
-    while (!done(await this.tasksOf(job))) await pause(POLL_MS);
+  /** Resolves with the tasks of a job once they satisfy `done`. Ledgers answer whatever faults workers have. */
+  async until(job: string, done: (tasks: LedgerTask[]) => boolean): Promise<LedgerTask[]> {
+    for (;;) {
+      const tasks = await this.tasksOf(job);
+      if (done(tasks)) return tasks;
+      await pause(POLL_MS);
+    }
   }
 
   get #workers(): UpstreamVm[] {
