Hold given-up requests against service times, and wait for the way before a copy

Cause: times of answers are the guard's service times, but the time that a cancelled attempt was waited for holds the way there and the wait for a slot too.

Ruled out: letting slowness fade with time (a slow runner would come back by waiting, not by answering).

Change: LatencyTracker keeps the mean time that requests take beyond their service. It is taken off the time of a request that was given up and added to the hedge delay, in the entry and in bench:route alike.

Conclusion: copies start when a request is late rather than when it is far away, and no runner is left out for being the loser of copies.

--- a/packages/bench/src/route/request-route.ts
+++ b/packages/bench/src/route/request-route.ts
@@ -125,7 +125,7 @@
     const { kind } = this.#req;
     if (attempt.ended) return;
     Object.assign(attempt, { ended: true });
-    const end = whatItSaysOfItsRunner(result);
+    const end = whatItSaysOfItsRunner(result, time.now - attempt.sentAt);
     chooser.ended(attempt.runner.id, { kind, ...end, load: result.load }, time.now);
     if (this.#over) return;
     if (result.outcome === 'answered') {
@@ -166,7 +166,10 @@
 }
 
 /** A guard's own refusal says nothing of its runner. */
-function whatItSaysOfItsRunner(result: RunnerAnswer): Pick<RequestEnd, 'how' | 'ms'> {
+function whatItSaysOfItsRunner(
+  result: RunnerAnswer,
+  elapsedMs: number,
+): Omit<RequestEnd, 'kind' | 'load'> {
   if (result.outcome === 'problem') return { how: 'abandoned' };
-  return { how: 'answered', ms: result.serviceMs };
+  return { how: 'answered', ms: result.serviceMs, elapsedMs };
 }
--- a/packages/core/src/request/hedge-policy.steps.ts
+++ b/packages/core/src/request/hedge-policy.steps.ts
@@ -5,6 +5,7 @@
 
 interface World {
   hedging: HedgePolicy;
+  latency: LatencyTracker;
   /** Copies that the budget still allows. */
   left: number;
 }
@@ -16,6 +17,7 @@
     for (let i = 0; i < count; i += 1) {
       latency.observe({ runner: 'r', kind: 'match', ms: 1 + ((i * 37) % longest) });
     }
+    this.latency = latency;
     this.left = 2;
     const take = (): boolean => {
       this.left -= 1;
@@ -61,3 +63,32 @@
     assert.equal(asked.filter(Boolean).length, wanted);
   },
 );
+
+When('its answers take {int} ms beyond their service', function (this: World, overheadMs: number) {
+  for (let i = 0; i < 200; i += 1) {
+    const ms = 1 + ((i * 37) % 200);
+    const end = { kind: 'match', how: 'answered', ms, elapsedMs: ms + overheadMs } as const;
+    this.latency.ended('r', end);
+  }
+});
+
+/** How much slower a runner looks after a request to it was given up. */
+function slowedBy({ latency }: World, ms: number): number {
+  const before = latency.slowness('other');
+  latency.ended('other', { kind: 'match', how: 'abandoned', ms });
+  return latency.slowness('other') - before;
+}
+
+Then(
+  'giving a request up after {int} ms makes its runner look no slower',
+  function (this: World, ms: number) {
+    assert.equal(slowedBy(this, ms), 0);
+  },
+);
+
+Then(
+  'giving a request up after {int} ms makes its runner look slower',
+  function (this: World, ms: number) {
+    assert.ok(slowedBy(this, ms) > 0);
+  },
+);
--- a/packages/core/src/request/hedge-policy.ts
+++ b/packages/core/src/request/hedge-policy.ts
@@ -74,7 +74,8 @@
     if (!idempotent || this.#latency.weight(kind) < MIN_WEIGHT) return undefined;
     const tailMs = this.#latency.quantile(kind, this.#quantile);
     if (tailMs === undefined) return undefined;
-    const delayMs = Math.max(this.#shortestMs, tailMs);
+    // The tail is one of service times; the way there and the wait for a slot come on top.
+    const delayMs = Math.max(this.#shortestMs, tailMs + this.#latency.overheadMs);
     const leftForCopyMs = timeLeftMs - delayMs;
     return leftForCopyMs > this.#latency.typicalMs(kind) ? delayMs : undefined;
   }
--- a/packages/core/src/request/latency-tracker.ts
+++ b/packages/core/src/request/latency-tracker.ts
@@ -1,8 +1,11 @@
 /** Observed latency of requests: quantiles per kind, and how slow each runner is beside its peers. */
+import type { RequestEnd } from './runner-choice.js';
 import { DecayedHistogram } from '../statistics/decayed-histogram.js';
 
 /** Weight of one new latency in a runner's mean. */
 const ALPHA = 0.1;
+/** Weight of one answer in the mean overhead. */
+const OVERHEAD_ALPHA = 0.05;
 /** Bounds what one odd request says of its runner. */
 const LARGEST_RATIO = 50;
 const MAX_KINDS = 2000;
@@ -27,11 +30,29 @@
 
   readonly #assumedMs: number;
 
+  #overheadMs: number | undefined;
+
   /** `assumedMs` stands in for kinds that nothing is known of. */
   constructor({ assumedMs = 100 }: { assumedMs?: number } = {}) {
     this.#assumedMs = assumedMs;
   }
 
+  /** Mean time that requests take beyond their service: the way to the runner and the wait for a slot. */
+  get overheadMs(): number {
+    return this.#overheadMs ?? 0;
+  }
+
+  /** Notes how a request at a runner ended. Times that were only waited for are held against service times. */
+  ended(runner: string, { kind, how, ms, elapsedMs }: RequestEnd): void {
+    if (ms === undefined || how === 'failed') return;
+    if (how === 'abandoned') {
+      this.observe({ runner, kind, ms: Math.max(0, ms - this.overheadMs), atLeast: true });
+      return;
+    }
+    if (elapsedMs !== undefined) this.#noteOverhead(Math.max(0, elapsedMs - ms));
+    this.observe({ runner, kind, ms });
+  }
+
   /** Notes an answer. `ms` should be service time where the guard tells it, so that queueing isn't blamed. */
   observe({
     runner,
@@ -90,6 +111,11 @@
     this.#runners.delete(runner);
   }
 
+  #noteOverhead(ms: number): void {
+    const mean = this.#overheadMs ?? ms;
+    this.#overheadMs = mean + OVERHEAD_ALPHA * (ms - mean);
+  }
+
   #kind(kind: string): KindLatency {
     const known = this.#kinds.get(kind);
     if (known) return known;
--- a/packages/core/src/request/runner-choice.ts
+++ b/packages/core/src/request/runner-choice.ts
@@ -21,11 +21,13 @@
 
 export type Choice = { type: 'chosen'; runner: string } | { type: 'refused'; problem: Problem };
 
-/** How a request ended. `ms` is service time where told, else the time it took or was waited for. */
+/** How a request ended. `ms` is service time where told, else the time it was waited for. */
 export interface RequestEnd {
   kind: string;
   how: 'answered' | 'failed' | 'abandoned';
   ms?: number | undefined;
+  /** From sending it until its answer. */
+  elapsedMs?: number | undefined;
   load?: RunnerLoad | undefined;
 }
 
--- a/packages/core/src/request/runner-chooser.ts
+++ b/packages/core/src/request/runner-chooser.ts
@@ -133,15 +133,13 @@
   }
 
   /** That request has ended. */
-  ended(id: string, { kind, how, ms, load }: RequestEnd, now: number): void {
+  ended(id: string, end: RequestEnd, now: number): void {
     const known = this.#known.get(id);
     if (known === undefined) return;
     known.occupancy.ended();
-    if (load) this.#report(known, load, now);
-    if (ms !== undefined && how !== 'failed') {
-      this.#latency.observe({ runner: id, kind, ms, atLeast: how === 'abandoned' });
-    }
-    this.#ejector.ended(id, how, now);
+    if (end.load) this.#report(known, end.load, now);
+    this.#latency.ended(id, end);
+    this.#ejector.ended(id, end.how, now);
   }
 
   /** Requests that may be in flight from this entry over all usable runners of a kind, or of any. */
--- a/packages/entry/src/request/request-router.ts
+++ b/packages/entry/src/request/request-router.ts
@@ -186,7 +186,7 @@
   switch (end.type) {
     case 'answered': {
       const how = end.answer.status >= SERVER_ERROR ? 'failed' : 'answered';
-      return { how, ms: end.serviceMs, load: end.load };
+      return { how, ms: end.serviceMs, elapsedMs: ms, load: end.load };
     }
     case 'refused': {
       const { load, problem: cause } = end;
