Push small changes of the bundle to peers whose version is known

Pushing whole bundles: over 32 sections, or from no version, a peer is told and fetches as before. Change: bundle.push sends the signed delta; the keeper checks base, digest and signatures as for a fetched one; a push that doesn't fit is fetched. A peer of an older version refuses the method and hears the version with the next heartbeat. Mutants: a push taken whatever its base, and no push at all, are both caught.

--- a/packages/core/src/bundle/bundle.feature
+++ b/packages/core/src/bundle/bundle.feature
@@ -65,6 +65,24 @@
     And bundle process d starts with links to all
     Then bundle process d has version 1 after one fetch with a body
 
+  Scenario: a change is pushed whole to a peer whose version is known
+    Given bundle processes a, b and c linked in a row
+    And all three bundle processes have version 1 and know it of each other
+    When bundle process a takes version 2 without a fetch by anyone
+    Then bundle process c has version 2
+
+  Scenario: a pushed change that doesn't fit is fetched
+    Given bundle processes a, b and c linked in a row
+    And all three bundle processes have version 1 and know it of each other
+    When bundle process a is pushed a change from version 1 to 3 while it has version 2
+    Then bundle process a has version 3 after a fetch
+
+  Scenario: a pushed change that nobody signed is refused
+    Given bundle processes a, b and c linked in a row
+    And all three bundle processes have version 1 and know it of each other
+    When bundle process a is pushed a change to version 2 that one operator signed
+    Then bundle process a still has version 1 and counts a refusal
+
   Scenario: a peer with a bundle that is refused isn't asked at every heartbeat
     Given a bundle process whose peer tells a version with a forged body
     When the peer's bundle version rides on 5 heartbeats
--- a/packages/core/src/bundle/sync.steps.ts
+++ b/packages/core/src/bundle/sync.steps.ts
@@ -2,13 +2,15 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import type { Bundle } from './bundle.js';
-import { account, bundleOf, headOf, SyncProcess, settled } from './bundle.support.js';
+import { account, bundleOf, headOf, keys, SyncProcess, settled } from './bundle.support.js';
 import { checkBundle } from './check.js';
+import { makeDelta } from './delta.js';
 import type { Finding } from '../settings/finding.js';
 import type { Peer } from '../message/peer.js';
 
 interface SyncWorld {
   a: SyncProcess;
+  b: SyncProcess;
   c: SyncProcess;
   d: SyncProcess;
   forger: Peer;
@@ -20,10 +22,10 @@
 
 Given('bundle processes a, b and c linked in a row', function (this: SyncWorld) {
   this.a = new SyncProcess('a');
-  const b = new SyncProcess('b');
+  this.b = new SyncProcess('b');
   this.c = new SyncProcess('c');
-  this.a.link(b);
-  b.link(this.c);
+  this.a.link(this.b);
+  this.b.link(this.c);
 });
 
 When('bundle process a takes version 1', async function (this: SyncWorld) {
@@ -31,8 +33,8 @@
   await settled();
 });
 
-Then('bundle process c has version 1', function (this: SyncWorld) {
-  assert.equal(this.c.keeper.version, 1);
+Then('bundle process c has version {int}', function (this: SyncWorld, version: number) {
+  assert.equal(this.c.keeper.version, version);
 });
 
 When('bundle process d starts with links to all', async function (this: SyncWorld) {
@@ -51,6 +53,67 @@
   assert.equal(this.a.fetches + this.c.fetches, 2);
 });
 
+const changed = bundleOf({ accounts: [account('malabar', 2)] });
+const changedAgain = bundleOf({ accounts: [account('malabar', 3)] });
+
+Given(
+  'all three bundle processes have version 1 and know it of each other',
+  async function (this: SyncWorld) {
+    const all = [this.a, this.b, this.c];
+    this.a.sync.offerBundle(headOf(bundle, 1), bundle, 'table');
+    await settled();
+    all.forEach((process) => heartbeat(process, all));
+    assert.deepEqual(
+      all.map(({ keeper }) => keeper.version),
+      [1, 1, 1],
+    );
+    all.forEach((process) => Object.assign(process, { fetches: 0 }));
+  },
+);
+
+When(
+  'bundle process a takes version 2 without a fetch by anyone',
+  async function (this: SyncWorld) {
+    this.a.sync.offerBundle(headOf(changed, 2), changed, 'table');
+    await settled();
+    assert.equal(this.a.fetches + this.b.fetches + this.c.fetches, 0);
+  },
+);
+
+When(
+  'bundle process a is pushed a change from version 1 to 3 while it has version 2',
+  async function (this: SyncWorld) {
+    this.a.sync.offerBundle(headOf(changed, 2), changed, 'table');
+    await settled();
+    this.b.keeper.offerBundle(headOf(changedAgain, 3), changedAgain);
+    const head = headOf(changedAgain, 3);
+    const delta = makeDelta({ from: 1, before: bundle, after: changedAgain, head });
+    await this.a.answer('bundle.push', { delta }, this.a.links[0]!);
+    await settled();
+  },
+);
+
+Then('bundle process a has version 3 after a fetch', function (this: SyncWorld) {
+  assert.equal(this.a.keeper.version, 3);
+  assert.equal(this.b.fetches, 1);
+  assert.equal(this.a.metrics.counters.get('bundle.refused'), undefined);
+});
+
+When(
+  'bundle process a is pushed a change to version 2 that one operator signed',
+  async function (this: SyncWorld) {
+    const head = headOf(changed, 2, [keys.bat]);
+    const delta = makeDelta({ from: 1, before: bundle, after: changed, head });
+    await this.a.answer('bundle.push', { delta }, this.a.links[0]!);
+    await settled();
+  },
+);
+
+Then('bundle process a still has version 1 and counts a refusal', function (this: SyncWorld) {
+  assert.equal(this.a.keeper.version, 1);
+  assert.equal(this.a.metrics.counters.get('bundle.refused'), 1);
+});
+
 const SIZE = 4;
 const anyProcess = fc.nat(SIZE - 1);
 const networkEvents = fc.array(
--- a/packages/core/src/bundle/sync.ts
+++ b/packages/core/src/bundle/sync.ts
@@ -1,6 +1,7 @@
 /**
- * Spreads the bundle over links, in entries and guards alike: who hears of a newer version fetches what it lacks
- * from whoever told it. Versions ride on heartbeats, so that a lost push only delays.
+ * Spreads the bundle over links, in entries and guards alike: a peer whose version is known is pushed what it lacks;
+ * who hears of a newer version fetches what it lacks from whoever told it. Versions ride on heartbeats, so that a
+ * lost push only delays.
  */
 import { toProblem, type Problem } from '../error/problem.js';
 import type { Handlers, Peer } from '../message/peer.js';
@@ -19,6 +20,9 @@
   refusedPauseMs?: number;
 }
 
+/** Sections of a change that is sent unasked; a larger one is fetched by those who lack it. */
+const MOST_PUSHED_SECTIONS = 32;
+
 interface Refusal {
   version: number;
   until: number;
@@ -36,6 +40,10 @@
       this.onVersion(peer, version);
       return {};
     },
+    'bundle.push': ({ delta }, peer) => {
+      this.#takePushed(delta, peer);
+      return { version: this.#keeper.version };
+    },
   };
 
   readonly #ctx: ProcessContext;
@@ -115,16 +123,48 @@
   }
 
   #tellPeers(): void {
-    const head = this.#keeper.current?.head;
-    if (!head) return;
-    this.#peers()
-      .filter((peer) => (this.#known.get(peer) ?? 0) < head.version)
-      .forEach((peer) => {
-        peer.call('bundle.head', head, { timeoutMs: this.#fetchTimeoutMs }).catch(() => {
-          // The next heartbeat tells it again.
-          this.#ctx.metrics.count('bundle.push-failed');
-        });
+    const { version } = this.#keeper;
+    // Most peers lack the same: one delta serves them all.
+    const deltas = new Map<number, BundleDelta | undefined>();
+    this.#peers().forEach((peer) => {
+      const known = this.#known.get(peer) ?? 0;
+      if (known >= version) return;
+      if (!deltas.has(known)) deltas.set(known, this.#smallDelta(known));
+      this.#tell(peer, deltas.get(known)).catch(() => {
+        // The next heartbeat tells it again.
+        this.#ctx.metrics.count('bundle.push-failed');
       });
+    });
+  }
+
+  async #tell(peer: Peer, delta: BundleDelta | undefined): Promise<void> {
+    const timeoutMs = this.#fetchTimeoutMs;
+    const head = this.#keeper.current?.head;
+    if (delta) {
+      const { version } = await peer.call('bundle.push', { delta }, { timeoutMs });
+      this.#noteKnown(peer, version);
+    } else if (head) {
+      await peer.call('bundle.head', head, { timeoutMs });
+    }
+  }
+
+  /** What leads from `version` to the one in force, if that is little enough to send unasked. */
+  #smallDelta(version: number): BundleDelta | undefined {
+    const delta = this.#keeper.deltaSince(version);
+    if (!delta || delta.from === 0) return undefined;
+    return delta.set.length + delta.remove.length <= MOST_PUSHED_SECTIONS ? delta : undefined;
+  }
+
+  /** A pushed delta starts at the version in force here, or the peer is asked like any that has a newer one. */
+  #takePushed(delta: BundleDelta, peer: Peer): void {
+    const { version } = delta.head;
+    const fits = delta.from > 0 && delta.from === this.#keeper.version && version > delta.from;
+    if (!fits || this.#isPaused(peer, version)) this.onVersion(peer, version);
+    else {
+      this.#noteKnown(peer, version);
+      // What was refused may have been garbled on its way: the whole bundle is asked for, once.
+      if (typeof this.#offer(delta, peer.process.id) === 'object') this.onVersion(peer, version);
+    }
   }
 
   /** One fetch at a time: a process that links to many peers at once takes the bundle from one of them. */
--- a/packages/core/src/message/message.ts
+++ b/packages/core/src/message/message.ts
@@ -275,6 +275,11 @@
     res: z.strictObject({ delta: z.optional(bundleDeltaSchema) }),
   },
   'bundle.head': { req: bundleHeadSchema, res: none },
+  /** A small change sent along at once, instead of its head only. Answers the version then in force. */
+  'bundle.push': {
+    req: z.strictObject({ delta: bundleDeltaSchema }),
+    res: z.strictObject({ version: z.int().min(0) }),
+  },
   'timeline.read': {
     req: z.strictObject({
       since: z.optional(hybridStampSchema),
