Keep an account's accelerator quota over all failure domains

Cause: every owner applied the whole `quota.accelerators` by itself, so an account could use it once in each failure domain.

Ruled out: asking a keeper of the quota at each start (nothing starts while regions are apart); a fixed split by accelerators (a gang larger than one part would never run).

Change: `AllotmentKeeper` in each owner takes allotments in advance as rows (core's quota-allotment.ts, compare-and-set), by what runs and waits plus a quarter, and gives back what it hasn't needed for 60 s. It tells the scheduler (`allotment`, kept apart from the bundle's quota in FairShare). Nothing is taken where not even the smallest waiting job could start. Without the table an owner keeps what it has. `QueuePass` reserves and clears nothing for a job that its quota holds back.

Conclusion: the sum of all allotments is the quota, whoever is lost. Left: among failure domains that ask for more than the quota the first comes first. The FIFO baseline keeps no quotas, as before.

--- a/packages/core/src/scheduler/contract-scheduler.ts
+++ b/packages/core/src/scheduler/contract-scheduler.ts
@@ -16,6 +16,7 @@
   Decision,
   DomainScheduler,
   QueuedJob,
+  QuotaDemand,
   SchedulerEvent,
   SchedulerSummary,
 } from './scheduler.js';
@@ -87,6 +88,10 @@
         this.#state.setBundle(event.bundle);
         this.#passedReleases = -1;
         break;
+      case 'allotment':
+        this.#state.fairShare.setAllotment(event.account, event.accelerators);
+        this.#passedReleases = -1;
+        break;
       case 'worker-ready':
         this.#state.addWorker(event.worker, now);
         break;
@@ -166,6 +171,10 @@
     return this.#waits.expected(sizeOf(shape), urgent, now);
   }
 
+  quotaDemand(account: string): QuotaDemand {
+    return { inUse: this.#state.fairShare.counted(account), ...this.#queued.demand(account) };
+  }
+
   #applyClaim(event: SchedulerEvent, now: number): void {
     if (event.type === 'claim-asked') this.#claims.ask(event);
     if (event.type === 'claim-found') this.#claims.found(event);
--- a/packages/core/src/scheduler/fair-share.ts
+++ b/packages/core/src/scheduler/fair-share.ts
@@ -22,7 +22,9 @@
 
 interface Usage {
   weight: number;
+  /** The quota over all failure domains, and the part of it that this one may use. */
   quota: number;
+  allotment: number;
   /** Accelerators in use that count against the quota. */
   counted: number;
   running: Resources;
@@ -63,16 +65,17 @@
     });
   }
 
-  /** The part of an account's quota that was allotted to this failure domain. */
+  /** The part of an account's quota that was allotted to this failure domain; without a word all of it. */
   setAllotment(account: string, accelerators: number): void {
-    this.#usage(account).quota = accelerators;
+    this.#usage(account).allotment = accelerators;
   }
 
   /** Does the account's quota leave room for this shape beyond its guarantees? */
   mayStart(account: string, shape: Shape, { withinGuarantee = false } = {}): boolean {
     if (withinGuarantee) return true;
     const usage = this.#usage(account);
-    return usage.counted + shape.tasks * shape.acceleratorsPerTask <= usage.quota;
+    const most = Math.min(usage.quota, usage.allotment);
+    return usage.counted + shape.tasks * shape.acceleratorsPerTask <= most;
   }
 
   /** Accelerators that count against the account's quota now. */
@@ -143,6 +146,7 @@
     const usage: Usage = {
       weight: 1,
       quota: Number.POSITIVE_INFINITY,
+      allotment: Number.POSITIVE_INFINITY,
       counted: 0,
       running: { accelerators: 0, cores: 0, memoryMb: 0 },
       mean: 0,
--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -139,13 +139,17 @@
 
   #findPlace(job: QueuedJob, now: number): Placed | undefined {
     if (job.spec.claim !== undefined) return this.#findWithin(job, job.spec.claim);
-    const { fairShare } = this.#parts.state;
-    const withinGuarantee = this.#parts.state.isInside(job.account, sizeOf(job.spec.shape));
-    if (!fairShare.mayStart(job.account, job.spec.shape, { withinGuarantee })) return undefined;
+    if (!this.#isWithinQuota(job)) return undefined;
     const place = this.#placer.find(job, now);
     return place && { job, place };
   }
 
+  #isWithinQuota({ account, spec: { shape } }: QueuedJob): boolean {
+    const { fairShare } = this.#parts.state;
+    const withinGuarantee = this.#parts.state.isInside(account, sizeOf(shape));
+    return fairShare.mayStart(account, shape, { withinGuarantee });
+  }
+
   #findWithin(job: QueuedJob, id: string): Placed | undefined {
     const within = `claims/${job.account}/${id}`;
     const claim = this.#parts.claims.heldClaim(within);
@@ -154,11 +158,18 @@
     return members && { job, within, place: { members, firm: false, inside: true } };
   }
 
-  /** What to do for a job that doesn't fit; false once the rest of the queue can't fit either. */
+  /**
+   * What to do for a job that doesn't start; false once the rest of the queue can't fit either. For one that its
+   * account's quota holds back nothing is reserved and nobody evicted.
+   */
   #block(job: QueuedJob, now: number, decisions: Decision[]): boolean {
-    this.#blocked += 1;
     const line = `${job.account}/${job.spec.kind}`;
     this.#blockedOf.set(line, (this.#blockedOf.get(line) ?? 0) + 1);
+    if (job.spec.claim === undefined && !this.#isWithinQuota(job)) {
+      decisions.push(...this.#warnOf(job, now));
+      return true;
+    }
+    this.#blocked += 1;
     if (job.spec.claim !== undefined) return true;
     const { state, queued } = this.#parts;
     if (this.#reclaim(job, now, decisions)) return true;
@@ -227,6 +238,13 @@
         return evictions;
       }
     }
+    return this.#warnOf(job, now);
+  }
+
+  /** Says early that the contract of an urgent job is lost. */
+  #warnOf(job: QueuedJob, now: number): Decision[] {
+    const { view } = this.#parts.state;
+    const contractAt = view.isUrgent(job) ? view.contractAt(job) : undefined;
     return contractAt === undefined ? [] : this.#warn(job, contractAt, now);
   }
 
--- a/packages/core/src/scheduler/scheduler.ts
+++ b/packages/core/src/scheduler/scheduler.ts
@@ -28,6 +28,8 @@
 /** Everything that happens to a failure domain. */
 export type SchedulerEvent =
   | { type: 'bundle'; bundle: Bundle }
+  /** The part of an account's quota that this failure domain may use from now on. */
+  | { type: 'allotment'; account: string; accelerators: number }
   | { type: 'worker-ready'; worker: Worker }
   /** `draining`: finishes what it has. `lost`: all its tasks are gone. */
   | { type: 'worker-left'; worker: string; how: 'draining' | 'lost' }
@@ -98,6 +100,13 @@
   claimsHeld: number;
 }
 
+/** Accelerators beyond guarantees that an account uses, that its waiting jobs ask for, and its smallest one does. */
+export interface QuotaDemand {
+  inUse: number;
+  queued: number;
+  smallest: number;
+}
+
 /** Pure scheduler of one failure domain. All times are wall-clock ms, passed in. */
 export interface DomainScheduler {
   apply(event: SchedulerEvent, now: number): void;
@@ -108,6 +117,8 @@
   summary(now: number): SchedulerSummary;
   /** Expected time until a job of this shape would start, in ms; for Retry-After and early warnings. */
   expectedWaitMs(account: string, kind: string, shape: Shape, now: number): number;
+  /** What an account asks of its quota here; a scheduler without it doesn't keep quotas. */
+  quotaDemand?(account: string): QuotaDemand;
 }
 
 /** Answer to "could this ever run here?", from admission. */
--- a/packages/entry/src/owner/domain-owner.ts
+++ b/packages/entry/src/owner/domain-owner.ts
@@ -18,6 +18,7 @@
 import { ClaimStore } from '../claim/claim-store.js';
 import { JobStore } from '../job/job-store.js';
 import { DEFAULT_LIMITS } from './attempt-runner.js';
+import { AllotmentKeeper } from './allotment-keeper.js';
 import { DecisionRunner } from './decision-runner.js';
 import type { DomainOwnerOptions } from './domain-owner-options.js';
 import { GuardOrders } from './guard-orders.js';
@@ -56,6 +57,8 @@
 
   readonly #mover: JobMover;
 
+  readonly #allotments: AllotmentKeeper;
+
   #scheduler: DomainScheduler | undefined;
 
   /** The kind of scheduler that the bundle asked for when this owner began. */
@@ -87,6 +90,11 @@
       knownWorkers: options.knownWorkers,
       isStoreDown: options.isStoreDown ?? (() => false),
     });
+    this.#allotments = new AllotmentKeeper({
+      own: this.#own,
+      table: options.table,
+      demand: (account) => this.#scheduler?.quotaDemand?.(account),
+    });
     this.#mover = new JobMover({
       own: this.#own,
       jobs: this.#jobs,
@@ -111,6 +119,7 @@
     this.#cancelTimer?.();
     this.#cancelRescan?.();
     this.#mover.stop();
+    this.#allotments.stop();
     this.#own.workers.stop();
     this.#jobs.close();
     this.#claims.close();
@@ -215,6 +224,7 @@
     const { createScheduler, failureDomain } = this.#options;
     this.#policy = bundle.policy.scheduler;
     this.#scheduler = createScheduler({ failureDomain, bundle });
+    this.#allotments.bundleChanged(bundle);
     this.#own.workers.start();
     await recover(this.#own, this.#jobs, this.#claims);
     if (this.#closing.signal.aborted) return;
@@ -226,6 +236,7 @@
     });
     this.#planRescan();
     this.#mover.start();
+    this.#allotments.start();
     this.#wake();
   }
 
@@ -234,7 +245,10 @@
     if (bundle === undefined || this.#closing.signal.aborted) return;
     if (this.#scheduler === undefined) this.#own.background('opening', this.#begin(bundle));
     else if (bundle.policy.scheduler !== this.#policy) this.#options.onOutdated();
-    else this.#post({ type: 'bundle', bundle });
+    else {
+      this.#post({ type: 'bundle', bundle });
+      this.#allotments.bundleChanged(bundle);
+    }
   }
 
   #guardChanged(guard: string): void {
@@ -247,6 +261,7 @@
     if (this.#closing.signal.aborted || this.#scheduler === undefined) return;
     this.#scheduler.apply(event, this.#ctx.clock.wall());
     if (event.type === 'job-ended') this.#claims.jobEnded();
+    if (event.type === 'job-queued') this.#allotments.wake();
     this.#wake();
   }
 
