Let the outage outlast the client's retries, and poison jobs meet a kind that finishes

Cause: mutants passed: the table was down for less time than its client goes on trying, and no job of the poisoned kind had finished elsewhere.

--- a/packages/e2e/src/owner/owner.feature
+++ b/packages/e2e/src/owner/owner.feature
@@ -39,7 +39,7 @@
     Given a deployment of 1 failure domain with 2 entries, 0 runners and 2 workers in each
     When crews submits to the owner:
       | name | kind   | tasks | runMs |
-      | reel | entry  | 2     | 1500  |
+      | reel | entry  | 2     | 6000  |
       | next | render | 2     | 200   |
     And job "reel" runs
     And platform has the faults {"down":true}
--- a/packages/e2e/src/worker/worker.feature
+++ b/packages/e2e/src/worker/worker.feature
@@ -15,7 +15,11 @@
 
   Scenario: a poison job has no worker set aside
     Given a deployment of 1 failure domain with 2 entries, 0 runners and 2 workers in each
-    When crews submits 4 jobs like this to entry-1:
+    When crews submits 6 jobs like this to entry-1:
+      | name | kind  | runMs |
+      | good | proof | 50    |
+    Then all jobs "good" succeed
+    When crews submits 8 jobs like this to entry-1:
       | name   | kind  | runMs | fail |
       | poison | proof | 20    | true |
     And weddings submits 4 jobs like this to entry-1:
