--- a/packages/bench/src/capacity/slope.ts
+++ b/packages/bench/src/capacity/slope.ts
@@ -25,7 +25,9 @@
   const { m, b } = linearRegression(points);
   const fit = rSquared(points, linearRegressionLine({ m, b }));
   const list = points.map(([size, value]) => `${size}: ${digits(value)}`).join(', ');
-  return `| ${what} | ${per} | ${list} | ${digits(m)} | ${digits(b)} | ${fit.toFixed(3)} |`;
+  // Equal values have no variance that a line could explain.
+  const shownFit = Number.isNaN(fit) ? '-' : fit.toFixed(3);
+  return `| ${what} | ${per} | ${list} | ${digits(m)} | ${digits(b)} | ${shownFit} |`;
 }
 
 /** Three digits that count. */
