Keep in the row what ended attempts came to, and answer by it

Cause: a job whose only attempt was written started, but whose members were all barred before they started, was told 'ran' when it was cancelled in the queue: the job machine took any started attempt for one that ran. Two expectations changed, each to one as strict: a finish that says not-run over a doubtful row becomes 'unknown' rather than being refused, and a replaced owner's late start that its guard bars is 'not-run' (0 tasks started, as checked there).

--- a/packages/core/src/job/conclusion.ts
+++ b/packages/core/src/job/conclusion.ts
@@ -1,7 +1,7 @@
 /** What a job's row becomes once an attempt has surely ended. */
 import type { AttemptConclusion } from '../gang/attempt.js';
 import { mayRunAgain, type JobChange } from './job-machine.js';
-import type { JobRow } from './job.js';
+import type { JobRow, Ran } from './job.js';
 
 /** What the decision depends on besides the row. */
 export interface ConclusionOptions {
@@ -27,16 +27,17 @@
   }
   if (conclusion.end === 'succeeded') return succeed(conclusion, at);
   if (conclusion.end === 'cancelled' || row.cancelRequested) {
-    return finish(row, conclusion, { state: 'cancelled', kind: 'cancelled', at });
+    return finish(conclusion, { state: 'cancelled', kind: 'cancelled', at });
   }
   // A task that failed did run, and may have done what must be done once only.
   const checkpoint = conclusion.end === 'failed' ? undefined : conclusion.checkpoint;
   const again = conclusion.end !== 'failed' || mayRetry;
   if (again && mayRunAgain({ idempotent, checkpoint })) {
-    const change: JobChange = { type: 'requeue', ended: true, idempotent };
+    const ran = ranOf(conclusion);
+    const change: JobChange = { type: 'requeue', ended: true, idempotent, ran };
     return checkpoint === undefined ? change : { ...change, checkpoint };
   }
-  return finish(row, conclusion, { state: 'failed', kind: failureKind(conclusion), at });
+  return finish(conclusion, { state: 'failed', kind: failureKind(conclusion), at });
 }
 
 /** The change that ends a queued job for which no reservation is held. */
@@ -57,12 +58,16 @@
 }
 
 function finish(
-  row: JobRow,
-  { ran, neverStarted, detail }: Ended,
+  conclusion: Ended,
   { state, kind, at }: { state: 'failed' | 'cancelled'; kind: string; at: number },
 ): JobChange {
-  const otherwise = neverStarted && row.isFirstStart === true ? 'not-run' : 'unknown';
-  return { type: 'finish', state, ran: ran ? 'ran' : otherwise, kind, detail, at };
+  return { type: 'finish', state, ran: ranOf(conclusion), kind, detail: conclusion.detail, at };
+}
+
+/** What this attempt came to; the row knows of those before. */
+function ranOf({ ran, neverStarted }: Ended): Ran {
+  if (ran) return 'ran';
+  return neverStarted ? 'not-run' : 'unknown';
 }
 
 function failureKind({ end }: Ended): string {
--- a/packages/core/src/job/job-machine.feature
+++ b/packages/core/src/job/job-machine.feature
@@ -13,13 +13,15 @@
       | queued    | 0        | withdraw, released          | cancelled, not-run  |
       | queued    | 0        | withdraw, not released      | refused             |
       | queued    | 1        | withdraw, released          | cancelled, ran      |
+      | barred    | 1        | withdraw, released          | cancelled, not-run  |
+      | doubtful  | 1        | withdraw, released          | cancelled, unknown  |
       | started   | 1        | withdraw, released          | refused             |
       | started   | 1        | requeue, idempotent         | queued              |
       | started   | 1        | requeue, not idempotent     | refused             |
       | started   | 1        | requeue from its checkpoint | queued              |
       | started   | 1        | requeue before it has ended | refused             |
       | started   | 1        | finish unknown              | failed, unknown     |
-      | started   | 1        | finish not run              | refused             |
+      | started   | 1        | finish not run              | failed, unknown     |
       | first     | 1        | finish not run              | failed, not-run     |
       | queued    | 0        | finish not run              | refused             |
       | queued    | 0        | finish unknown              | refused             |
--- a/packages/core/src/job/job-machine.steps.ts
+++ b/packages/core/src/job/job-machine.steps.ts
@@ -16,7 +16,20 @@
 }
 
 /** Names of the examples that aren't a row's state by themselves. */
-const STATES: Record<string, string> = { wanted: 'queued', first: 'started' };
+const STATES: Record<string, string> = {
+  wanted: 'queued',
+  barred: 'queued',
+  doubtful: 'queued',
+  first: 'started',
+};
+
+/** What ended attempts came to, where it isn't `ran`. */
+const RAN_BEFORE: Record<string, string> = {
+  first: 'not-run',
+  barred: 'not-run',
+  doubtful: 'unknown',
+  started: 'unknown',
+};
 
 function rowOf(state: string, attempt: number): JobRow {
   return jobRowSchema.parse({
@@ -26,7 +39,7 @@
     spec: { kind: 'index', shape: { tasks: 2, acceleratorsPerTask: 4 } },
     digest: '',
     state: STATES[state] ?? state,
-    ...(state === 'first' ? { isFirstStart: true } : {}),
+    ranBefore: attempt === 0 ? 'not-run' : (RAN_BEFORE[state] ?? 'ran'),
     attempt,
     term: 1,
     cancelRequested: state === 'wanted',
@@ -49,7 +62,7 @@
 function changeOf(name: string): JobChange {
   const start = { type: 'start', attempt: 1, term: 2, at: 5 } as const;
   const withdraw = { type: 'withdraw', state: 'cancelled', kind: 'x', detail: '', at: 5 } as const;
-  const requeue = { type: 'requeue', ended: true, idempotent: true } as const;
+  const requeue = { type: 'requeue', ended: true, idempotent: true, ran: 'ran' } as const;
   const changes: Record<string, JobChange> = {
     'start attempt 1': { ...start, members: membersOf(2) },
     'start half its gang': { ...start, members: membersOf(1) },
--- a/packages/core/src/job/job-machine.ts
+++ b/packages/core/src/job/job-machine.ts
@@ -1,12 +1,12 @@
 /**
  * The only door through which a job row changes. Each function is pure: a row and a change in, a new row or a
  * problem out. The rules of truthfulness live here:
- * - `not-run` is said only of a job that was never started, once every reservation for it is surely gone, or of one
- *   whose first attempt was written as started, but whose guards all bar it and say that it never was;
+ * - `not-run` is said only of a job of which no attempt ran: never started, once every reservation for it is surely
+ *   gone, or written as started while every guard bars it and says that it never was;
  * - a job whose kind is not idempotent gets no second attempt, unless that continues from a checkpoint.
  */
 import { problem, type Problem } from '../error/problem.js';
-import type { JobOutcome, JobRow, JobState } from './job.js';
+import { mergeRan, type JobOutcome, type JobRow, type JobState, type Ran } from './job.js';
 
 /** States that a job never leaves. */
 export const FINAL_STATES: readonly JobState[] = ['succeeded', 'failed', 'cancelled', 'refused'];
@@ -30,12 +30,12 @@
       at: number;
     }
   /** Queues a started job again; `ended`: every member of the attempt surely runs no more. */
-  | { type: 'requeue'; ended: boolean; idempotent: boolean; checkpoint?: string }
+  | { type: 'requeue'; ended: boolean; idempotent: boolean; ran: Ran; checkpoint?: string }
   | {
       type: 'finish';
       state: 'succeeded' | 'failed' | 'cancelled';
       /** `not-run`: every member is barred and never started. */
-      ran: JobOutcome['ran'];
+      ran: Ran;
       kind: string;
       detail?: string;
       result?: unknown;
@@ -106,7 +106,6 @@
       ...row,
       state: 'started',
       attempt: change.attempt,
-      isFirstStart: row.attempt === 0,
       term: change.term,
       members: change.members,
       startedAt: row.startedAt ?? change.at,
@@ -117,9 +116,8 @@
 function withdraw(row: JobRow, change: Extract<JobChange, { type: 'withdraw' }>): JobChangeResult {
   if (row.state !== 'queued') return refused(row, `it is ${row.state}, not queued`);
   if (!change.released) return refused(row, 'a reservation for it may still be held');
-  // A job evicted to its queue did run: only one without any started attempt can be said not to have.
-  const ran = row.attempt === 0 ? 'not-run' : 'ran';
-  return { ok: true, row: ended(row, change.state, { ...change, ran }, change.at) };
+  // A job evicted to its queue did run; one whose attempts were all barred before they started did not.
+  return { ok: true, row: ended(row, change.state, { ...change, ran: row.ranBefore }, change.at) };
 }
 
 function requeue(row: JobRow, change: Extract<JobChange, { type: 'requeue' }>): JobChangeResult {
@@ -134,6 +132,7 @@
     row: {
       ...row,
       state: 'queued',
+      ranBefore: mergeRan(row.ranBefore, change.ran),
       members: [],
       ...(checkpoint === undefined ? {} : { checkpoint }),
     },
@@ -142,10 +141,8 @@
 
 function finish(row: JobRow, change: Extract<JobChange, { type: 'finish' }>): JobChangeResult {
   if (row.state !== 'started') return refused(row, `it is ${row.state}, not started`);
-  if (change.ran === 'not-run' && row.isFirstStart !== true) {
-    return refused(row, 'an earlier attempt may have run');
-  }
-  return { ok: true, row: ended(row, change.state, change, change.at) };
+  const ran = mergeRan(row.ranBefore, change.ran);
+  return { ok: true, row: ended(row, change.state, { ...change, ran }, change.at) };
 }
 
 function ended(
@@ -169,7 +166,7 @@
     problem: problem('conflict', {
       detail: `Job ${row.id} can't change so: ${why}.`,
       remedy: 'Read the job again and decide anew.',
-      ran: row.state === 'queued' && row.attempt === 0 ? 'not-run' : 'unknown',
+      ran: row.state === 'queued' ? row.ranBefore : 'unknown',
     }),
   };
 }
--- a/packages/core/src/job/job.ts
+++ b/packages/core/src/job/job.ts
@@ -20,6 +20,12 @@
 export const ranSchema = z.enum(['not-run', 'ran', 'unknown']);
 export type Ran = z.infer<typeof ranSchema>;
 
+/** What two attempts came to together: `not-run` only if neither ran. */
+export function mergeRan(a: Ran, b: Ran): Ran {
+  if (a === 'ran' || b === 'ran') return 'ran';
+  return a === 'unknown' || b === 'unknown' ? 'unknown' : 'not-run';
+}
+
 export const jobStateSchema = z.enum([
   'queued',
   'started',
@@ -54,8 +60,8 @@
   state: jobStateSchema,
   /** Attempts started so far; the current one while `started`. */
   attempt: z.int().min(0),
-  /** True: no attempt before the current one was started. Absent: one may have run. */
-  isFirstStart: z.optional(z.boolean()),
+  /** What the attempts that have ended came to, all together. */
+  ranBefore: ranSchema.default('not-run'),
   /** Highest attempt number given to guards before the job was moved here: a number is never used twice. */
   lastAttempt: z.optional(z.int().min(0)),
   /** Owner term that wrote `started`. */
--- a/packages/entry/src/job/job-service.ts
+++ b/packages/entry/src/job/job-service.ts
@@ -221,6 +221,7 @@
     ...base,
     state: 'queued',
     attempt: 0,
+    ranBefore: 'not-run',
     term: 0,
     members: [],
     cancelRequested: false,
--- a/packages/entry/src/owner/hardship.feature
+++ b/packages/entry/src/owner/hardship.feature
@@ -105,7 +105,7 @@
     When another owner's start of the submitted job gets into its row
     And the worker "w1" has prepared
     Then the submitted job gets "failed"
-    And the submitted job's outcome is "unknown" and "lost"
+    And the submitted job's outcome is "not-run" and "lost"
     And the worker "w1" has started 0 tasks
 
   Scenario: a gang that guards keep refusing is placed ever more slowly
--- a/packages/entry/src/request/request-router.ts
+++ b/packages/entry/src/request/request-router.ts
@@ -1,6 +1,7 @@
 /** Takes one request to its end: chooses runners, attempts, retries and hedges within the budget. */
 import {
   ProblemError,
+  mergeRan,
   type Problem,
   type ProcessContext,
   type Ran,
@@ -17,7 +18,7 @@
 import type { RequestLife } from './request-life.js';
 import { toRequestRun, type RequestOrder } from './request-order.js';
 import type { ChosenRunner, RunnerPool } from './runner-pool.js';
-import { judge, lifeOver, mergeRan } from './verdict.js';
+import { judge, lifeOver } from './verdict.js';
 
 /** How one request is taken care of. */
 export interface RouteOptions {
--- a/packages/entry/src/request/verdict.ts
+++ b/packages/entry/src/request/verdict.ts
@@ -62,12 +62,6 @@
   });
 }
 
-/** The stronger of what two attempts of one request say of whether it ran. */
-export function mergeRan(a: Ran, b: Ran): Ran {
-  if (a === 'ran' || b === 'ran') return 'ran';
-  return a === 'unknown' || b === 'unknown' ? 'unknown' : 'not-run';
-}
-
 function judgeRefusal(cause: Problem, kind: Kind): Verdict {
   const mayRepeat = cause.ran === 'not-run' || kind.idempotent;
   return { type: mayRepeat && RUNNER_KINDS.has(cause.kind) ? 'retry' : 'fail', problem: cause };
