Let a guard without a runner refuse as not run

Cause: its load has 0 slots, which the message's schema didn't allow. The entry took the refusal "no runner is announced" for an unreadable answer, and told the caller 500 internal, outcome unknown, instead of trying another runner or answering 503, not run. Ruled out: versions that differ; a link that garbles (the load alone was refused). Change: a load may have 0 slots. Nobody divides by it. After: the scenario passes.

--- a/packages/core/src/message/message.ts
+++ b/packages/core/src/message/message.ts
@@ -37,7 +37,8 @@
 export const runnerLoadSchema = z.strictObject({
   inUse: z.int().min(0),
   queued: z.int().min(0),
-  slots: z.int().min(1),
+  /** 0 at a guard that no runner has announced itself to. */
+  slots: z.int().min(0),
 });
 export type RunnerLoad = z.infer<typeof runnerLoadSchema>;
 
--- a/packages/guard/src/request/requests.feature
+++ b/packages/guard/src/request/requests.feature
@@ -82,3 +82,9 @@
     When a runner announces itself to the guard
     And the runner withdraws from the guard
     Then the entry was told that the upstream is "withdrawn"
+
+  Scenario: a guard without a runner refuses as not run
+    Given a guard without an upstream
+    And the guard without an upstream is linked
+    When an entry sends the guard a request "a"
+    Then request "a" failed as "no-upstream", ran "not-run"
--- a/packages/guard/src/request/requests.steps.ts
+++ b/packages/guard/src/request/requests.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { setTimeout as pause } from 'node:timers/promises';
 import { Given, Then, When } from '@cucumber/cucumber';
 import Wreck from '@hapi/wreck';
 import { LinkError, type RequestResult } from '@zincspan/core';
@@ -38,9 +39,24 @@
 );
 
 Given('a guard without an upstream', async function (this: RequestWorld) {
+  this.results = new Map();
   await startGuard(this, undefined, { announceTtlMs: 500 });
 });
 
+/** Bounded by the step's own timeout. */
+async function untilLinked({ entry }: RequestWorld): Promise<void> {
+  try {
+    assert.ok(entry.guard);
+  } catch {
+    await pause(5);
+    await untilLinked({ entry } as RequestWorld);
+  }
+}
+
+Given('the guard without an upstream is linked', async function (this: RequestWorld) {
+  await untilLinked(this);
+});
+
 Given('the guarded runner cuts its answers', function (this: RequestWorld) {
   this.runner!.faults.cutAnswer = true;
 });
