Tell an account at its quota of waiting jobs when there will be room

Cause: `Admissions` named 10 s and the API 5 s to whoever had as many jobs waiting as may, whether one starts every 20 s or none for hours.

Ruled out: owners telling rates of each account to all entries (390 accounts in each summary).

Change: `Admissions` uses `admit` with the rate at which the account's jobs leave the queue (`DrainRate`), and until one has left the wait expected from the running jobs.

Before: both scenarios of come-back.feature failed (10 s told where one job starts every 20 s, and where the worker is taken for hours). The scenarios of queue-counts.feature were written with the code. After: 2 of 2 and 4 of 4, and 18 of 18 with the API's and the quotas'.

Conclusion: the time told follows what happens. Jobs that are queued again count as new ones, so it is short where many are evicted.

--- a/packages/core/src/scheduler/admissions.ts
+++ b/packages/core/src/scheduler/admissions.ts
@@ -1,13 +1,13 @@
 /** Truthful refusals: what can never run here, and what an account's quota leaves no room for. */
 import { problem, type Problem } from '../error/problem.js';
 import type { ClaimBook } from '../guarantee/claim-book.js';
+import { admit } from './admission.js';
 import type { DomainState } from './domain-state.js';
+import { DrainRate } from './drain-rate.js';
 import { sizeOf } from './placer.js';
 import type { QueuedWork } from './queued-work.js';
 import type { Decision, QueuedJob } from './scheduler.js';
-
-/** Taken for Retry-After when nothing is known of how fast the queue moves. */
-const RETRY_AFTER_MS = 10_000;
+import type { Waits } from './waits.js';
 
 /** Checks jobs as they are queued in one failure domain. */
 export class Admissions {
@@ -17,6 +17,11 @@
 
   readonly #queued: QueuedWork;
 
+  readonly #waits: Waits;
+
+  /** Rates at which jobs of each account leave the queue. */
+  readonly #rates = new Map<string, DrainRate>();
+
   #refusals: Decision[] = [];
 
   /** Jobs by the claim that they are to run in. */
@@ -29,19 +34,22 @@
     state,
     claims,
     queued,
+    waits,
   }: {
     state: DomainState;
     claims: ClaimBook;
     queued: QueuedWork;
+    waits: Waits;
   }) {
+    this.#waits = waits;
     this.#queued = queued;
     this.#state = state;
     this.#claims = claims;
   }
 
   /** True if the job may wait; else it is refused with the next decisions. */
-  accept(job: QueuedJob): boolean {
-    const refusal = this.#overQuota(job) ?? this.#beyondClaim(job);
+  accept(job: QueuedJob, now: number): boolean {
+    const refusal = this.#overQuota(job, now) ?? this.#beyondClaim(job);
     if (refusal !== undefined) {
       this.#refusals.push({ type: 'refuse', key: job.key, problem: refusal });
       return false;
@@ -63,6 +71,13 @@
     this.#waitingFor.delete(claim);
   }
 
+  /** A job has left the queue: it was placed or cancelled. */
+  left({ account }: QueuedJob, now: number): void {
+    const rate = this.#rates.get(account) ?? new DrainRate();
+    this.#rates.set(account, rate);
+    rate.note(now);
+  }
+
   /** Refusals due. What can never run is refused only once the workers are known. */
   decide(now: number): Decision[] {
     if (now >= this.#state.workers.settledAt() && this.#state.workers.size > 0) {
@@ -108,7 +123,8 @@
     });
   }
 
-  #overQuota({ account, spec, attempt }: QueuedJob): Problem | undefined {
+  #overQuota(job: QueuedJob, now: number): Problem | undefined {
+    const { account, spec, attempt } = job;
     const quota = this.#state.view.account(account)?.quota;
     if (quota === undefined || attempt > 0) return undefined;
     const size = sizeOf(spec.shape);
@@ -120,14 +136,29 @@
         facts: { asked: size, bound: most },
       });
     }
-    const queued = this.#queued.count(account);
-    if (queued < quota.queuedJobs) return undefined;
-    return problem('quota-exceeded', {
-      detail: `${account} has ${queued} jobs waiting; its quota is ${quota.queuedJobs}.`,
-      remedy: 'Submit again after retryAfterMs, or cancel jobs that are no longer needed.',
-      retryAfterMs: RETRY_AFTER_MS,
-      facts: { queued, bound: quota.queuedJobs },
+    return this.#full(job, quota.queuedJobs, now);
+  }
+
+  /** Refusal of a job beyond those that may wait, with the time until one of them will have left. */
+  #full(job: QueuedJob, accountMayQueue: number, now: number): Problem | undefined {
+    const { account, spec } = job;
+    const urgent = this.#state.view.isUrgent(job);
+    const expectedWaitMs = this.#waits.expected(sizeOf(spec.shape), urgent, now);
+    // Until one has left the rate is not known, but when there will be room is.
+    const rate = this.#rates.get(account)?.perMs(now) ?? 0;
+    const drainPerMs = rate > 0 ? rate : 1 / Math.max(1, expectedWaitMs);
+    const admission = admit({
+      account,
+      accountQueued: this.#queued.count(account),
+      accountMayQueue,
+      queued: this.#state.queue.size,
+      mayQueue: Number.POSITIVE_INFINITY,
+      accountDrainPerMs: drainPerMs,
+      drainPerMs,
+      expectedWaitMs,
+      expectedRunMs: this.#state.runMs(job).p50Ms,
     });
+    return admission.type === 'refuse' ? admission.problem : undefined;
   }
 
   #beyondClaim({ account, spec }: QueuedJob): Problem | undefined {
--- a/packages/core/src/scheduler/contract-scheduler.ts
+++ b/packages/core/src/scheduler/contract-scheduler.ts
@@ -71,7 +71,12 @@
     this.#waits = new Waits({ state, queued: this.#queued });
     this.#watch = new WorkerWatch({ state });
     this.#overruns = new Overruns({ state, reservations: this.#reservations });
-    this.#admissions = new Admissions({ state, claims: this.#claims, queued: this.#queued });
+    this.#admissions = new Admissions({
+      state,
+      claims: this.#claims,
+      queued: this.#queued,
+      waits: this.#waits,
+    });
     this.#pass = new QueuePass({
       state,
       claims: this.#claims,
@@ -104,7 +109,7 @@
         else this.#state.workers.drain(event.worker);
         break;
       case 'job-queued':
-        this.#enqueue(event.job);
+        this.#enqueue(event.job, now);
         break;
       case 'job-found':
         this.#found(event, now);
@@ -119,7 +124,7 @@
         this.#ended(event, now);
         break;
       case 'job-cancelled':
-        this.#cancelled(event.key);
+        this.#cancelled(event.key, now);
         break;
       case 'job-usage':
         this.#overruns.usage(event);
@@ -197,7 +202,7 @@
   #refuse(now: number): Decision[] {
     const refusals = this.#admissions.decide(now);
     refusals.forEach((refusal) => {
-      if (refusal.type === 'refuse') this.#cancelled(refusal.key);
+      if (refusal.type === 'refuse') this.#cancelled(refusal.key, now);
     });
     return refusals;
   }
@@ -208,10 +213,10 @@
     this.#reservations.dropWorker(worker);
   }
 
-  #enqueue(job: QueuedJob): void {
+  #enqueue(job: QueuedJob, now: number): void {
     if (this.#state.running.get(job.key) !== undefined || this.#clearing.has(job.key)) return;
     if (this.#state.queue.has(job.key)) return;
-    if (!this.#admissions.accept(job)) return;
+    if (!this.#admissions.accept(job, now)) return;
     this.#wait(job);
   }
 
@@ -228,10 +233,12 @@
     this.#pass.forget(job.key);
   }
 
-  #cancelled(key: string): void {
+  #cancelled(key: string, now: number): void {
     const queued = this.#state.queue.get(key);
     if (queued !== undefined) this.#leaveQueue(queued);
     const cleared = this.#clearing.get(key);
+    const left = queued ?? cleared?.job;
+    if (left !== undefined) this.#admissions.left(left, now);
     if (cleared === undefined) return;
     this.#clearing.delete(key);
     this.#queued.change(cleared.job, this.#state.view.isUrgent(cleared.job), -1);
@@ -326,7 +333,10 @@
       const { job, inside } = cleared;
       this.#clearing.delete(key);
       this.#queued.change(job, this.#state.view.isUrgent(job), -1);
-      if (!broken) return [this.#run({ job, place: { members, firm: false, inside } }, now)];
+      if (!broken) {
+        this.#admissions.left(job, now);
+        return [this.#run({ job, place: { members, firm: false, inside } }, now)];
+      }
       this.#wait(job);
       return [];
     });
@@ -352,6 +362,7 @@
     const placed: QueuedJob[] = [];
     const { decisions, clearing } = this.#pass.run({ jobs, all: full }, now, (found) => {
       placed.push(found.job);
+      this.#admissions.left(found.job, now);
       return this.#run(found, now);
     });
     placed.forEach((job) => this.#leaveQueue(job));
--- a/packages/entry/src/job/job-service.ts
+++ b/packages/entry/src/job/job-service.ts
@@ -25,7 +25,7 @@
 /** Tries at a row that others keep changing. */
 const MOST_TRIES = 8;
 
-/** When to come back after the table failed or the quota was met, in ms. */
+/** When to come back after the table failed, in ms. */
 const RETRY_AFTER_MS = 5000;
 
 /** What the service is made from. */
@@ -161,14 +161,15 @@
   }
 
   async #checkQuota({ name, quota }: ClientAccount): Promise<void> {
-    const queued = await this.#options.counts.queued(name);
-    if (queued < quota.queuedJobs) return;
+    const full = await this.#options.counts.full(name, quota.queuedJobs);
+    if (full === undefined) return;
+    const { queued, retryAfterMs } = full;
     this.#options.ctx.metrics.count('job.refused', 1, { kind: 'quota-exceeded' });
     throw new ProblemError(
       problem('quota-exceeded', {
         detail: `${queued} jobs of account ${name} wait; its quota is ${quota.queuedJobs}.`,
         remedy: 'Wait until some have started, or cancel some.',
-        retryAfterMs: RETRY_AFTER_MS,
+        retryAfterMs,
         facts: { queued, quota: quota.queuedJobs },
       }),
     );
