Remove the rows of jobs and claims that ended long ago

Ruled out: each owner sweeping the rows of its own failure domain (rows lie by account, so each would read all of them); an end time written by every change of a claim (the sweeper can note it).

Change: `EndedSweeper` in the entry that owns the first failure domain reads 50 rows every 5 s and removes, by compare-and-set, final ones that ended more than `keepEndedMs` ago (7 days unless set, at least 1 h). A claim's end is noted when it is first seen, and its row stays while the row beside it does.

The 3 scenarios were written with the code; that of claims failed at first, as it gave the sweeper no time to note the end, and now lets a minute pass in between.

Conclusion: rows of jobs and claims are bounded by what ends in `keepEndedMs`. Idempotency keys of jobs are known for as long. Bundle versions and bodies are still kept for good. An entry of an older release can't read a claim with `endedAt`.

--- a/packages/core/src/guarantee/guarantee.ts
+++ b/packages/core/src/guarantee/guarantee.ts
@@ -24,6 +24,8 @@
   state: z.enum(['claiming', 'held', 'released', 'failed']),
   submittedAt: z.number(),
   heldAt: z.optional(z.number()),
+  /** When it was first seen to be over. */
+  endedAt: z.optional(z.number()),
   reason: z.optional(z.string()),
 });
 export type ClaimRow = z.infer<typeof claimRowSchema>;
--- a/packages/entry/src/owner/app.ts
+++ b/packages/entry/src/owner/app.ts
@@ -4,6 +4,7 @@
 import { ClaimService } from '../claim/claim-service.js';
 import { ClaimStore } from '../claim/claim-store.js';
 import { registerClaimRoutes } from '../claim/routes.js';
+import { EndedSweeper } from '../job/ended-sweeper.js';
 import { JobService } from '../job/job-service.js';
 import { JobStore } from '../job/job-store.js';
 import { KnownWorkers } from '../job/known-workers.js';
@@ -59,6 +60,10 @@
   const jobs = new JobStore({ table, writer });
   const claims = new ClaimStore({ table, writer });
   const { failureDomains } = owners;
+  const [first = ''] = failureDomains;
+  const { keepEndedMs } = settings;
+  const isMyTurn = (): boolean => owners.local(first) !== undefined;
+  const sweeper = new EndedSweeper({ ctx, table, timers, keepEndedMs, isMyTurn });
   const counts = new QueueCounts({ store: jobs, clock: ctx.clock, failureDomains });
   const shared = { ctx, bundles, owners };
   const jobService = new JobService({ ...shared, store: jobs, claims, counts });
@@ -71,9 +76,15 @@
       registerJobRoutes(server, { ...waiting, service: jobService, store: jobs });
       registerClaimRoutes(server, { ...waiting, service: claimService, store: claims });
     },
-    start: () => owners.start(),
+    start: () => {
+      owners.start();
+      sweeper.start();
+    },
     drain: () => owners.handOver(),
-    stop: () => owners.stop(),
+    stop: () => {
+      sweeper.stop();
+      owners.stop();
+    },
     status: () => owners.status(),
   };
 }
--- a/packages/entry/src/owner/owner-world.support.ts
+++ b/packages/entry/src/owner/owner-world.support.ts
@@ -84,7 +84,7 @@
     this.table = new MemoryTable({ store: world.store });
     this.upstreams = new UpstreamDirectory({ ctx: this.ctx });
     const { failureDomains } = world;
-    const settings = testSettings({ id, failureDomains });
+    const settings = testSettings({ id, failureDomains, keepEndedMs: 3_600_000 });
     const accounts = new AccountDirectory({ bundles: world.bundles });
     this.server = createHttpServer({ ctx: this.ctx, settings, accounts });
     const make = ownerApp({
