Run the scenarios over separate processes four at a time

Cause: one after another they took more than 8 minutes (a run was ended at its limit of 480 s with no failure so far).

--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -9,6 +9,8 @@
 
 export const e2e = {
   ...common,
+  // Each worker process has loopback addresses of its own.
+  parallel: 4,
   paths: ['packages/e2e/src/**/*.feature'],
   import: ['packages/e2e/dist/**/*.support.js', 'packages/e2e/dist/**/*.steps.js'],
 };
