Follow a runner that announces more slots

Cause: the guard kept the client of the runner's first announcement, whose sockets were bounded by the slots announced then. Change: a change of slots makes a new client; requests in progress keep the old one. The scenario timed out before the change and passes after it.

--- a/packages/guard/src/request/request-runner.ts
+++ b/packages/guard/src/request/request-runner.ts
@@ -76,10 +76,10 @@
       this.#refuseQueued();
       return;
     }
-    if (before?.address !== runner.address || before.connections !== runner.connections) {
+    const slots = Math.min(runner.slots, runner.connections);
+    if (before?.address !== runner.address || this.#queue.slots !== slots) {
       this.#client = new RunnerClient(runner);
     }
-    const slots = Math.min(runner.slots, runner.connections);
     if (this.#queue.slots !== slots) this.#resize(slots);
   }
 
--- a/packages/guard/src/request/requests.feature
+++ b/packages/guard/src/request/requests.feature
@@ -83,6 +83,13 @@
     And the runner withdraws from the guard
     Then the entry was told that the upstream is "withdrawn"
 
+  Scenario: a runner that announces more slots gets more requests at once
+    Given a guard beside a runner that has announced 1 of its 2 slots
+    And the guarded runner announces 2 slots
+    And the guarded runner is frozen
+    When an entry has requests "a" and "b" in progress
+    Then the runner is busy with 2 requests at once
+
   Scenario: a guard without a runner refuses as not run
     Given a guard without an upstream
     And the guard without an upstream is linked
--- a/packages/guard/src/request/requests.steps.ts
+++ b/packages/guard/src/request/requests.steps.ts
@@ -30,14 +30,27 @@
 Given(
   'a guard beside a runner with {int} slots',
   async function (this: RequestWorld, slots: number) {
-    this.results = new Map();
-    const runner = await startRunner({ slots });
-    this.runner = runner;
-    closeLater(() => runner.close());
-    await startGuard(this, runner.runner);
+    await startBoth(this, { slots, announced: slots });
   },
 );
 
+Given(
+  'a guard beside a runner that has announced {int} of its {int} slots',
+  async function (this: RequestWorld, announced: number, slots: number) {
+    await startBoth(this, { slots, announced });
+  },
+);
+
+async function startBoth(
+  world: RequestWorld,
+  { slots, announced }: { slots: number; announced: number },
+): Promise<void> {
+  const runner = await startRunner({ slots });
+  Object.assign(world, { results: new Map(), runner });
+  closeLater(() => runner.close());
+  await startGuard(world, { ...runner.runner, slots: announced });
+}
+
 Given('a guard without an upstream', async function (this: RequestWorld) {
   this.results = new Map();
   await startGuard(this, undefined, { announceTtlMs: 500 });
@@ -156,6 +169,21 @@
   await this.entry.untilReady();
 });
 
+Given('the guarded runner announces {int} slot(s)', async function (this: RequestWorld, slots) {
+  const payload = JSON.stringify({ ...this.runner!.runner, slots });
+  const url = `http://${this.guard.address}/v1/upstream`;
+  const res = await Wreck.request('POST', url, { payload });
+  assert.equal(res.statusCode, 204);
+});
+
+Then(
+  'the runner is busy with {int} requests at once',
+  async function (this: RequestWorld, count: number) {
+    // Bounded by the step's own timeout.
+    while (this.runner!.ledger().maxInUse < count) await pause(5);
+  },
+);
+
 When('the runner withdraws from the guard', async function (this: RequestWorld) {
   await this.runner!.close();
 });
