--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,7 @@
  * Bundles the two binaries. One file per role instead of hundreds of modules: a guard's VM gives it 64 MB, and
  * separate modules cost it most of that.
  */
-import { chmodSync } from 'node:fs';
+import { chmodSync, rmSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const BINARIES = [
@@ -14,6 +14,9 @@
 const REQUIRE_BANNER =
   "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);";
 
+// Chunks are named by content: old ones would pile up.
+BINARIES.forEach(({ outdir }) => rmSync(outdir, { recursive: true, force: true }));
+
 await Promise.all(
   BINARIES.map(({ entry, outdir }) =>
     build({
