Wait for jobs and claims by one function

Cause: reading the whole change as a newcomer: both routes parsed the id, the time and the account and set up the same long poll. Change: waitForRow in job/row-wait.ts; behaviour is the same.

--- a/packages/entry/src/claim/routes.ts
+++ b/packages/entry/src/claim/routes.ts
@@ -1,14 +1,11 @@
 /** The caller API of claims over HTTP. Callers see the claims of their own account only. */
 import type { Request, ResponseObject, ResponseToolkit, Server } from '@hapi/hapi';
-import { claimKey, nameSchema, type ClaimRow, type ProcessContext } from '@zincspan/core';
+import { claimKey, nameSchema, type ClaimRow } from '@zincspan/core';
 import * as z from 'zod';
 import { callingAccount } from '../http/auth.js';
 import { parseInput, reading } from '../job/body.js';
-import { longPoll } from '../job/long-poll.js';
-import { idempotencyKeySchema, idParamSchema, waitQuerySchema } from '../job/routes.js';
-import type { RowWatch } from '../job/row-watch.js';
-import type { Owners } from '../owner/owners.js';
-import type { Timers } from '../owner/timers.js';
+import { idempotencyKeySchema } from '../job/routes.js';
+import { idParamSchema, waitForRow, type RowWaitDeps } from '../job/row-wait.js';
 import { isSettledClaim, type ClaimService } from './claim-service.js';
 import type { ClaimStore } from './claim-store.js';
 
@@ -20,13 +17,9 @@
 });
 
 /** What the routes need. */
-export interface ClaimRouteDeps {
-  ctx: ProcessContext;
+export interface ClaimRouteDeps extends RowWaitDeps {
   service: ClaimService;
-  owners: Owners;
   store: ClaimStore;
-  watch: RowWatch;
-  timers: Timers;
 }
 
 /** Registers `/v1/claims`. */
@@ -68,25 +61,15 @@
 }
 
 async function wait(
-  { ctx, service, owners, watch, timers }: ClaimRouteDeps,
+  deps: ClaimRouteDeps,
   req: Request,
   h: ResponseToolkit,
 ): Promise<ResponseObject> {
-  const { id } = parseInput(idParamSchema, req.params);
-  const { timeoutMs } = parseInput(waitQuerySchema, req.query);
-  const { name } = callingAccount(req);
-  const key = claimKey(name, id);
-  const row = await longPoll({
-    key,
-    timeoutMs,
-    read: () => service.read(name, id),
-    isDone: isSettledClaim,
-    watch,
-    whenChanged: ({ failureDomain }, ms) => owners.whenChanged(failureDomain, key, ms),
-    timers,
-    clock: ctx.clock,
-  });
-  return h.response(claimStatus(row));
+  const readRow = deps.service.read.bind(deps.service);
+  const isDone = isSettledClaim;
+  return h.response(
+    claimStatus(await waitForRow(deps, req, { keyOf: claimKey, read: readRow, isDone })),
+  );
 }
 
 async function list(
--- a/packages/entry/src/job/routes.ts
+++ b/packages/entry/src/job/routes.ts
@@ -7,27 +7,17 @@
   jobStateSchema,
   nameSchema,
   type JobRow,
-  type ProcessContext,
 } from '@zincspan/core';
 import * as z from 'zod';
 import { callingAccount } from '../http/auth.js';
-import type { Owners } from '../owner/owners.js';
-import type { Timers } from '../owner/timers.js';
 import { parseInput, reading } from './body.js';
 import type { JobService } from './job-service.js';
 import type { JobStore } from './job-store.js';
-import { longPoll } from './long-poll.js';
-import type { RowWatch } from './row-watch.js';
+import { idParamSchema, waitForRow, type RowWaitDeps } from './row-wait.js';
 
 /** Rows that one listing reads at most. */
 const MOST_READ = 2000;
 
-export const idParamSchema = z.strictObject({ id: nameSchema });
-
-export const waitQuerySchema = z.strictObject({
-  timeoutMs: z.coerce.number().int().min(0).max(120_000).default(30_000),
-});
-
 /** Header by which a caller marks repeats of one submission. */
 export const idempotencyKeySchema = z.optional(z.string().min(1).max(200));
 
@@ -38,13 +28,9 @@
 });
 
 /** What the routes need. */
-export interface JobRouteDeps {
-  ctx: ProcessContext;
+export interface JobRouteDeps extends RowWaitDeps {
   service: JobService;
-  owners: Owners;
   store: JobStore;
-  watch: RowWatch;
-  timers: Timers;
 }
 
 /** Registers `/v1/jobs`. */
@@ -106,26 +92,11 @@
   return h.response(jobStatus(await service.read(callingAccount(req).name, id)));
 }
 
-async function wait(
-  { ctx, service, owners, watch, timers }: JobRouteDeps,
-  req: Request,
-  h: ResponseToolkit,
-): Promise<ResponseObject> {
-  const { id } = parseInput(idParamSchema, req.params);
-  const { timeoutMs } = parseInput(waitQuerySchema, req.query);
-  const { name } = callingAccount(req);
-  const key = jobKey(name, id);
-  const row = await longPoll({
-    key,
-    timeoutMs,
-    read: () => service.read(name, id),
-    isDone: isFinal,
-    watch,
-    whenChanged: ({ failureDomain }, ms) => owners.whenChanged(failureDomain, key, ms),
-    timers,
-    clock: ctx.clock,
-  });
-  return h.response(jobStatus(row));
+async function wait(deps: JobRouteDeps, req: Request, h: ResponseToolkit): Promise<ResponseObject> {
+  const readRow = deps.service.read.bind(deps.service);
+  return h.response(
+    jobStatus(await waitForRow(deps, req, { keyOf: jobKey, read: readRow, isDone: isFinal })),
+  );
 }
 
 async function cancel(
