Refuse at once while the store is out of reach

Change: a submission is refused before anything is sent once no read of the configuration was confirmed for 1.2 s, and given up as unknown after one silent try when reads have failed as well. Refusals name what the store said.

--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -29,6 +29,15 @@
 /** Told to callers when the store refuses or is out of reach, in ms: outages last seconds. */
 const STORE_RETRY_MS = 1000;
 
+/**
+ * A configuration that wasn't confirmed for this long says that the store is out of reach from here, in ms: longer than
+ * a pause between two reads with a store that is sixty times slower than usual. Nothing is sent to it then.
+ */
+const STORE_AWAY_MS = 1200;
+
+/** The same while a try has already gone without an answer, in ms: two reads in a row have failed as well. */
+const STORE_SILENT_MS = 900;
+
 /** Refusals in a row, without any sign that the store acted, after which a caller is told at once. */
 const REFUSALS_TO_GIVE_UP = 2;
 
@@ -81,6 +90,9 @@
     if (this.#options.view.get(id) !== undefined) {
       return this.#log('submit', id, { outcome: 'accepted', again: true });
     }
+    if (this.#options.config.ageMs > STORE_AWAY_MS) {
+      return this.#log('submit', id, storeAway('no read was answered lately'));
+    }
     const decoded = decode();
     if ('fault' in decoded) return this.#log('submit', id, badInput(decoded.fault));
     const fault = graphFault(decoded.job.steps);
@@ -95,7 +107,7 @@
     if (admitted.outcome !== 'admitted') return this.#log('state', call.path, admitted);
     const job = await this.#find(admitted, budgetMs);
     if (job === 'absent') return this.#log('state', admitted.rest, { outcome: 'no-such-job' });
-    if (job === 'unknown') return this.#log('state', admitted.rest, storeAway());
+    if (job === 'unknown') return this.#log('state', admitted.rest, storeAway('a read failed'));
     return { outcome: 'state', state: jobState(job) };
   }
 
@@ -107,7 +119,7 @@
     const id = admitted.rest;
     const job = await this.#find(admitted, budgetMs);
     if (job === 'absent') return this.#log('cancel', id, { outcome: 'no-such-job' });
-    if (job === 'unknown') return this.#log('cancel', id, storeAway());
+    if (job === 'unknown') return this.#log('cancel', id, storeAway('a read failed'));
     const result = job.cancelled
       ? ({ outcome: 'cancelled' } as const)
       : await this.#storeCancellation(id, until);
@@ -150,6 +162,7 @@
     const { config, gate, store } = this.#options;
     let admitted = first;
     let maybeDone = false;
+    let detail = 'no time left';
     let refusals = 0;
     for (;;) {
       const timeoutMs = Math.min(TRY_TIMEOUT_MS, until - this.#now());
@@ -169,13 +182,15 @@
         admitted = next;
         continue;
       }
+      detail = result.detail;
       if (result.outcome === 'unknown') maybeDone = true;
       else refusals += 1;
-      if (!maybeDone && refusals >= REFUSALS_TO_GIVE_UP) return storeAway();
+      if (!maybeDone && refusals >= REFUSALS_TO_GIVE_UP) return storeAway(detail);
+      if (maybeDone && config.ageMs > STORE_SILENT_MS) break;
       await pause(RETRY_PAUSE_MS);
     }
-    if (maybeDone) return { outcome: 'unknown', detail: 'The store did not answer in time.' };
-    return storeAway();
+    if (maybeDone) return { outcome: 'unknown', detail: `The store did not answer: ${detail}.` };
+    return storeAway(detail);
   }
 
   #submission({ queue, account, rowVersion }: Admitted, id: string, job: JobRequest): Transaction {
@@ -234,11 +249,11 @@
   return { outcome: 'bad-input', detail };
 }
 
-function storeAway(): CallRefusal {
+function storeAway(detail: string): CallRefusal {
   return {
     outcome: 'not-accepted',
     retryAfterMs: STORE_RETRY_MS,
-    detail: 'The store cannot be reached from here.',
+    detail: `The store cannot be used from here: ${detail}.`,
   };
 }
 
