Stop others' runs for urgent work only shortly before it is late

Change: outside a guarantee a group stops only runs of jobs that come after it, only in the last part of its objective or before it is past all use, with a bound on what is thrown away, and not again for 1.5 s.

--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -227,6 +227,7 @@
     stops.forEach(({ occupant, forJob }) => {
       const [first] = occupant.assignments;
       if (first !== undefined) this.#book.stop(first, `room for ${forJob.id}`);
+      forJob.noteRoomMade(this.#book.now());
     });
   }
 
--- a/packages/cell/src/owner/owned-job.ts
+++ b/packages/cell/src/owner/owned-job.ts
@@ -17,6 +17,9 @@
   /** When each waiting step was first seen ready, by `<occurrence>.<step>`, on the monotonic clock. */
   readonly readySince = new Map<string, number>();
 
+  /** When runs of others were last stopped for it, on the monotonic clock. */
+  #madeRoomAt = -Infinity;
+
   #cancelled: boolean;
 
   #terms: QueueTerms;
@@ -34,6 +37,14 @@
     this.#terms = submission.terms;
   }
 
+  get madeRoomAt(): number {
+    return this.#madeRoomAt;
+  }
+
+  noteRoomMade(now: number): void {
+    this.#madeRoomAt = now;
+  }
+
   get cancelled(): boolean {
     return this.#cancelled;
   }
--- a/packages/cell/src/owner/placing-pass.ts
+++ b/packages/cell/src/owner/placing-pass.ts
@@ -48,13 +48,23 @@
 const MOST_RESERVATIONS = 2;
 
 /**
- * An urgent group outside a guarantee may stop others' runs once it has waited this long, in ms: less than what its
- * objective leaves, more than a task's stop takes.
+ * An urgent group outside a guarantee may stop others' runs only while it matters: shortly before it would be late, or
+ * past all use. Shares of its objective.
  */
-const PREEMPT_AFTER_MS = 400;
+const PREEMPT_WINDOWS = [
+  { from: 0.7, to: 1 },
+  { from: 2.5, to: 3 },
+];
 
-/** It may throw away at most this share of the work that it wants to do. */
-const PREEMPT_LOSS_SHARE = 0.3;
+/**
+ * It may throw away at most this much, in accelerator-ms. Being late costs it a fifth of a worth of 4; the platform
+ * charges 0.0021 for a core-second, and an accelerator with its cores counts as 11 cores: a job of mean size is worth
+ * about 30 accelerator-seconds, and what is stopped is late as well.
+ */
+const PREEMPT_LOSS = 15_000;
+
+/** It doesn't ask again before that, in ms: stops take effect meanwhile. */
+const PREEMPT_PAUSE_MS = 1500;
 
 interface Candidate {
   wanted: WantedGroup;
@@ -112,26 +122,34 @@
     const victims = this.#victimsFor(standing, job);
     const plan = planRoom(group, comingRooms, victims);
     if (plan === undefined) return false;
-    if (!standing.claim && plan.loss > PREEMPT_LOSS_SHARE * groupWork(wanted)) return false;
+    if (!standing.claim && plan.loss > PREEMPT_LOSS) return false;
     const chosen = victims.filter((occupant) => plan.victims.includes(occupant));
     chosen.forEach((occupant) => this.result.stops.push({ occupant, forJob: job }));
     this.#keepFor(this.#withStopped(this.#rooms), wanted);
     return true;
   }
 
-  #mayPreempt({ readySince }: WantedGroup, { claim, priority }: Standing): boolean {
-    if (claim) return true;
-    return priority === 0 && this.#input.now - readySince >= PREEMPT_AFTER_MS;
+  #mayPreempt({ job }: WantedGroup, standing: Standing): boolean {
+    if (standing.claim) return true;
+    if (standing.priority > 0 || this.#input.now - job.madeRoomAt < PREEMPT_PAUSE_MS) return false;
+    const share = (standing.ageMs + standing.leftChainMs) / standing.objectiveMs;
+    return PREEMPT_WINDOWS.some(({ from, to }) => share >= from && share <= to);
+  }
+
+  /** Outside a guarantee only those that come after it: others would take the room at once. */
+  #victimsFor(standing: Standing, job: OwnedJob): Occupant[] {
+    return this.#input.occupants.filter((occupant) => {
+      if (occupant.isProtected || this.#isStopping(occupant) || occupant.job === job) return false;
+      if (standing.claim) return true;
+      if (occupant.job.terms.priority <= standing.priority) return false;
+      return byUrgency(standing, this.#standingOf(occupant.job)) < 0;
+    });
   }
 
-  #victimsFor({ claim, priority }: Standing, job: OwnedJob): Occupant[] {
-    return this.#input.occupants.filter(
-      (occupant) =>
-        !occupant.isProtected &&
-        !this.#isStopping(occupant) &&
-        occupant.job !== job &&
-        (claim || occupant.job.terms.priority > priority),
-    );
+  #standingOf(job: OwnedJob): Standing {
+    const { wallMs, means, claims } = this.#input;
+    const occurrence = job.progress.occurrences[0]?.index ?? 0;
+    return standingOf(job, { claim: claims.has(job), wallMs, means, occurrence });
   }
 
   #isStopping(occupant: Occupant): boolean {
@@ -196,10 +214,6 @@
   return { ...wanted, group: { ...wanted.group, indexes } };
 }
 
-function groupWork({ group, step }: WantedGroup): number {
-  return group.indexes.length * Math.max(1, step.demand.accelerators) * step.estimateMs;
-}
-
 function copies(rooms: readonly Room[]): Room[] {
   return rooms.map((room) => room.copy());
 }
