Avoid workers that fail or stand still, evacuate, let claims wait while it costs nothing

Change: failures and standstills count against a worker, which is closed after two of different tasks; a step's next runs are kept from it; checkpointing runs leave a draining runner in time; a claim that would throw much away waits for room as long as its bound and its objective allow; an owner that the store hasn't confirmed for 1.5 s decides nothing.

--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -6,6 +6,7 @@
 import { JobView } from '../job/job-view.js';
 import { CellOwner, notOwner } from '../owner/cell-owner.js';
 import { Ownership } from '../owner/ownership.js';
+import type { ReclaimBounds } from '../owner/placing-pass.js';
 import type { RowStore } from '../store/row-store.js';
 import { CallerGate } from './caller-gate.js';
 import { JobCalls } from './job-calls.js';
@@ -29,6 +30,7 @@
   linkKey: string;
   /** Longest authority that a contact may give, in ms. */
   leaseMs: number;
+  reclaim: ReclaimBounds;
   /** A key that was taken away must not work any more after this long, in ms. */
   revokeMs: number;
 }
@@ -112,7 +114,7 @@
   }
 
   #open(term: number, ownerVersion: number): void {
-    const { ctx, store, leaseMs } = this.#options;
+    const { ctx, store, leaseMs, reclaim } = this.#options;
     this.#owner = new CellOwner({
       ctx,
       store,
@@ -120,6 +122,7 @@
       term,
       ownerVersion,
       leaseMs,
+      reclaim,
       config: () => this.#config.known?.config,
       confirmedAt: () => this.#ownership.held?.confirmedAt ?? -Infinity,
       onConfirmed: (sentAt) => this.#ownership.confirm(sentAt),
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -16,10 +16,10 @@
 import { ordersFor, takeUpContact } from './contact-handler.js';
 import { Fleet } from './fleet.js';
 import { OwnedJob } from './owned-job.js';
-import { decidePass, type Occupant } from './placing-pass.js';
+import { decidePass, type Occupant, type ReclaimBounds } from './placing-pass.js';
 import { ProgressWriter } from './progress-writer.js';
 import { RunBook } from './run-book.js';
-import { QueueMeans, findClaims, totalWork } from './standings.js';
+import { QueueMeans, acceleratorsOf, findClaims, totalWork } from './standings.js';
 
 /** Pause between passes when nothing happens, in ms: time alone changes what may be placed. */
 const PASS_EVERY_MS = 200;
@@ -36,6 +36,12 @@
  */
 export const UNCONFIRMED_MS = 12_000;
 
+/**
+ * One that hasn't been confirmed for this long decides nothing, in ms: a rival takes over after about as long, and what
+ * its silent workers do is then the rival's to judge.
+ */
+const DECIDE_WITHIN_MS = 1500;
+
 /** A guard is given this long to take a poke, in ms. */
 const POKE_TIMEOUT_MS = 1000;
 
@@ -48,6 +54,7 @@
   ownerVersion: number;
   /** Longest authority that a contact gives, in ms. */
   leaseMs: number;
+  reclaim: ReclaimBounds;
   config: () => CellConfig | undefined;
   /** When the store last confirmed this owner, on the monotonic clock. */
   confirmedAt: () => number;
@@ -185,8 +192,11 @@
     clearTimeout(this.#passTimer);
     this.#passTimer = setTimeout(() => this.#pass(), PASS_EVERY_MS);
     const startedAt = this.#book.now();
+    if (startedAt - this.#options.confirmedAt() > DECIDE_WITHIN_MS) return;
     try {
       this.#book.loseUnreachable();
+      this.#book.stopStandstills();
+      this.#book.evacuate();
       this.#book.openDue(this.#options.ctx.clock.wall());
       this.#refreshTerms();
       this.#decide();
@@ -220,6 +230,7 @@
       rooms: this.#book.fleet.rooms(),
       occupants: this.#occupants(claims),
       means: this.#means,
+      bounds: this.#options.reclaim,
       now: this.#book.now(),
       wallMs: this.#options.ctx.clock.wall(),
     });
@@ -268,7 +279,7 @@
   /** Accelerator-milliseconds since the last checkpoint, or since the start where none is saved. */
   #lossOf(assignment: Assignment, checkpointing: boolean): number {
     const since = checkpointing ? assignment.checkpointAt : assignment.assignedAt;
-    return Math.max(1, assignment.demand.accelerators) * (this.#book.now() - since);
+    return acceleratorsOf(assignment.demand) * (this.#book.now() - since);
   }
 
   #noteDurable(jobs: readonly OwnedJob[]): void {
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -22,6 +22,9 @@
   contact.running.forEach((status) => {
     const assignment = assignmentOf(worker, status);
     if (assignment === undefined) return;
+    if (assignment.runningAt === undefined || status.percent > assignment.percent) {
+      assignment.progressAt = book.now();
+    }
     assignment.runningAt ??= book.now();
     assignment.percent = status.percent;
     if (status.checkpoint === assignment.checkpoint) return;
@@ -76,6 +79,7 @@
           how: end.how,
           checkpoint: end.checkpoint,
         });
+  if (assignment !== undefined) book.noteHealth(worker, assignment, end.how);
   worker.noteEnd(end.number, { jobId: parsed?.jobId ?? '', change: change ?? 0 });
   if (assignment !== undefined) worker.assignments.delete(assignment.name);
 }
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -70,16 +70,17 @@
     const now = this.#clock.now();
     return [...this.#workers.values()]
       .filter((worker) => isPlaceable(worker, now))
-      .map((worker) => toRoom(worker));
+      .map((worker) => toRoom(worker, now));
   }
 }
 
-function isPlaceable({ runner, contactAt, avoidUntil }: Worker, now: number): boolean {
+function isPlaceable({ runner, contactAt, avoidUntil, health }: Worker, now: number): boolean {
   if (runner === undefined || runner.draining || !runner.reachable) return false;
+  if (health.isClosed(now)) return false;
   return now - contactAt < PLACE_WITHIN_MS && now >= avoidUntil;
 }
 
-function toRoom(worker: Worker): Room {
+function toRoom(worker: Worker, now: number): Room {
   const { vm, rack, runner } = worker;
   return new Room({
     vm,
@@ -88,5 +89,6 @@
     service: runner?.service ?? '',
     free: worker.free(),
     capacity: runner?.capacity ?? { milliCores: 0, memoryMb: 0, accelerators: 0 },
+    suspicion: worker.health.suspicion(now),
   });
 }
--- a/packages/cell/src/owner/owned-job.ts
+++ b/packages/cell/src/owner/owned-job.ts
@@ -3,6 +3,15 @@
 import { JobProgress } from '../job/progress.js';
 import type { QueueTerms, Submission } from '../job/submission.js';
 
+/** A step's next runs are kept from a worker where one went wrong for this long, in ms; then any will do. */
+const AVOID_MS = 2500;
+
+/** Names a step of an occurrence. */
+export interface StepRef {
+  occurrence: number;
+  step: number;
+}
+
 /** Changes are numbered; the one numbered `durable` and all before it are in the store. */
 export class OwnedJob {
   readonly id: string;
@@ -24,6 +33,9 @@
 
   #terms: QueueTerms;
 
+  /** Workers where a step's runs went wrong, and when, by `<occurrence>.<step>` and VM. */
+  readonly #avoided = new Map<string, Map<string, number>>();
+
   #change = 0;
 
   #durable = 0;
@@ -63,6 +75,21 @@
     this.#terms = terms;
   }
 
+  /** A run of this step went wrong there. */
+  avoid({ occurrence, step }: StepRef, vm: string, now: number): void {
+    const key = `${occurrence}.${step}`;
+    const vms = this.#avoided.get(key) ?? new Map<string, number>();
+    this.#avoided.set(key, vms);
+    vms.set(vm, now);
+  }
+
+  /** Workers that the next runs of this step are kept from. */
+  avoided({ occurrence, step }: StepRef, now: number): Set<string> {
+    const vms = this.#avoided.get(`${occurrence}.${step}`) ?? new Map<string, number>();
+    const recent = [...vms].filter(([, at]) => now - at < AVOID_MS);
+    return new Set(recent.map(([vm]) => vm));
+  }
+
   get change(): number {
     return this.#change;
   }
--- a/packages/cell/src/owner/placing-pass.ts
+++ b/packages/cell/src/owner/placing-pass.ts
@@ -25,6 +25,7 @@
   rooms: readonly Room[];
   occupants: readonly Occupant[];
   means: QueueMeans;
+  bounds: ReclaimBounds;
   /** Monotonic, in ms. */
   now: number;
   /** Time of day, in ms. */
@@ -66,6 +67,23 @@
 /** It doesn't ask again before that, in ms: stops take effect meanwhile. */
 const PREEMPT_PAUSE_MS = 1500;
 
+/** Bounds within which claims are met, in ms. */
+export interface ReclaimBounds {
+  /** From a job's acceptance to the start of its first step. */
+  reclaimMs: number;
+  /** A runner takes up to this long to stop a run. */
+  stopMs: number;
+}
+
+/** Writing the start down, carrying it out and the looks between, in ms, beside what the bounds name. */
+const RECLAIM_SLACK_MS = 900;
+
+/** A claim stops others at once where they lose no more than this, in accelerator-ms: a checkpoint's interval or two. */
+const CHEAP_LOSS = 6000;
+
+/** And where waiting for room would make it late. */
+const LATE_SHARE = 0.9;
+
 interface Candidate {
   wanted: WantedGroup;
   standing: Standing;
@@ -123,6 +141,7 @@
     const plan = planRoom(group, comingRooms, victims);
     if (plan === undefined) return false;
     if (!standing.claim && plan.loss > PREEMPT_LOSS) return false;
+    if (standing.claim && plan.loss > CHEAP_LOSS && this.#canWait(wanted, standing)) return false;
     const chosen = victims.filter((occupant) => plan.victims.includes(occupant));
     chosen.forEach((occupant) => this.result.stops.push({ occupant, forJob: job }));
     this.#keepFor(this.#withStopped(this.#rooms), wanted);
@@ -136,6 +155,14 @@
     return PREEMPT_WINDOWS.some(({ from, to }) => share >= from && share <= to);
   }
 
+  /** Room may come by itself before the claim has to be met. */
+  #canWait({ readySince }: WantedGroup, { ageMs, leftChainMs, objectiveMs }: Standing): boolean {
+    const { reclaimMs, stopMs } = this.#input.bounds;
+    const waitedMs = Math.max(ageMs, this.#input.now - readySince);
+    if (waitedMs >= reclaimMs - stopMs - RECLAIM_SLACK_MS) return false;
+    return ageMs + leftChainMs + stopMs < LATE_SHARE * objectiveMs;
+  }
+
   /** Outside a guarantee only those that come after it: others would take the room at once. */
   #victimsFor(standing: Standing, job: OwnedJob): Occupant[] {
     return this.#input.occupants.filter((occupant) => {
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -2,12 +2,19 @@
 import type { ProcessContext, StartOrder } from '@zincspan/core';
 import type { RunEnd } from '../job/progress.js';
 import { taskName } from '../job/task-name.js';
+import { standsStill } from '../worker/standstill.js';
 import type { Assignment, Worker } from '../worker/worker.js';
 import type { Fleet } from './fleet.js';
 import type { OwnedJob } from './owned-job.js';
 import type { Start } from './placing-pass.js';
 import { roomDemand } from './standings.js';
 
+/**
+ * A draining runner that says it may end within this time, in ms: a heartbeat is 1.5 s apart, and a stop with its
+ * checkpoint takes up to 0.9 s.
+ */
+const EVACUATE_BEFORE_MS = 2500;
+
 /** What the book's user does about a change. */
 export interface RunBookEvents {
   /** Progress changed and has to be written. */
@@ -116,6 +123,43 @@
     return change;
   }
 
+  /** What a run's end says of its worker. */
+  noteHealth(worker: Worker, { name, jobId, ref }: Assignment, how: RunEnd['how']): void {
+    if (how === 'done') worker.health.noteDone();
+    if (how !== 'failed') return;
+    this.jobs.get(jobId)?.avoid(ref, worker.vm, this.now());
+    this.#noteFault(worker, name, 'a run failed');
+  }
+
+  /** Stops runs that stand still, and gives their jobs another worker. */
+  stopStandstills(): void {
+    [...this.fleet.all()].forEach((worker) =>
+      worker.assignments.forEach((assignment) => {
+        const { jobId, ref, name } = assignment;
+        const job = this.jobs.get(jobId);
+        const step = job?.submission.steps[ref.step];
+        if (job === undefined || step === undefined || step.lasting) return;
+        if (!standsStill(assignment, { estimateMs: step.estimateMs, contactAt: worker.contactAt }))
+          { return; }
+        job.avoid(ref, worker.vm, this.now());
+        this.#noteFault(worker, name, 'a run stood still');
+        this.stop(assignment, 'stood still');
+      }),
+    );
+  }
+
+  /** Stops runs that save checkpoints shortly before their draining runner ends: they go on elsewhere. */
+  evacuate(): void {
+    [...this.fleet.all()].forEach((worker) => {
+      const { runner } = worker;
+      if (!runner?.draining || (runner.remainingMs ?? Infinity) > EVACUATE_BEFORE_MS) return;
+      worker.assignments.forEach((assignment) => {
+        const step = this.jobs.get(assignment.jobId)?.submission.steps[assignment.ref.step];
+        if (step?.checkpointing) this.stop(assignment, 'runner ends soon');
+      });
+    });
+  }
+
   /** A run that surely doesn't run any more, or never did, although no end of it was listed. */
   lose(worker: Worker, assignment: Assignment, reason: string): void {
     worker.assignments.delete(assignment.name);
@@ -220,6 +264,7 @@
       checkpoint,
       checkpointAt: now,
       percent: 0,
+      progressAt: now,
       assignedAt: now,
       runningAt: undefined,
       stopping: undefined,
@@ -262,6 +307,12 @@
     );
   }
 
+  #noteFault(worker: Worker, task: string, what: string): void {
+    if (!worker.health.noteFault(task, this.now())) return;
+    this.#ctx.metrics.count('worker.closed');
+    this.log('worker closed', { vm: worker.vm, what, task });
+  }
+
   #changed(job: OwnedJob): number {
     const change = job.changed();
     this.#events.onChanged(job);
--- a/packages/cell/src/owner/standings.ts
+++ b/packages/cell/src/owner/standings.ts
@@ -14,10 +14,14 @@
   return step.fills ? { ...step.demand, milliCores: 0 } : step.demand;
 }
 
-/** Accelerator-milliseconds of one task, cores counted along. */
+/** Accelerators of a demand, cores counted along. */
+export function acceleratorsOf({ accelerators, milliCores }: Demand): number {
+  return accelerators + milliCores / MILLI_CORES_PER_ACCELERATOR;
+}
+
+/** Accelerator-milliseconds of one task. */
 function taskWork({ demand, estimateMs }: Step): number {
-  const accelerators = demand.accelerators + demand.milliCores / MILLI_CORES_PER_ACCELERATOR;
-  return accelerators * estimateMs;
+  return acceleratorsOf(demand) * estimateMs;
 }
 
 /** Accelerator-milliseconds of all steps once. */
--- a/packages/cell/src/owner/wanted-groups.ts
+++ b/packages/cell/src/owner/wanted-groups.ts
@@ -55,6 +55,7 @@
     label: step.requiredLabel,
     maxPerWorker: step.maxPerWorker,
     present: tasksByWorker(progress),
+    avoided: job.avoided({ occurrence: occurrence.index, step: stepIndex }, now),
   };
   return [{ job, step, group, readySince }];
 }
--- a/packages/cell/src/placing/placing.steps.ts
+++ b/packages/cell/src/placing/placing.steps.ts
@@ -61,6 +61,7 @@
     label: undefined,
     maxPerWorker: undefined,
     present: new Map(),
+    avoided: new Set(),
     ...change,
   };
 }
--- a/packages/cell/src/placing/room.ts
+++ b/packages/cell/src/placing/room.ts
@@ -80,6 +80,8 @@
   /** At most this many on one worker, and how many tasks of the step are there already. */
   maxPerWorker: number | undefined;
   present: ReadonlyMap<string, number>;
+  /** Workers where the step's runs went wrong lately. */
+  avoided: ReadonlySet<string>;
 }
 
 /** A task of a group and its worker. */
@@ -113,7 +115,7 @@
 
 /** Right service, label and rack. */
 export function isEligible(group: Group, room: Room): boolean {
-  if (room.service !== group.service) return false;
+  if (room.service !== group.service || group.avoided.has(room.vm)) return false;
   if (group.label !== undefined && !room.labels.includes(group.label)) return false;
   return group.rack === undefined || room.rack === group.rack;
 }
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -113,6 +113,7 @@
       linkAddress: `127.0.0.1:${await freePort()}`,
       linkKey: LINK_KEY,
       leaseMs: TEST_LEASE_MS,
+      reclaim: { reclaimMs: 2700, stopMs: 200 },
       revokeMs: 5000,
     });
     await app.start();
--- a/packages/cell/src/worker/worker.ts
+++ b/packages/cell/src/worker/worker.ts
@@ -2,6 +2,7 @@
 import type { RunnerFacts } from '@zincspan/core';
 import type { TaskRef } from '../job/progress.js';
 import type { Demand } from '../job/submission.js';
+import { WorkerHealth } from './worker-health.js';
 
 /** A run that takes room on a worker until its end is known. */
 export interface Assignment {
@@ -19,6 +20,8 @@
   checkpoint: string;
   checkpointAt: number;
   percent: number;
+  /** When `percent` last grew. */
+  progressAt: number;
   assignedAt: number;
   /** First listed as running, on the owner's monotonic clock; undefined before. */
   runningAt: number | undefined;
@@ -38,6 +41,8 @@
 
   readonly assignments = new Map<string, Assignment>();
 
+  readonly health = new WorkerHealth();
+
   /** When the owner last gave it authority to keep its tasks, on the owner's monotonic clock. */
   grantedAt = -Infinity;
 
