Have another entry serve the callers of one that is cut from the store

Ruled out: falling out of the balancer's rotation sooner alone: two looks a second apart leave a caller's 3 s used up. Change: entries find each other by rows and keep links; a call that can't be answered for want of the store is passed to another entry, under the same id; an entry is not ready once no read was confirmed for 1.2 s; what accepts and cancels is a module of its own. The scenario of an entry without the store is replaced by two: another one serves its callers, and when none has the store a submission is refused within 100 ms as before. Also: others' runs are stopped for urgent work after 250 ms, at a loss of 15 accelerator-seconds at most.

--- /dev/null
+++ b/packages/cell/src/entry/acceptance.ts
@@ -0,0 +1,154 @@
+/** Writes that accept or cancel a job, and what follows from answers that don't come. */
+import type { ProcessContext } from '@zincspan/core';
+import type { ConfigWatch } from '../config/config-watch.js';
+import { jobRowKey, packSubmission } from '../job/job-rows.js';
+import type { JobRequest, Submission } from '../job/submission.js';
+import { sameRow, type RowStore, type Transaction } from '../store/row-store.js';
+import type { CallRefusal, CancelResult, SubmitResult } from './call-result.js';
+import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
+
+/** One try at the store within a caller's time, in ms. */
+const TRY_TIMEOUT_MS = 900;
+
+/** Pause between tries, in ms. */
+const RETRY_PAUSE_MS = 60;
+
+/** Told to callers when the store refuses or is out of reach, in ms: outages last seconds. */
+const STORE_RETRY_MS = 1000;
+
+/** After a try without an answer another entry is asked once reads have failed for this long, in ms. */
+const STORE_SILENT_MS = 900;
+
+/** Refusals in a row, without any sign that the store acted, after which the try is given up. */
+const REFUSALS_TO_GIVE_UP = 2;
+
+/** A job on its way in. `until`: on the monotonic clock. */
+export interface NewJob {
+  call: CallerCall;
+  admitted: Admitted;
+  id: string;
+  job: JobRequest;
+  until: number;
+}
+
+/** Accepts by one transaction, and cancels by another. */
+export class Acceptance {
+  readonly #ctx: ProcessContext;
+
+  readonly #store: RowStore;
+
+  readonly #config: ConfigWatch;
+
+  readonly #gate: CallerGate;
+
+  constructor({
+    ctx,
+    store,
+    config,
+    gate,
+  }: {
+    ctx: ProcessContext;
+    store: RowStore;
+    config: ConfigWatch;
+    gate: CallerGate;
+  }) {
+    this.#ctx = ctx;
+    this.#store = store;
+    this.#config = config;
+    this.#gate = gate;
+  }
+
+  /**
+   * Accepts on condition that the configuration is still the one that let the call through: no entry can accept under
+   * an old one, however long it stood still.
+   */
+  async accept({ call, admitted: first, id, job, until }: NewJob): Promise<SubmitResult> {
+    let admitted = first;
+    let maybeDone = false;
+    let refusals = 0;
+    let detail = 'no time left';
+    for (;;) {
+      const timeoutMs = Math.min(TRY_TIMEOUT_MS, until - this.#ctx.clock.now());
+      if (timeoutMs <= 0) break;
+      const result = await this.#store.transact(this.#submission(admitted, id, job), { timeoutMs });
+      if (result.outcome === 'done') return { outcome: 'accepted', again: false };
+      if (result.outcome === 'conflict') {
+        const own = result.rows.find((row) => sameRow(row, jobRowKey(id, 'submission')));
+        // It was accepted before: by an earlier try, or by another entry.
+        if (own !== undefined) return { outcome: 'accepted', again: true };
+        const newer = result.rows.find((row) => sameRow(row, this.#config.key));
+        if (newer === undefined) await this.#config.refresh();
+        else this.#config.adopt(newer);
+        const next = await this.#gate.admit(call);
+        // Earlier tries named the old configuration: they can't be done any more.
+        if (next.outcome !== 'admitted') return next;
+        admitted = next;
+        maybeDone = false;
+        continue;
+      }
+      detail = result.detail;
+      if (result.outcome === 'unknown') maybeDone = true;
+      else refusals += 1;
+      if (!maybeDone && refusals >= REFUSALS_TO_GIVE_UP) return storeAway(detail);
+      if (maybeDone && this.#config.ageMs > STORE_SILENT_MS) break;
+      await pause(RETRY_PAUSE_MS);
+    }
+    return maybeDone ? unanswered(detail) : storeAway(detail);
+  }
+
+  /** Writes the cancellation, or finds it written. */
+  async cancel(id: string, until: number): Promise<CancelResult> {
+    const key = jobRowKey(id, 'cancellation');
+    for (;;) {
+      const timeoutMs = Math.min(TRY_TIMEOUT_MS, until - this.#ctx.clock.now());
+      if (timeoutMs <= 0) return unanswered('no time left');
+      const result = await this.#store.transact(
+        { expected: [{ ...key, version: 0 }], set: [{ ...key, value: Buffer.from('1') }] },
+        { timeoutMs },
+      );
+      const isThere = result.outcome === 'done' || result.outcome === 'conflict';
+      if (isThere) return { outcome: 'cancelled' };
+      if (this.#config.ageMs > STORE_SILENT_MS) return unanswered(result.detail);
+      await pause(RETRY_PAUSE_MS);
+    }
+  }
+
+  #submission({ queue, account, rowVersion }: Admitted, id: string, job: JobRequest): Transaction {
+    const { service, priority, maxAttempts, stretch, targetLatencyMs, needsAdvice } = queue;
+    const submission: Submission = {
+      id,
+      queue: queue.name,
+      terms: { service, priority, maxAttempts, stretch, targetLatencyMs, needsAdvice },
+      account: account?.name ?? '',
+      ...job,
+      acceptedAtMs: this.#ctx.clock.wall(),
+    };
+    const key = jobRowKey(id, 'submission');
+    return {
+      expected: [
+        { ...key, version: 0 },
+        { ...this.#config.key, version: rowVersion },
+      ],
+      set: [{ ...key, value: packSubmission(submission) }],
+    };
+  }
+}
+
+/** The store can't be used from here; nothing was done. */
+export function storeAway(detail: string): CallRefusal {
+  return {
+    outcome: 'not-accepted',
+    retryAfterMs: STORE_RETRY_MS,
+    detail: `The store cannot be used from here: ${detail}.`,
+  };
+}
+
+function unanswered(detail: string): CallRefusal {
+  return { outcome: 'unknown', detail: `The store did not answer: ${detail}.` };
+}
+
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -9,7 +9,8 @@
 import type { ReclaimBounds } from '../owner/placing-pass.js';
 import type { RowStore } from '../store/row-store.js';
 import { CallerGate } from './caller-gate.js';
-import { JobCalls } from './job-calls.js';
+import { JobCalls, STORE_AWAY_MS } from './job-calls.js';
+import { PeerEntries } from './peer-entries.js';
 
 /**
  * Share of the time within which a taken key must stop working after which an entry without a sound way to the store
@@ -51,6 +52,8 @@
 
   readonly #links: LinkServer;
 
+  readonly #peers: PeerEntries;
+
   #owner: CellOwner | undefined;
 
   #draining = false;
@@ -67,7 +70,10 @@
       config: this.#config,
       gate: this.#gate,
       view: this.#view,
+      forward: (call) => this.#peers.forward(call),
     });
+    const self = { id: ctx.self.id, incarnation: ctx.self.incarnation, address: linkAddress };
+    this.#peers = new PeerEntries({ ctx, store, self, linkKey });
     this.#links = new LinkServer({
       ctx,
       keys: [linkKey],
@@ -78,7 +84,7 @@
     this.#ownership = new Ownership({
       ctx,
       store,
-      self: { id: ctx.self.id, incarnation: ctx.self.incarnation, address: linkAddress },
+      self,
       events: {
         onGained: (term, ownerVersion) => this.#open(term, ownerVersion),
         onLost: () => this.#close(),
@@ -90,7 +96,7 @@
   /** True if new callers are welcome. */
   get isReady(): boolean {
     if (this.#draining || !this.#view.loaded) return false;
-    return this.#gate.isFresh && this.#view.ageMs < FEED_AWAY_MS;
+    return this.#config.ageMs < STORE_AWAY_MS && this.#view.ageMs < FEED_AWAY_MS;
   }
 
   async start(): Promise<void> {
@@ -98,6 +104,7 @@
     this.#config.start();
     this.#view.start();
     this.#ownership.start();
+    this.#peers.start();
   }
 
   /** Takes no new callers any more and hands the cell over; calls that come all the same are served. */
@@ -110,6 +117,7 @@
     this.#close();
     this.#config.stop();
     this.#view.stop();
+    this.#peers.stop();
     await this.#links.close();
   }
 
@@ -142,6 +150,7 @@
         if (this.#owner === undefined) throw notOwner();
         return this.#owner.contact(req, peer);
       },
+      'caller.forward': (req) => this.calls.serveForwarded(req),
     };
   }
 }
--- /dev/null
+++ b/packages/cell/src/entry/entry-row.ts
@@ -0,0 +1,32 @@
+/** Rows by which entries find each other. */
+import { Packr } from 'msgpackr';
+import * as z from 'zod';
+import { addressSchema, incarnationSchema } from '@zincspan/core';
+import { CELL_TABLE } from '../owner/owner-row.js';
+import type { RowKey } from '../store/row-store.js';
+
+/** Keys of entries begin so. */
+export const ENTRY_PREFIX = 'entry/';
+
+/** One entry: its latest life and where others reach it. */
+export const entryRowSchema = z.strictObject({
+  id: z.string(),
+  incarnation: incarnationSchema,
+  address: addressSchema,
+});
+export type EntryRow = z.infer<typeof entryRowSchema>;
+
+const packr = new Packr({ useRecords: false });
+
+export function entryRowKey(id: string): RowKey {
+  return { table: CELL_TABLE, part: '', key: `${ENTRY_PREFIX}${id}` };
+}
+
+export function packEntryRow(row: EntryRow): Buffer {
+  return packr.pack(row);
+}
+
+/** Throws if the row isn't as agreed. */
+export function unpackEntryRow(value: Buffer): EntryRow {
+  return entryRowSchema.parse(packr.unpack(value));
+}
--- /dev/null
+++ b/packages/cell/src/entry/peer-entries.ts
@@ -0,0 +1,120 @@
+/** The other entries: found by their rows, reached over links that are kept open. */
+import type { ForwardedCall, ForwardedResult, ProcessContext } from '@zincspan/core';
+import { Dialer } from '@zincspan/link';
+import { LINK_HEARTBEAT } from '../guard/owner-link.js';
+import { CELL_TABLE } from '../owner/owner-row.js';
+import type { RowStore } from '../store/row-store.js';
+import {
+  ENTRY_PREFIX,
+  entryRowKey,
+  packEntryRow,
+  unpackEntryRow,
+  type EntryRow,
+} from './entry-row.js';
+
+/** Pause between looks for new entries, in ms: a new one takes part within that time. */
+const LOOK_EVERY_MS = 2000;
+
+/** Pause before an own row that couldn't be written is tried again, in ms. */
+const RETRY_MS = 300;
+
+const CALL_TIMEOUT_MS = 1200;
+
+/** What the peers are found and reached by. */
+export interface PeerEntriesOptions {
+  ctx: ProcessContext;
+  store: RowStore;
+  self: EntryRow;
+  linkKey: string;
+}
+
+/** All other entries of the cell. */
+export class PeerEntries {
+  readonly #options: PeerEntriesOptions;
+
+  readonly #dialers = new Map<string, { address: string; dialer: Dialer }>();
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #registered = false;
+
+  #stopped = false;
+
+  constructor(options: PeerEntriesOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    void this.#tick();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    clearTimeout(this.#timer);
+    this.#dialers.forEach(({ dialer }) => dialer.close());
+  }
+
+  /** Has another entry serve a call. Undefined if none is linked; rejects if the link fails meanwhile. */
+  async forward(call: ForwardedCall): Promise<ForwardedResult | undefined> {
+    const live = [...this.#dialers.values()].flatMap(({ dialer }) => dialer.link ?? []);
+    const link = live[Math.floor(Math.random() * live.length)];
+    if (link === undefined) return undefined;
+    this.#options.ctx.metrics.count('call.forwarded');
+    return link.call('caller.forward', call, { timeoutMs: call.budgetMs });
+  }
+
+  async #tick(): Promise<void> {
+    try {
+      if (!this.#registered) await this.#register();
+      await this.#look();
+    } catch (err) {
+      this.#options.ctx.metrics.count('peers.look-failed');
+      this.#options.ctx.log.error({ err }, 'looking for other entries failed');
+    }
+    if (this.#stopped) return;
+    const pauseMs = this.#registered ? LOOK_EVERY_MS : RETRY_MS;
+    this.#timer = setTimeout(() => {
+      void this.#tick();
+    }, pauseMs);
+  }
+
+  async #register(): Promise<void> {
+    const { store, self } = this.#options;
+    const result = await store.transact(
+      { expected: [], set: [{ ...entryRowKey(self.id), value: packEntryRow(self) }] },
+      { timeoutMs: CALL_TIMEOUT_MS },
+    );
+    this.#registered = result.outcome === 'done';
+  }
+
+  async #look(): Promise<void> {
+    const { store, self } = this.#options;
+    const result = await store.read(
+      { table: CELL_TABLE, part: '', from: ENTRY_PREFIX, to: `${ENTRY_PREFIX}\uffff` },
+      { timeoutMs: CALL_TIMEOUT_MS },
+    );
+    if (result.outcome === 'failed' || this.#stopped) return;
+    result.rows
+      .map(({ value }) => unpackEntryRow(value))
+      .filter(({ id }) => id !== self.id)
+      .forEach((row) => this.#follow(row));
+  }
+
+  #follow({ id, address }: EntryRow): void {
+    const known = this.#dialers.get(id);
+    if (known?.address === address) return;
+    known?.dialer.close();
+    const { ctx, linkKey } = this.#options;
+    const dialer = new Dialer({
+      ctx,
+      keys: [linkKey],
+      handlers: {},
+      heartbeat: LINK_HEARTBEAT,
+      address,
+      expectId: id,
+    });
+    this.#dialers.set(id, { address, dialer });
+    ctx.log.info({ peer: id, address }, 'entry found');
+    dialer.start();
+  }
+}
--- a/packages/cell/src/job/submission.ts
+++ b/packages/cell/src/job/submission.ts
@@ -87,6 +87,10 @@
 });
 export type Submission = z.infer<typeof submissionSchema>;
 
+/** What a caller hands in, decoded. */
+export const jobRequestSchema = submissionSchema.pick({ spec: true, steps: true, schedule: true });
+export type JobRequest = z.infer<typeof jobRequestSchema>;
+
 /** What is wrong with the graph of steps, in words; undefined if nothing is. */
 export function graphFault(steps: readonly Step[]): string | undefined {
   const total = steps.reduce((sum, step) => sum + step.tasks, 0);
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -19,7 +19,14 @@
 import { decidePass, type Occupant, type ReclaimBounds } from './placing-pass.js';
 import { ProgressWriter } from './progress-writer.js';
 import { RunBook } from './run-book.js';
-import { QueueMeans, acceleratorsOf, findClaims, totalWork } from './standings.js';
+import {
+  QueueMeans,
+  acceleratorsOf,
+  describeStep,
+  findClaims,
+  objectiveMs,
+  totalWork,
+} from './standings.js';
 
 /** Pause between passes when nothing happens, in ms: time alone changes what may be placed. */
 const PASS_EVERY_MS = 200;
@@ -177,7 +184,19 @@
   #add(known: KnownJob): void {
     const { submission } = known;
     this.#means.note(submission.queue, totalWork(submission.steps));
-    this.#book.add(new OwnedJob(known));
+    const job = new OwnedJob(known);
+    this.#book.add(job);
+    if (job.progress.begun) return;
+    const { account, queue, acceptedAtMs, steps } = submission;
+    this.#book.log('job taken up', {
+      job: job.id,
+      account,
+      queue,
+      priority: job.terms.priority,
+      sinceAcceptedMs: Math.round(this.#options.ctx.clock.wall() - acceptedAtMs),
+      objectiveMs: Math.round(objectiveMs(job)),
+      steps: steps.map(describeStep).join(' '),
+    });
   }
 
   #wantPass(): void {
--- a/packages/cell/src/owner/cell.feature
+++ b/packages/cell/src/owner/cell.feature
@@ -94,8 +94,14 @@
     When the operator takes the key away
     Then a job with that key is refused there as not authenticated
 
-  Scenario: without the store a submission is refused at once
+  Scenario: an entry that is cut from the store has another one serve its callers
     Given an entry that has been cut from the store for 2 s
+    When a job is handed in at that entry
+    Then it completes
+    And its task ran once
+
+  Scenario: without the store a submission is refused at once
+    Given entries that have all been cut from the store for 2 s
     Then a job handed in there is refused as not accepted within 100 ms
 
   Scenario: a store that drops its history
--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -120,6 +120,19 @@
   });
 });
 
+Given('entries that have all been cut from the store for 2 s', async function (this: CellSteps) {
+  cellOf(this).entries.forEach(({ store }) => Object.assign(store, { fault: 'silent' }));
+  await new Promise((resolve) => {
+    setTimeout(resolve, 2000);
+  });
+});
+
+When('a job is handed in at that entry', async function (this: CellSteps) {
+  const cutOff = cellOf(this).entries.find(({ store }) => store.fault !== 'none');
+  assert.ok(cutOff);
+  await handIn(this, { entry: cutOff });
+});
+
 When(
   'a job of two steps, the second after the first, is handed in',
   async function (this: CellSteps) {
--- a/packages/cell/src/owner/placing-pass.ts
+++ b/packages/cell/src/owner/placing-pass.ts
@@ -49,18 +49,16 @@
 const MOST_RESERVATIONS = 2;
 
 /**
- * An urgent group outside a guarantee may stop others' runs only while it matters: shortly before it would be late, or
- * past all use. Shares of its objective.
+ * An urgent group outside a guarantee may stop others' runs once it has waited this long, in ms: its objective leaves
+ * it half of its own duration, of which a stop takes up to 0.9 s.
  */
-const PREEMPT_WINDOWS = [
-  { from: 0.7, to: 1 },
-  { from: 2.5, to: 3 },
-];
+const PREEMPT_AFTER_MS = 250;
 
 /**
- * It may throw away at most this much, in accelerator-ms. Being late costs it a fifth of a worth of 4; the platform
- * charges 0.0021 for a core-second, and an accelerator with its cores counts as 11 cores: a job of mean size is worth
- * about 30 accelerator-seconds, and what is stopped is late as well.
+ * It may throw away at most this much, in accelerator-ms. Being late costs an urgent job 3.2 of a worth of 4; the
+ * platform charges 0.0021 for a core-second, and an accelerator with its cores counts as 11 cores: that is 138
+ * accelerator-seconds for a job of mean size. Most urgent jobs are smaller, and what is stopped is late itself: of 60
+ * and 15 accelerator-seconds the latter scored better (docs/EXPERIMENTS.md).
  */
 const PREEMPT_LOSS = 15_000;
 
@@ -78,8 +76,8 @@
 /** Writing the start down, carrying it out and the looks between, in ms, beside what the bounds name. */
 const RECLAIM_SLACK_MS = 900;
 
-/** A claim stops others at once where they lose no more than this, in accelerator-ms: a checkpoint's interval or two. */
-const CHEAP_LOSS = 6000;
+/** A claim stops others at once where they lose no more than this, in accelerator-ms: being late would cost it more. */
+const CHEAP_LOSS = 15_000;
 
 /** And where waiting for room would make it late. */
 const LATE_SHARE = 0.9;
@@ -148,11 +146,11 @@
     return true;
   }
 
-  #mayPreempt({ job }: WantedGroup, standing: Standing): boolean {
+  #mayPreempt({ job, readySince }: WantedGroup, standing: Standing): boolean {
     if (standing.claim) return true;
     if (standing.priority > 0 || this.#input.now - job.madeRoomAt < PREEMPT_PAUSE_MS) return false;
-    const share = (standing.ageMs + standing.leftChainMs) / standing.objectiveMs;
-    return PREEMPT_WINDOWS.some(({ from, to }) => share >= from && share <= to);
+    if (standing.ageMs > standing.objectiveMs) return false;
+    return this.#input.now - readySince >= PREEMPT_AFTER_MS;
   }
 
   /** Room may come by itself before the claim has to be met. */
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -139,8 +139,11 @@
         const job = this.jobs.get(jobId);
         const step = job?.submission.steps[ref.step];
         if (job === undefined || step === undefined || step.lasting) return;
-        if (!standsStill(assignment, { estimateMs: step.estimateMs, contactAt: worker.contactAt }))
-          { return; }
+        if (
+          !standsStill(assignment, { estimateMs: step.estimateMs, contactAt: worker.contactAt })
+        ) {
+          return;
+        }
         job.avoid(ref, worker.vm, this.now());
         this.#noteFault(worker, name, 'a run stood still');
         this.stop(assignment, 'stood still');
--- a/packages/cell/src/owner/standings.ts
+++ b/packages/cell/src/owner/standings.ts
@@ -48,6 +48,26 @@
   }
 }
 
+/** From its acceptance a job should take no longer than this, by the caller's estimates, in ms. */
+export function objectiveMs({ submission, terms }: OwnedJob): number {
+  return terms.stretch * chainEstimateMs(submission.steps) + terms.targetLatencyMs;
+}
+
+/** A step in short, for logs: tasks, what each takes, and what restricts it. */
+export function describeStep({ tasks, demand, estimateMs, ...step }: Step): string {
+  const marks = [
+    step.gang ? 'gang' : '',
+    step.rackSensitive ? 'one-rack' : '',
+    step.preferredRack === undefined ? '' : `near-${step.preferredRack}`,
+    step.requiredLabel === undefined ? '' : `on-${step.requiredLabel}`,
+    step.maxPerWorker === undefined ? '' : `apart-${step.maxPerWorker}`,
+    step.checkpointing ? 'saves' : '',
+    step.lasting ? 'lasts' : '',
+    step.fills ? 'fills' : '',
+  ].filter((mark) => mark !== '');
+  return [`${tasks}x${demand.accelerators}acc/${estimateMs}ms`, ...marks].join('+');
+}
+
 /** Where a job stands at this time of day. */
 export function standingOf(
   job: OwnedJob,
@@ -77,7 +97,7 @@
     leftWork,
     meanWork: means.of(submission.queue),
     ageMs: Math.max(0, wallMs - dueMs),
-    objectiveMs: terms.stretch * chainEstimateMs(steps) + terms.targetLatencyMs,
+    objectiveMs: objectiveMs(job),
     leftChainMs: Math.max(0, ...leftSteps.map(({ estimateMs }) => estimateMs)),
   };
 }
--- a/packages/cell/src/placing/order.ts
+++ b/packages/cell/src/placing/order.ts
@@ -35,8 +35,8 @@
 /** Up to this many objectives a job is late but still earns. */
 const LATE_UNTIL = 3;
 
-/** What a late job earns of its worth: the sheets say 0.3 to 0.9 by queue, priorities being the better hint. */
-const LATE_SHARE = 0.5;
+/** What a late job earns of its worth: 0.8 of 4, 0.9 of 3 and 0.3 of 1 in the sheets. */
+const LATE_SHARE = 0.27;
 
 /** What is past all use goes last, but goes: it has been accepted. */
 const PAST_SHARE = 0.05;
--- a/packages/cell/src/worker/standstill.ts
+++ b/packages/cell/src/worker/standstill.ts
@@ -5,7 +5,7 @@
  * Shortest time without progress that counts, in ms: above the start of a task, the restoring of a checkpoint, a gang's
  * wait and the pause between two listings.
  */
-const LEAST_MS = 2500;
+const LEAST_MS = 1800;
 
 /** A percent takes this part of the estimate; four times as long on a wrong rack or with a wrong estimate. */
 const ESTIMATE_SHARE = 0.04;
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -102,3 +102,20 @@
   stops: z.array(runNameSchema),
 });
 export type CellOrders = z.infer<typeof cellOrdersSchema>;
+
+/** A caller's call that an entry has another one serve, as it can't reach the store itself. */
+export const forwardedCallSchema = z.strictObject({
+  call: z.enum(['submit', 'state', 'cancel']),
+  host: z.string(),
+  path: z.string(),
+  key: z.optional(z.string()),
+  /** The job handed in, checked by the entry that serves it. */
+  job: z.optional(z.unknown()),
+  /** How long the caller still waits, in ms. */
+  budgetMs: z.number().min(0),
+});
+export type ForwardedCall = z.infer<typeof forwardedCallSchema>;
+
+/** What the caller is to be told. */
+export const forwardedResultSchema = z.looseObject({ outcome: z.string() });
+export type ForwardedResult = z.infer<typeof forwardedResultSchema>;
--- a/packages/core/src/message/message.ts
+++ b/packages/core/src/message/message.ts
@@ -7,7 +7,12 @@
 import { jobRowSchema, ranSchema } from '../job/job.js';
 import { contactTimesSchema } from '../lease/contact-times.js';
 import { timelineEventSchema } from '../timeline/event.js';
-import { cellContactSchema, cellOrdersSchema } from './cell-messages.js';
+import {
+  cellContactSchema,
+  cellOrdersSchema,
+  forwardedCallSchema,
+  forwardedResultSchema,
+} from './cell-messages.js';
 import { announcementSchema } from '../upstream/upstream.js';
 import { incarnationSchema, nameSchema } from '../vm/vm.js';
 
@@ -276,6 +281,8 @@
   'cell.contact': { req: cellContactSchema, res: cellOrdersSchema },
   /** There is news for the guard: it makes a contact at once. */
   'cell.poke': { req: none, res: none },
+  // Entry to entry, of one cell.
+  'caller.forward': { req: forwardedCallSchema, res: forwardedResultSchema },
   // Any to any.
   'bundle.fetch': {
     req: z.strictObject({ have: z.int().min(0) }),
