Learn how long tasks take, and keep checkpoints in the store

Checkpoints were only in the owner's memory, so that the loss of all machines' power lost all work. Change: durations are learned per queue by a regression on logarithms and replace estimates in the order, the objective and the work; checkpoints that were heard of are written every 1.5 s.

--- a/packages/cell/src/job/progress.ts
+++ b/packages/cell/src/job/progress.ts
@@ -182,6 +182,17 @@
     return true;
   }
 
+  /** A checkpoint of a run that goes on. True if it is a new one. */
+  keepCheckpoint({ ref, run, checkpoint }: Omit<RunEnd, 'how'>): boolean {
+    const task = this.findTask(ref);
+    if (checkpoint === '' || task?.active?.run !== run || task.checkpoint === checkpoint) {
+      return false;
+    }
+    const gang = this.#submission.steps[ref.step]?.gang ?? false;
+    assignEach(gang ? (this.findStep(ref)?.tasks ?? []) : [task], { checkpoint });
+    return true;
+  }
+
   /** Stops the job for good; false if it was over. Runs that are still active are to be stopped. */
   cancel(): boolean {
     if (this.#outcome !== 'open') return false;
--- a/packages/cell/src/job/submission.ts
+++ b/packages/cell/src/job/submission.ts
@@ -102,12 +102,12 @@
   return `Step ${index} waits for itself or a later step. Let "after" name earlier steps only.`;
 }
 
-/** Longest chain of steps by the caller's estimates, in ms. */
-export function chainEstimateMs(steps: readonly Step[]): number {
+/** Longest chain of steps, in ms, by how long a task of each is expected to take. */
+export function longestChainMs(steps: readonly Step[], expectedMs: (step: Step) => number): number {
   const ends: number[] = [];
   steps.forEach((step) => {
     const startMs = Math.max(0, ...step.after.map((other) => ends[other] ?? 0));
-    ends.push(startMs + step.estimateMs);
+    ends.push(startMs + expectedMs(step));
   });
   return Math.max(0, ...ends);
 }
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -11,6 +11,7 @@
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type KnownJob } from '../job/job-view.js';
 import type { RowStore } from '../store/row-store.js';
+import { DurationBook } from '../placing/duration-book.js';
 import { readTable } from '../store/table-follower.js';
 import type { Assignment } from '../worker/worker.js';
 import { ordersFor, takeUpContact } from './contact-handler.js';
@@ -23,6 +24,7 @@
   QueueMeans,
   acceleratorsOf,
   describeStep,
+  durationsOf,
   findClaims,
   objectiveMs,
   totalWork,
@@ -79,6 +81,8 @@
 
   readonly #means = new QueueMeans();
 
+  readonly #durations = new DurationBook();
+
   /** Links to guards, by VM. */
   readonly #guards = new Map<string, Peer>();
 
@@ -112,6 +116,7 @@
       events: {
         onChanged: (job) => this.#writer.mark(job),
         onNews: (vm) => this.#poke(vm),
+        onRan: (queue, run) => this.#durations.noteRun(queue, run),
       },
     });
   }
@@ -183,8 +188,12 @@
 
   #add(known: KnownJob): void {
     const { submission } = known;
-    this.#means.note(submission.queue, totalWork(submission.steps));
     const job = new OwnedJob(known);
+    submission.steps.forEach(({ estimateMs }) =>
+      this.#durations.noteEstimate(submission.queue, estimateMs),
+    );
+    const expectedMs = durationsOf(job, this.#durations);
+    this.#means.note(submission.queue, totalWork(submission.steps, expectedMs));
     this.#book.add(job);
     if (job.progress.begun) return;
     const { account, queue, acceptedAtMs, steps } = submission;
@@ -194,7 +203,7 @@
       queue,
       priority: job.terms.priority,
       sinceAcceptedMs: Math.round(this.#options.ctx.clock.wall() - acceptedAtMs),
-      objectiveMs: Math.round(objectiveMs(job)),
+      objectiveMs: Math.round(objectiveMs(job, this.#durations)),
       steps: steps.map(describeStep).join(' '),
     });
   }
@@ -216,6 +225,7 @@
       this.#book.loseUnreachable();
       this.#book.stopStandstills();
       this.#book.evacuate();
+      this.#book.keepCheckpoints();
       this.#book.openDue(this.#options.ctx.clock.wall());
       this.#refreshTerms();
       this.#decide();
@@ -249,6 +259,7 @@
       rooms: this.#book.fleet.rooms(),
       occupants: this.#occupants(claims),
       means: this.#means,
+      durations: this.#durations,
       bounds: this.#options.reclaim,
       now: this.#book.now(),
       wallMs: this.#options.ctx.clock.wall(),
--- a/packages/cell/src/owner/placing-pass.ts
+++ b/packages/cell/src/owner/placing-pass.ts
@@ -3,6 +3,7 @@
 import { standingOf, type QueueMeans } from './standings.js';
 import { wantedGroups, type WantedGroup } from './wanted-groups.js';
 import { placeGroup } from '../placing/fit.js';
+import type { DurationBook } from '../placing/duration-book.js';
 import { byUrgency, urgencyOf, type Standing } from '../placing/order.js';
 import { planRoom, type Victim } from '../placing/reclaim.js';
 import type { Assignment } from '../worker/worker.js';
@@ -25,6 +26,7 @@
   rooms: readonly Room[];
   occupants: readonly Occupant[];
   means: QueueMeans;
+  durations: DurationBook;
   bounds: ReclaimBounds;
   /** Monotonic, in ms. */
   now: number;
@@ -87,7 +89,7 @@
   standing: Standing;
 }
 
-function candidates({ jobs, claims, means, now, wallMs }: PassInput): Candidate[] {
+function candidates({ jobs, claims, means, durations, now, wallMs }: PassInput): Candidate[] {
   return jobs
     .flatMap((job) => wantedGroups(job, now))
     .map((wanted) => ({
@@ -96,6 +98,7 @@
         claim: claims.has(wanted.job),
         wallMs,
         means,
+        durations,
         occurrence: wanted.group.occurrence,
       }),
     }))
@@ -172,9 +175,9 @@
   }
 
   #standingOf(job: OwnedJob): Standing {
-    const { wallMs, means, claims } = this.#input;
+    const { wallMs, means, durations, claims } = this.#input;
     const occurrence = job.progress.occurrences[0]?.index ?? 0;
-    return standingOf(job, { claim: claims.has(job), wallMs, means, occurrence });
+    return standingOf(job, { claim: claims.has(job), wallMs, means, durations, occurrence });
   }
 
   #isStopping(occupant: Occupant): boolean {
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -15,12 +15,17 @@
  */
 const EVACUATE_BEFORE_MS = 2500;
 
+/** Checkpoints are written this often, in ms: a power failure of all machines costs what came since. */
+const KEEP_CHECKPOINTS_MS = 1500;
+
 /** What the book's user does about a change. */
 export interface RunBookEvents {
   /** Progress changed and has to be written. */
   onChanged: (job: OwnedJob) => void;
   /** The guard of this VM should hear of it at once. */
   onNews: (vm: string) => void;
+  /** A run from a step's beginning ended as done. */
+  onRan: (queue: string, run: { estimateMs: number; actualMs: number }) => void;
 }
 
 /** Jobs and runs of one term. */
@@ -33,6 +38,8 @@
 
   readonly #events: RunBookEvents;
 
+  #checkpointsKeptAt = -Infinity;
+
   constructor({
     ctx,
     fleet,
@@ -124,13 +131,30 @@
   }
 
   /** What a run's end says of its worker. */
-  noteHealth(worker: Worker, { name, jobId, ref }: Assignment, how: RunEnd['how']): void {
-    if (how === 'done') worker.health.noteDone();
+  noteHealth(worker: Worker, assignment: Assignment, how: RunEnd['how']): void {
+    const { name, jobId, ref } = assignment;
+    const job = this.jobs.get(jobId);
+    if (how === 'done') {
+      worker.health.noteDone();
+      if (job !== undefined) this.#noteDuration(job, assignment);
+    }
     if (how !== 'failed') return;
-    this.jobs.get(jobId)?.avoid(ref, worker.vm, this.now());
+    job?.avoid(ref, worker.vm, this.now());
     this.#noteFault(worker, name, 'a run failed');
   }
 
+  /** Writes checkpoints down that were heard of, so that they outlast this owner and the runners. */
+  keepCheckpoints(): void {
+    if (this.now() - this.#checkpointsKeptAt < KEEP_CHECKPOINTS_MS) return;
+    this.#checkpointsKeptAt = this.now();
+    [...this.fleet.all()].forEach(({ assignments }) =>
+      assignments.forEach(({ jobId, ref, run, checkpoint }) => {
+        const job = this.jobs.get(jobId);
+        if (job?.progress.keepCheckpoint({ ref, run, checkpoint })) this.#changed(job);
+      }),
+    );
+  }
+
   /** Stops runs that stand still, and gives their jobs another worker. */
   stopStandstills(): void {
     [...this.fleet.all()].forEach((worker) =>
@@ -264,7 +288,8 @@
       runner,
       demand: roomDemand(step),
       change,
-      checkpoint,
+      checkpoint: job.progress.findTask(ref)?.checkpoint || checkpoint,
+      resumed: checkpoint !== '',
       checkpointAt: now,
       percent: 0,
       progressAt: now,
@@ -310,6 +335,13 @@
     );
   }
 
+  #noteDuration(job: OwnedJob, { ref, runningAt, resumed }: Assignment): void {
+    const step = job.submission.steps[ref.step];
+    if (step === undefined || step.lasting || runningAt === undefined || resumed) return;
+    const { estimateMs } = step;
+    this.#events.onRan(job.submission.queue, { estimateMs, actualMs: this.now() - runningAt });
+  }
+
   #noteFault(worker: Worker, task: string, what: string): void {
     if (!worker.health.noteFault(task, this.now())) return;
     this.#ctx.metrics.count('worker.closed');
--- a/packages/cell/src/owner/standings.ts
+++ b/packages/cell/src/owner/standings.ts
@@ -1,5 +1,6 @@
 /** What the order of placing needs to know of each job. */
-import { chainEstimateMs, type Demand, type Step } from '../job/submission.js';
+import { longestChainMs, type Demand, type Step } from '../job/submission.js';
+import type { DurationBook } from '../placing/duration-book.js';
 import type { Standing } from '../placing/order.js';
 import type { OwnedJob } from './owned-job.js';
 
@@ -19,14 +20,22 @@
   return accelerators + milliCores / MILLI_CORES_PER_ACCELERATOR;
 }
 
-/** Accelerator-milliseconds of one task. */
-function taskWork({ demand, estimateMs }: Step): number {
-  return acceleratorsOf(demand) * estimateMs;
+/** Accelerator-milliseconds of one task that takes this long. */
+function taskWork({ demand }: Step, durationMs: number): number {
+  return acceleratorsOf(demand) * durationMs;
 }
 
 /** Accelerator-milliseconds of all steps once. */
-export function totalWork(steps: readonly Step[]): number {
-  return steps.reduce((sum, step) => sum + step.tasks * taskWork(step), 0);
+export function totalWork(steps: readonly Step[], expectedMs: (step: Step) => number): number {
+  return steps.reduce((sum, step) => sum + step.tasks * taskWork(step, expectedMs(step)), 0);
+}
+
+/** How long a task of each step of the job is expected to take, in ms. */
+export function durationsOf(
+  { submission }: OwnedJob,
+  durations: DurationBook,
+): (step: Step) => number {
+  return ({ estimateMs }) => durations.expectedMs(submission.queue, estimateMs);
 }
 
 /** Most accelerators that the job uses at once if it runs unhindered: those of its widest step. */
@@ -48,9 +57,10 @@
   }
 }
 
-/** From its acceptance a job should take no longer than this, by the caller's estimates, in ms. */
-export function objectiveMs({ submission, terms }: OwnedJob): number {
-  return terms.stretch * chainEstimateMs(submission.steps) + terms.targetLatencyMs;
+/** From its acceptance a job should take no longer than this, as far as can be told, in ms. */
+export function objectiveMs(job: OwnedJob, durations: DurationBook): number {
+  const chainMs = longestChainMs(job.submission.steps, durationsOf(job, durations));
+  return job.terms.stretch * chainMs + job.terms.targetLatencyMs;
 }
 
 /** A step in short, for logs: tasks, what each takes, and what restricts it. */
@@ -75,9 +85,17 @@
     claim,
     wallMs,
     means,
+    durations,
     occurrence,
-  }: { claim: boolean; wallMs: number; means: QueueMeans; occurrence: number },
+  }: {
+    claim: boolean;
+    wallMs: number;
+    means: QueueMeans;
+    durations: DurationBook;
+    occurrence: number;
+  },
 ): Standing {
+  const expectedMs = durationsOf(job, durations);
   const { submission, terms, progress } = job;
   const { schedule, steps } = submission;
   const dueMs =
@@ -88,17 +106,17 @@
   const leftSteps = steps.filter((_, index) => left[index]?.tasks.some(({ done }) => !done));
   const leftWork = steps.reduce((sum, step, index) => {
     const open = left[index]?.tasks.filter(({ done }) => !done).length ?? 0;
-    return sum + open * taskWork(step);
+    return sum + open * taskWork(step, expectedMs(step));
   }, 0);
   return {
     priority: terms.priority,
     claim,
-    totalWork: totalWork(steps),
+    totalWork: totalWork(steps, expectedMs),
     leftWork,
     meanWork: means.of(submission.queue),
     ageMs: Math.max(0, wallMs - dueMs),
-    objectiveMs: objectiveMs(job),
-    leftChainMs: Math.max(0, ...leftSteps.map(({ estimateMs }) => estimateMs)),
+    objectiveMs: objectiveMs(job, durations),
+    leftChainMs: Math.max(0, ...leftSteps.map(expectedMs)),
   };
 }
 
--- a/packages/cell/src/worker/worker.ts
+++ b/packages/cell/src/worker/worker.ts
@@ -18,6 +18,8 @@
   change: number;
   /** Last checkpoint that was heard of. */
   checkpoint: string;
+  /** It continued from a checkpoint. */
+  resumed: boolean;
   checkpointAt: number;
   percent: number;
   /** When `percent` last grew. */
