Remove jobs that ended long ago, refuse queues that need advice, prove that checkpoints outlast all machines

Cause: rows of ended jobs and every entry's view of them only grew; jobs of a queue with a placement advisor were accepted although no ticket is ever asked for, and would have waited for ever; nothing showed that checkpoints survive the loss of all machines.

--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -32,6 +32,8 @@
   /** Longest authority that a contact may give, in ms. */
   leaseMs: number;
   reclaim: ReclaimBounds;
+  /** Ended jobs are shown for this long, in ms. */
+  keepEndedMs: number;
   /** A key that was taken away must not work any more after this long, in ms. */
   revokeMs: number;
 }
@@ -122,7 +124,7 @@
   }
 
   #open(term: number, ownerVersion: number): void {
-    const { ctx, store, leaseMs, reclaim } = this.#options;
+    const { ctx, store, leaseMs, reclaim, keepEndedMs } = this.#options;
     this.#owner = new CellOwner({
       ctx,
       store,
@@ -131,6 +133,7 @@
       ownerVersion,
       leaseMs,
       reclaim,
+      keepEndedMs,
       config: () => this.#config.known?.config,
       confirmedAt: () => this.#ownership.held?.confirmedAt ?? -Infinity,
       onConfirmed: (sentAt) => this.#ownership.confirm(sentAt),
--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -30,6 +30,9 @@
  */
 export const STORE_AWAY_MS = 1200;
 
+/** Told to callers of a queue that needs advice, in ms: only another configuration or release helps. */
+const ADVICE_RETRY_MS = 60_000;
+
 /** Job ids, as callers choose them. */
 const ID_PATTERN = /^[0-9a-f]{16}$/;
 
@@ -157,6 +160,7 @@
     if ('fault' in decoded) return badInput(decoded.fault);
     const fault = graphFault(decoded.job.steps);
     if (fault !== undefined) return badInput(fault);
+    if (admitted.queue.needsAdvice) return adviceMissing(admitted.queue.name);
     if (config.ageMs > STORE_AWAY_MS) return storeAway('no read was answered lately');
     return this.#acceptance.accept({ call, admitted, id, job: decoded.job, until });
   }
@@ -229,6 +233,15 @@
   return own.outcome === 'unknown' && other.outcome !== 'accepted' ? own : other;
 }
 
+/** Its tasks would need tickets of the placement advisor, which isn't asked yet. */
+function adviceMissing(queue: string): CallRefusal {
+  return {
+    outcome: 'not-accepted',
+    retryAfterMs: ADVICE_RETRY_MS,
+    detail: `Queue ${queue} runs only where a placement advisor approves, which zincspan can't ask yet.`,
+  };
+}
+
 function badInput(detail: string): CallRefusal {
   return { outcome: 'bad-input', detail };
 }
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -15,6 +15,7 @@
 import { readTable } from '../store/table-follower.js';
 import type { Assignment } from '../worker/worker.js';
 import { ordersFor, takeUpContact } from './contact-handler.js';
+import { EndedSweeper } from './ended-sweeper.js';
 import { Fleet } from './fleet.js';
 import { OwnedJob } from './owned-job.js';
 import { decidePass, type Occupant, type ReclaimBounds } from './placing-pass.js';
@@ -64,6 +65,8 @@
   /** Longest authority that a contact gives, in ms. */
   leaseMs: number;
   reclaim: ReclaimBounds;
+  /** Ended jobs are shown for this long, in ms. */
+  keepEndedMs: number;
   config: () => CellConfig | undefined;
   /** When the store last confirmed this owner, on the monotonic clock. */
   confirmedAt: () => number;
@@ -79,6 +82,8 @@
 
   readonly #writer: ProgressWriter;
 
+  readonly #sweeper: EndedSweeper;
+
   readonly #means = new QueueMeans();
 
   readonly #durations = new DurationBook();
@@ -98,7 +103,8 @@
 
   constructor(options: CellOwnerOptions) {
     this.#options = options;
-    const { ctx, store, ownerVersion, leaseMs } = options;
+    const { ctx, store, view, ownerVersion, leaseMs, keepEndedMs } = options;
+    this.#sweeper = new EndedSweeper({ ctx, store, view, ownerVersion, keepEndedMs });
     this.#writer = new ProgressWriter({
       ctx,
       store,
@@ -123,10 +129,12 @@
 
   start(): void {
     void this.#load();
+    this.#sweeper.start();
   }
 
   stop(): void {
     this.#stopped = true;
+    this.#sweeper.stop();
     this.#writer.stop();
     clearTimeout(this.#passTimer);
   }
--- a/packages/cell/src/owner/cell.feature
+++ b/packages/cell/src/owner/cell.feature
@@ -104,6 +104,22 @@
     Given entries that have all been cut from the store for 2 s
     Then a job handed in there is refused as not accepted within 100 ms
 
+  Scenario: jobs that ended long ago are removed
+    Given a cell that keeps ended jobs for 1 s
+    When a job that takes 1 s is handed in
+    Then it completes
+    And no row of it is left soon after
+
+  Scenario: a queue that needs advice refuses at once
+    Given an operator whose queue needs advice
+    Then a job handed in is refused as not accepted
+
+  Scenario: checkpoints outlast the power of all machines
+    When a job with checkpoints that takes 4 s is handed in and has worked for 2 s
+    And all entries are lost and the runner that runs it comes back as another
+    Then it completes
+    And its second run continued from a checkpoint
+
   Scenario: a store that drops its history
     When the store drops its history again and again while jobs are handed in
     Then all of them complete
--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -4,6 +4,7 @@
 import {
   CellWorld,
   TEST_LEASE_MS,
+  TEST_QUEUE,
   callOf,
   eventually,
   submit,
@@ -113,6 +114,28 @@
     range.table === 'operator' ? { outcome: 'failed', detail: 'frozen' } : frozen(range, options);
 });
 
+Given('a cell that keeps ended jobs for 1 s', async function (this: CellSteps) {
+  const cell = cellOf(this);
+  await cell.stop();
+  const fresh = new CellWorld();
+  fresh.keepEndedMs = 1000;
+  this.cell = fresh;
+  fresh.configure();
+  await fresh.addEntry();
+  await fresh.addEntry();
+  fresh.addWorker();
+  const isReady = () => fresh.entries.every(({ app }) => app.isReady);
+  assert.ok(await eventually(() => isReady() && fresh.owner() !== undefined));
+});
+
+Given('an operator whose queue needs advice', async function (this: CellSteps) {
+  const cell = cellOf(this);
+  cell.configure({ queues: [{ ...TEST_QUEUE, needsAdvice: true }] });
+  const isRefused = async () =>
+    (await submit(otherEntry(this), cell.newJobId())) === 'not-accepted';
+  assert.ok(await eventually(isRefused, 2000));
+});
+
 Given('an entry that has been cut from the store for 2 s', async function (this: CellSteps) {
   otherEntry(this).store.fault = 'silent';
   await new Promise((resolve) => {
@@ -177,10 +200,10 @@
 });
 
 When(
-  'a job with checkpoints that takes 2 s is handed in and has worked for 1 s',
-  async function (this: CellSteps) {
+  /^a job with checkpoints that takes (\d) s is handed in and has worked for \d s$/,
+  async function (this: CellSteps, seconds: string) {
     const steps = [testStep({ checkpointing: true })];
-    await handIn(this, { steps, spec: { workMs: 2000, checkpointMs: 100 } });
+    await handIn(this, { steps, spec: { workMs: Number(seconds) * 1000, checkpointMs: 100 } });
     const worked = () =>
       cellOf(this).workers.some(({ runner }) =>
         runner.life?.running().some(({ percent }) => percent >= 50),
@@ -216,6 +239,18 @@
   await handIn(this, {});
 });
 
+When(
+  'all entries are lost and the runner that runs it comes back as another',
+  async function (this: CellSteps) {
+    const cell = cellOf(this);
+    const lost = cell.entries.splice(0);
+    lost.forEach(({ store }) => Object.assign(store, { fault: 'silent' }));
+    await Promise.all(lost.map(({ app }) => app.stop()));
+    cell.replaceRunner(runningWorker(this));
+    await cell.addEntry();
+  },
+);
+
 When('the owner is lost', function (this: CellSteps) {
   const owner = ownerOf(this);
   owner.store.fault = 'silent';
@@ -273,6 +308,19 @@
   assert.ok(await eventually(async () => (await states()).every((s) => s === 'completed')));
 });
 
+Then('no row of it is left soon after', async function (this: CellSteps) {
+  const cell = cellOf(this);
+  const isGone = () =>
+    cell.tables
+      .read({ table: 'jobs', part: '' })
+      .rows.every(({ key }) => !key.startsWith(jobOf(this)));
+  assert.ok(await eventually(isGone, 4000));
+});
+
+Then('a job handed in is refused as not accepted', async function (this: CellSteps) {
+  assert.equal(await submit(otherEntry(this), cellOf(this).newJobId()), 'not-accepted');
+});
+
 Then('it fails', async function (this: CellSteps) {
   const cell = cellOf(this);
   assert.ok(await eventually(async () => (await cell.state(jobOf(this))) === 'failed'));
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -22,7 +22,7 @@
 export const PREFIX = '/proofs/';
 export const KEY = 'key-of-weddings';
 
-const QUEUE: Queue = {
+export const TEST_QUEUE: Queue = {
   name: 'proofs',
   host: HOST,
   pathPrefix: PREFIX,
@@ -78,8 +78,12 @@
 
   readonly workers: WorkerVm[] = [];
 
+  keepEndedMs = 600_000;
+
   #ids = 0;
 
+  #entries = 0;
+
   #sequence = 0;
 
   #version = 0;
@@ -89,7 +93,7 @@
     this.#version += 1;
     const config: CellConfig = {
       version: this.#version,
-      queues: [QUEUE],
+      queues: [TEST_QUEUE],
       services: [{ name: 'render', guardsCapacity: true, standby: false }],
       accounts: [{ name: 'weddings', keys: [KEY], guaranteedAccelerators: 0 }],
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
@@ -100,7 +104,7 @@
   }
 
   async addEntry(): Promise<EntryVm> {
-    const id = `entry-${this.entries.length + 1}`;
+    const id = `entry-${this.#nextEntry()}`;
     const store = new MemoryRowStore(this.tables);
     const app = new EntryApp({
       ctx: quietContext({ id, role: 'entry' }),
@@ -113,6 +117,7 @@
       linkKey: LINK_KEY,
       leaseMs: TEST_LEASE_MS,
       reclaim: { reclaimMs: 2700, stopMs: 200 },
+      keepEndedMs: this.keepEndedMs,
       revokeMs: 5000,
     });
     await app.start();
@@ -186,6 +191,11 @@
     return Math.max(0, ...tasks.map(({ run }) => run));
   }
 
+  #nextEntry(): number {
+    this.#entries += 1;
+    return this.#entries;
+  }
+
   async stop(): Promise<void> {
     this.workers.forEach(({ guard, beat, runner }) => {
       clearInterval(beat);
