--- a/packages/cell/src/entry/acceptance.ts
+++ b/packages/cell/src/entry/acceptance.ts
@@ -6,6 +6,7 @@
 import { sameRow, type RowStore, type Transaction } from '../store/row-store.js';
 import type { CallRefusal, CancelResult, SubmitResult } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
+import { pause } from '../clock/pause.js';
 
 /** One try at the store within a caller's time, in ms. */
 const TRY_TIMEOUT_MS = 900;
@@ -146,9 +147,3 @@
 function unanswered(detail: string): CallRefusal {
   return { outcome: 'unknown', detail: `The store did not answer: ${detail}.` };
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/cell/src/guard/run-orders.ts
+++ b/packages/cell/src/guard/run-orders.ts
@@ -1,6 +1,8 @@
 /** Orders on their way to the runner: each is repeated until it is answered or surely barred. */
 import type { ProcessContext, RunName, StartOrder, StartRefusal } from '@zincspan/core';
 import type { RunnerAnswer, RunnerLife, RunnerPort, RunnerRefusal } from './runner-port.js';
+import { pause } from '../clock/pause.js';
+import { runKey } from '../job/task-name.js';
 
 /** A call to the runner beside us may take this long, in ms: many times what a slow one takes. */
 const CALL_TIMEOUT_MS = 500;
@@ -74,7 +76,7 @@
   }
 
   start(order: StartOrder, target: OrderContext): void {
-    const key = keyOf(order);
+    const key = runKey(order);
     if (this.#starting.has(key)) return;
     this.#starting.set(key, { task: order.task, run: order.run });
     void this.#start(order, target)
@@ -86,7 +88,7 @@
   }
 
   stop(run: RunName, target: OrderContext): void {
-    const key = keyOf(run);
+    const key = runKey(run);
     const now = this.#ctx.clock.now();
     if (now - (this.#stopped.get(key) ?? -Infinity) < STOP_AGAIN_MS) return;
     this.#stopped.set(key, now);
@@ -193,13 +195,3 @@
 function toReason(answer: RunnerAnswer): StartRefusal {
   return answer.outcome === 'refused' ? REASONS[answer.reason] : 'unavailable';
 }
-
-function keyOf({ task, run }: RunName): string {
-  return `${task}#${run}`;
-}
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -6,6 +6,7 @@
 import { RunOrders, type OrderContext } from './run-orders.js';
 import type { RunnerPort, RunnerReport } from './runner-port.js';
 import { RunnerRecord } from './runner-record.js';
+import { pause } from '../clock/pause.js';
 
 /** How long a look waits for an end, in ms: also how often progress is seen and leases are renewed. */
 const LOOK_WAIT_MS = 400;
@@ -209,9 +210,3 @@
     return this.#ctx.clock.now();
   }
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -3,6 +3,7 @@
 import type { Refused } from './run-orders.js';
 import { RunnerLease } from './runner-lease.js';
 import type { Listing, RunnerReport } from './runner-port.js';
+import { runKey } from '../job/task-name.js';
 
 /** A runner that hasn't answered for this long counts as out of reach, in ms: one look that failed, and one more. */
 const UNREACHABLE_AFTER_MS = 1300;
@@ -85,21 +86,21 @@
   }
 
   noteStarted(run: RunName, now: number): void {
-    this.#started.set(keyOf(run), { ...run, at: now });
+    this.#started.set(runKey(run), { ...run, at: now });
   }
 
   noteRefused(refused: Refused): void {
-    this.#refused.set(keyOf(refused), refused);
+    this.#refused.set(runKey(refused), refused);
   }
 
   noteStopped(run: RunName, now: number): void {
-    this.#stopped.set(keyOf(run), { ...run, at: now });
+    this.#stopped.set(runKey(run), { ...run, at: now });
   }
 
   /** The owner took up what it was told. */
   noteTold({ refused }: CellContact, confirmedEnd: number): void {
     this.#confirmedEnd = Math.max(this.#confirmedEnd, confirmedEnd);
-    refused.forEach((each) => this.#refused.delete(keyOf(each)));
+    refused.forEach((each) => this.#refused.delete(runKey(each)));
   }
 
   /** A listing that was asked for at `sentAt`. True if the owner should hear of it at once. */
@@ -153,7 +154,7 @@
 
   /** What happened before this listing was asked for is in it, or isn't so. */
   #dropSeen(sentAt: number): void {
-    const listed = new Set([...this.#listing.running, ...this.#listing.ends].map(keyOf));
+    const listed = new Set([...this.#listing.running, ...this.#listing.ends].map(runKey));
     this.#started.forEach(({ at }, key) => {
       if (at < sentAt) this.#started.delete(key);
     });
@@ -171,14 +172,10 @@
   /** The listing, and what was started since it was asked for. */
   #running(): RunStatus[] {
     const { running, ends } = this.#listing;
-    const known = new Set([...running, ...ends].map(keyOf));
+    const known = new Set([...running, ...ends].map(runKey));
     const since = [...this.#started.values()]
-      .filter((run) => !known.has(keyOf(run)))
+      .filter((run) => !known.has(runKey(run)))
       .map(({ task, run }) => ({ task, run, checkpoint: '', percent: 0 }));
     return [...running, ...since];
   }
 }
-
-function keyOf({ task, run }: RunName): string {
-  return `${task}#${run}`;
-}
--- a/packages/cell/src/job/task-name.ts
+++ b/packages/cell/src/job/task-name.ts
@@ -1,4 +1,5 @@
 /** Names of tasks, as runners and the links between our processes carry them. */
+import type { RunName } from '@zincspan/core';
 import type { TaskRef } from './progress.js';
 
 /** `<job>.<occurrence>.<step>.<index>`. */
@@ -18,3 +19,8 @@
   }
   return { jobId, ref: { occurrence, step, index } };
 }
+
+/** A run as a key of maps. */
+export function runKey({ task, run }: RunName): string {
+  return `${task}#${run}`;
+}
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -30,6 +30,7 @@
   objectiveMs,
   totalWork,
 } from './standings.js';
+import { pause } from '../clock/pause.js';
 
 /** Pause between passes when nothing happens, in ms: time alone changes what may be placed. */
 const PASS_EVERY_MS = 200;
@@ -353,9 +354,3 @@
     }),
   );
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -10,6 +10,7 @@
   submit,
   testStep,
 } from '../testing/cell-world.support.js';
+import { pause } from '../clock/pause.js';
 
 interface CellSteps {
   cell?: CellWorld;
@@ -138,16 +139,12 @@
 
 Given('an entry that has been cut from the store for 2 s', async function (this: CellSteps) {
   otherEntry(this).store.fault = 'silent';
-  await new Promise((resolve) => {
-    setTimeout(resolve, 2000);
-  });
+  await pause(2000);
 });
 
 Given('entries that have all been cut from the store for 2 s', async function (this: CellSteps) {
   cellOf(this).entries.forEach(({ store }) => Object.assign(store, { fault: 'silent' }));
-  await new Promise((resolve) => {
-    setTimeout(resolve, 2000);
-  });
+  await pause(2000);
 });
 
 When('a job is handed in at that entry', async function (this: CellSteps) {
@@ -265,9 +262,7 @@
   const cell = cellOf(this);
   const stores = [...cell.entries, ...cell.workers].map(({ store }) => store);
   stores.forEach((store) => Object.assign(store, { fault: 'silent' }));
-  await new Promise((resolve) => {
-    setTimeout(resolve, 2500);
-  });
+  await pause(2500);
   stores.forEach((store) => Object.assign(store, { fault: 'none' }));
 });
 
@@ -358,9 +353,7 @@
     cellOf(this).workers.flatMap(({ runner }) => runner.life?.running() ?? []).length;
   assert.ok(await eventually(() => running() === 0, 2000));
   const { length } = cellOf(this).starts(jobOf(this));
-  await new Promise((resolve) => {
-    setTimeout(resolve, 500);
-  });
+  await pause(500);
   assert.equal(cellOf(this).starts(jobOf(this)).length, length);
 });
 
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -1,6 +1,6 @@
 /** What a guard tells the owner is taken into the books here, and what is to be so on its runner is worked out. */
 import type { CellContact, CellOrders, ListedEnd, RunName, StartOrder } from '@zincspan/core';
-import { parseTaskName } from '../job/task-name.js';
+import { parseTaskName, runKey } from '../job/task-name.js';
 import type { Assignment, Worker } from '../worker/worker.js';
 import type { RunBook } from './run-book.js';
 
@@ -44,14 +44,14 @@
   // Without a runner's listing nothing follows from what isn't listed.
   if (contact.runner === undefined) return { runner: '', starts: [], stops: [], confirmedEnd: 0 };
   const known = new Set(
-    [...contact.running, ...contact.inProgress, ...contact.ends, ...contact.refused].map(nameOf),
+    [...contact.running, ...contact.inProgress, ...contact.ends, ...contact.refused].map(runKey),
   );
   const runner = worker.runner?.id ?? '';
   const here = [...worker.assignments.values()].filter(
     (assignment) => assignment.runner === runner,
   );
   const starts = here
-    .filter((assignment) => !known.has(nameOf(toRunName(assignment))))
+    .filter((assignment) => !known.has(runKey(toRunName(assignment))))
     .filter((assignment) => book.mayStart(assignment))
     .map((assignment): StartOrder => book.startOrder(assignment));
   const listed = [...contact.running, ...contact.inProgress].filter(
@@ -61,7 +61,7 @@
   const barred = here
     .filter((assignment) => assignment.stopping !== undefined)
     .map(toRunName)
-    .filter((run) => !known.has(nameOf(run)));
+    .filter((run) => !known.has(runKey(run)));
   const stops = [...listed, ...barred].map(({ task, run }) => ({ task, run }));
   return { runner, starts, stops, confirmedEnd };
 }
@@ -113,7 +113,3 @@
 function toRunName({ name, run }: Assignment): RunName {
   return { task: name, run };
 }
-
-function nameOf({ task, run }: RunName): string {
-  return `${task}#${run}`;
-}
--- a/packages/cell/src/owner/link-key.ts
+++ b/packages/cell/src/owner/link-key.ts
@@ -3,6 +3,7 @@
 import type { ProcessContext } from '@zincspan/core';
 import type { RowStore } from '../store/row-store.js';
 import { LINK_KEY_KEY } from './owner-row.js';
+import { pause } from '../clock/pause.js';
 
 const KEY_BYTES = 32;
 const CALL_TIMEOUT_MS = 1200;
@@ -31,8 +32,6 @@
       if (made.outcome === 'done' || made.outcome === 'conflict') continue;
     }
     if (attempt % 10 === 1) ctx.log.warn({ attempt }, 'link key not read yet');
-    await new Promise((resolve) => {
-      setTimeout(resolve, RETRY_PAUSE_MS);
-    });
+    await pause(RETRY_PAUSE_MS);
   }
 }
--- a/packages/cell/src/owner/progress-writer.ts
+++ b/packages/cell/src/owner/progress-writer.ts
@@ -7,6 +7,7 @@
 import { sameRow, type Row, type RowStore, type Transaction } from '../store/row-store.js';
 import type { OwnedJob } from './owned-job.js';
 import { OWNER_KEY } from './owner-row.js';
+import { pause } from '../clock/pause.js';
 
 /** Jobs in one transaction: three entries each, and the store takes 100. */
 const JOBS_PER_WRITE = 30;
@@ -170,9 +171,3 @@
     this.#noteWritten(written, (job) => job.progressVersion);
   }
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/cell/src/store/table-follower.ts
+++ b/packages/cell/src/store/table-follower.ts
@@ -1,6 +1,7 @@
 /** Reads a whole table once, then follows its feed; reads it anew when the history is gone. */
 import type { ProcessContext } from '@zincspan/core';
 import type { FeedRow, RowStore } from './row-store.js';
+import { pause } from '../clock/pause.js';
 
 /** How long a feed call waits for a change, in ms. Short, as a connection may go silent without an error. */
 const FEED_WAIT_MS = 1500;
@@ -120,9 +121,3 @@
     from = `${last.key}\u0000`;
   }
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -10,6 +10,7 @@
 import { OWNER_KEY, unpackOwner } from '../owner/owner-row.js';
 import { MemoryRowStore } from './memory-row-store.support.js';
 import { MemoryRunner } from './memory-runner.support.js';
+import { pause } from '../clock/pause.js';
 
 const CONFIG_KEY = { table: 'operator', part: '', key: 'configuration' };
 const LINK_KEY = '0'.repeat(64);
@@ -251,9 +252,7 @@
   const until = performance.now() + limitMs;
   while (performance.now() < until) {
     if (await condition()) return true;
-    await new Promise((resolve) => {
-      setTimeout(resolve, 20);
-    });
+    await pause(20);
   }
   return false;
 }
--- a/packages/cell/src/testing/memory-row-store.support.ts
+++ b/packages/cell/src/testing/memory-row-store.support.ts
@@ -7,6 +7,7 @@
   TransactResult,
   Transaction,
 } from '../store/row-store.js';
+import { pause } from '../clock/pause.js';
 
 /** What this process's calls meet. `lost`: writes are done and not answered. */
 export type StoreFault = 'none' | 'silent' | 'refuse' | 'lost';
@@ -66,9 +67,3 @@
   await pause(timeoutMs);
   return result;
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/cell/src/testing/memory-runner.support.ts
+++ b/packages/cell/src/testing/memory-runner.support.ts
@@ -1,6 +1,7 @@
 /** An emulated runner as a guard of a test calls it, with answers that are lost and starts that come late. */
 import type { RunnerModel } from '@zincspan/stand-ins';
 import type { Listing, RunnerAnswer, RunnerLife, RunnerPort } from '../guard/runner-port.js';
+import { pause } from '../clock/pause.js';
 
 const ANSWER_MS = 1;
 
@@ -82,9 +83,3 @@
     return { outcome: 'no-answer', detail: 'dark' };
   }
 }
-
-async function pause(ms: number): Promise<void> {
-  await new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/platform/src/http/http-attempt.ts
+++ b/packages/platform/src/http/http-attempt.ts
@@ -1,7 +1,8 @@
 /** One attempt at an HTTP call: what came back, or whether the service may have acted on it. */
 import { Agent } from 'node:http';
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import Wreck from '@hapi/wreck';
+import { watchSent } from './watch-sent.js';
 
 /** Largest answer read, in bytes. */
 const MAX_ANSWER_BYTES = 64 * 1_048_576;
@@ -72,21 +73,6 @@
   }
 }
 
-/** Notes whether the request ever had a connection to travel on. */
-function watchSent(req: ClientRequest): { connected: boolean } {
-  const sent = { connected: false };
-  req.once('socket', (socket) => {
-    if (!socket.connecting) {
-      sent.connected = true;
-      return;
-    }
-    socket.once('connect', () => {
-      sent.connected = true;
-    });
-  });
-  return sent;
-}
-
 async function readAnswer(res: IncomingMessage, timeoutMs: number): Promise<AttemptResult> {
   try {
     const body = await Wreck.read(res, { timeout: timeoutMs, maxBytes: MAX_ANSWER_BYTES });
