--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -13,17 +13,17 @@
 import type { RowStore } from '../store/row-store.js';
 import { DurationBook } from '../placing/duration-book.js';
 import { readTable } from '../store/table-follower.js';
-import type { Assignment } from '../worker/worker.js';
 import { ordersFor, takeUpContact } from './contact-handler.js';
 import { EndedSweeper } from './ended-sweeper.js';
 import { Fleet } from './fleet.js';
 import { OwnedJob } from './owned-job.js';
-import { decidePass, type Occupant, type ReclaimBounds } from './placing-pass.js';
+import { findOccupants } from './occupants.js';
+import { decidePass, type ReclaimBounds } from './placing-pass.js';
 import { ProgressWriter } from './progress-writer.js';
 import { RunBook } from './run-book.js';
+import { evacuate, stopStandstills } from './run-watch.js';
 import {
   QueueMeans,
-  acceleratorsOf,
   describeStep,
   durationsOf,
   findClaims,
@@ -232,8 +232,8 @@
     if (startedAt - this.#options.confirmedAt() > DECIDE_WITHIN_MS) return;
     try {
       this.#book.loseUnreachable();
-      this.#book.stopStandstills();
-      this.#book.evacuate();
+      stopStandstills(this.#book);
+      evacuate(this.#book);
       this.#book.keepCheckpoints();
       this.#book.openDue(this.#options.ctx.clock.wall());
       this.#refreshTerms();
@@ -266,7 +266,7 @@
       jobs,
       claims,
       rooms: this.#book.fleet.rooms(),
-      occupants: this.#occupants(claims),
+      occupants: findOccupants(this.#book, claims),
       means: this.#means,
       durations: this.#durations,
       bounds: this.#options.reclaim,
@@ -281,46 +281,6 @@
     });
   }
 
-  /** What runs, as sets that stop together. */
-  #occupants(claims: ReadonlySet<OwnedJob>): Occupant[] {
-    const sets = new Map<string, Occupant>();
-    [...this.#book.fleet.all()].forEach(({ vm, assignments }) =>
-      assignments.forEach((assignment) => {
-        const job = this.#book.jobs.get(assignment.jobId);
-        const step = job?.submission.steps[assignment.ref.step];
-        if (job === undefined || step === undefined) return;
-        const { occurrence, step: stepIndex } = assignment.ref;
-        const key = step.gang
-          ? `${job.id}.${occurrence}.${stepIndex}#${assignment.run}`
-          : assignment.name;
-        const set = sets.get(key) ?? {
-          key,
-          job,
-          members: [],
-          loss: 0,
-          stopping: false,
-          isProtected: claims.has(job),
-          assignments: [],
-        };
-        const member = { vm, demand: assignment.demand };
-        sets.set(key, {
-          ...set,
-          members: [...set.members, member],
-          loss: set.loss + this.#lossOf(assignment, step.checkpointing),
-          stopping: set.stopping || assignment.stopping !== undefined,
-          assignments: [...set.assignments, assignment],
-        });
-      }),
-    );
-    return [...sets.values()];
-  }
-
-  /** Accelerator-milliseconds since the last checkpoint, or since the start where none is saved. */
-  #lossOf(assignment: Assignment, checkpointing: boolean): number {
-    const since = checkpointing ? assignment.checkpointAt : assignment.assignedAt;
-    return acceleratorsOf(assignment.demand) * (this.#book.now() - since);
-  }
-
   #noteDurable(jobs: readonly OwnedJob[]): void {
     const ids = new Set(jobs.map(({ id }) => id));
     [...this.#book.fleet.all()].forEach((worker) => {
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -2,19 +2,12 @@
 import type { ProcessContext, StartOrder } from '@zincspan/core';
 import type { RunEnd } from '../job/progress.js';
 import { taskName } from '../job/task-name.js';
-import { standsStill } from '../worker/standstill.js';
 import type { Assignment, Worker } from '../worker/worker.js';
 import type { Fleet } from './fleet.js';
 import type { OwnedJob } from './owned-job.js';
 import type { Start } from './placing-pass.js';
 import { roomDemand } from './standings.js';
 
-/**
- * A draining runner that says it may end within this time, in ms: a heartbeat is 1.5 s apart, and a stop with its
- * checkpoint takes up to 0.9 s.
- */
-const EVACUATE_BEFORE_MS = 2500;
-
 /** Checkpoints are written this often, in ms: a power failure of all machines costs what came since. */
 const KEEP_CHECKPOINTS_MS = 1500;
 
@@ -140,7 +133,14 @@
     }
     if (how !== 'failed') return;
     job?.avoid(ref, worker.vm, this.now());
-    this.#noteFault(worker, name, 'a run failed');
+    this.noteFault(worker, name, 'a run failed');
+  }
+
+  /** Something went wrong on a worker that may be its fault. */
+  noteFault(worker: Worker, task: string, what: string): void {
+    if (!worker.health.noteFault(task, this.now())) return;
+    this.#ctx.metrics.count('worker.closed');
+    this.log('worker closed', { vm: worker.vm, what, task });
   }
 
   /** Writes checkpoints down that were heard of, so that they outlast this owner and the runners. */
@@ -155,38 +155,6 @@
     );
   }
 
-  /** Stops runs that stand still, and gives their jobs another worker. */
-  stopStandstills(): void {
-    [...this.fleet.all()].forEach((worker) =>
-      worker.assignments.forEach((assignment) => {
-        const { jobId, ref, name } = assignment;
-        const job = this.jobs.get(jobId);
-        const step = job?.submission.steps[ref.step];
-        if (job === undefined || step === undefined || step.lasting) return;
-        if (
-          !standsStill(assignment, { estimateMs: step.estimateMs, contactAt: worker.contactAt })
-        ) {
-          return;
-        }
-        job.avoid(ref, worker.vm, this.now());
-        this.#noteFault(worker, name, 'a run stood still');
-        this.stop(assignment, 'stood still');
-      }),
-    );
-  }
-
-  /** Stops runs that save checkpoints shortly before their draining runner ends: they go on elsewhere. */
-  evacuate(): void {
-    [...this.fleet.all()].forEach((worker) => {
-      const { runner } = worker;
-      if (!runner?.draining || (runner.remainingMs ?? Infinity) > EVACUATE_BEFORE_MS) return;
-      worker.assignments.forEach((assignment) => {
-        const step = this.jobs.get(assignment.jobId)?.submission.steps[assignment.ref.step];
-        if (step?.checkpointing) this.stop(assignment, 'runner ends soon');
-      });
-    });
-  }
-
   /** A run that surely doesn't run any more, or never did, although no end of it was listed. */
   lose(worker: Worker, assignment: Assignment, reason: string): void {
     worker.assignments.delete(assignment.name);
@@ -342,12 +310,6 @@
     this.#events.onRan(job.submission.queue, { estimateMs, actualMs: this.now() - runningAt });
   }
 
-  #noteFault(worker: Worker, task: string, what: string): void {
-    if (!worker.health.noteFault(task, this.now())) return;
-    this.#ctx.metrics.count('worker.closed');
-    this.log('worker closed', { vm: worker.vm, what, task });
-  }
-
   #changed(job: OwnedJob): number {
     const change = job.changed();
     this.#events.onChanged(job);
