Wait for the rack on which a step runs fast while half of the service is in use

Ruled out: waiting in any case: with most of the service idle no job may stand still for 3 s, and a claim has to begin. Change: while half or more of a service's accelerators are in use, a step waits up to two of its expected durations.

--- a/packages/cell/src/owner/placing-pass.ts
+++ b/packages/cell/src/owner/placing-pass.ts
@@ -1,6 +1,6 @@
 /** One look over all that waits: what starts where, and whose runs are stopped for it. Decides; changes nothing. */
 import type { OwnedJob } from './owned-job.js';
-import { standingOf, type QueueMeans } from './standings.js';
+import { durationsOf, standingOf, type QueueMeans } from './standings.js';
 import { wantedGroups, type WantedGroup } from './wanted-groups.js';
 import { placeGroup } from '../placing/fit.js';
 import type { DurationBook } from '../placing/duration-book.js';
@@ -89,9 +89,17 @@
   standing: Standing;
 }
 
-function candidates({ jobs, claims, means, durations, now, wallMs }: PassInput): Candidate[] {
+function candidates(input: PassInput): Candidate[] {
+  const { jobs, claims, means, durations, now, wallMs } = input;
+  const busy = busyServices(input.rooms);
   return jobs
-    .flatMap((job) => wantedGroups(job, now))
+    .flatMap((job) =>
+      wantedGroups(job, now, {
+        isBusy: busy.has(job.terms.service),
+        claim: claims.has(job),
+        expectedMs: durationsOf(job, durations),
+      }),
+    )
     .map((wanted) => ({
       wanted,
       standing: standingOf(wanted.job, {
@@ -229,6 +237,18 @@
   return pass.result;
 }
 
+/** Services of whose accelerators half or more are in use. */
+function busyServices(rooms: readonly Room[]): Set<string> {
+  const services = [...new Set(rooms.map(({ service }) => service))];
+  const isBusy = (service: string): boolean => {
+    const own = rooms.filter((room) => room.service === service);
+    const free = own.reduce((sum, room) => sum + room.free.accelerators, 0);
+    const capacity = own.reduce((sum, room) => sum + room.capacity.accelerators, 0);
+    return free * 2 <= capacity;
+  };
+  return new Set(services.filter(isBusy));
+}
+
 /** A gang, or tasks that need more than half of a worker: what small tasks could starve. */
 function isLarge({ group }: WantedGroup, rooms: readonly Room[]): boolean {
   if (group.gang && group.indexes.length > 1) return true;
--- a/packages/cell/src/owner/wanted-groups.ts
+++ b/packages/cell/src/owner/wanted-groups.ts
@@ -6,11 +6,22 @@
 import { roomDemand } from './standings.js';
 
 /**
- * How long a step waits for the rack where it runs fast, in ms. Elsewhere it takes three times as long, so waiting for
- * one task's end pays; longer than this no job may stand still while there is room.
+ * How long a step waits for the rack where it runs fast while most of the service is idle, and a claim in any case, in ms:
+ * no job may stand still for 3 s while there is room, and a claim has to begin.
  */
 const RACK_WAIT_MS = 2000;
 
+/** Otherwise for this many of its durations: elsewhere it takes three times as long, and as much room for as long. */
+const RACK_WAIT_DURATIONS = 2;
+
+/** What the wait for a rack depends on. */
+export interface RackPatience {
+  /** More than half of the service is in use. */
+  isBusy: boolean;
+  claim: boolean;
+  expectedMs: (step: Step) => number;
+}
+
 /** A group and since when it has waited, on the monotonic clock. */
 export interface WantedGroup {
   job: OwnedJob;
@@ -20,20 +31,30 @@
 }
 
 /** All that could start now. */
-export function wantedGroups(job: OwnedJob, now: number): WantedGroup[] {
+export function wantedGroups(job: OwnedJob, now: number, patience: RackPatience): WantedGroup[] {
   if (job.cancelled || job.progress.outcome !== 'open') return [];
   return job.progress.occurrences.flatMap((occurrence) =>
-    job.submission.steps.flatMap((step, index) => wantedOfStep(job, occurrence, step, index, now)),
+    job.submission.steps.flatMap((step, index) =>
+      wantedOfStep({ job, occurrence, step, stepIndex: index, now, patience }),
+    ),
   );
 }
 
-function wantedOfStep(
-  job: OwnedJob,
-  occurrence: Occurrence,
-  step: Step,
-  stepIndex: number,
-  now: number,
-): WantedGroup[] {
+function wantedOfStep({
+  job,
+  occurrence,
+  step,
+  stepIndex,
+  now,
+  patience,
+}: {
+  job: OwnedJob;
+  occurrence: Occurrence;
+  step: Step;
+  stepIndex: number;
+  now: number;
+  patience: RackPatience;
+}): WantedGroup[] {
   const progress = occurrence.steps[stepIndex];
   if (progress === undefined || !isStepReady(step, occurrence)) return [];
   const indexes = waitingIndexes(step, progress);
@@ -41,7 +62,7 @@
   const key = `${occurrence.index}.${stepIndex}`;
   const readySince = job.readySince.get(key) ?? now;
   job.readySince.set(key, readySince);
-  const waitsForRack = now - readySince < Math.min(RACK_WAIT_MS, 2 * step.estimateMs);
+  const waitsForRack = now - readySince < rackWaitMs(step, patience);
   const group: Group = {
     jobId: job.id,
     occurrence: occurrence.index,
@@ -60,6 +81,11 @@
   return [{ job, step, group, readySince }];
 }
 
+function rackWaitMs(step: Step, { isBusy, claim, expectedMs }: RackPatience): number {
+  const worthMs = RACK_WAIT_DURATIONS * expectedMs(step);
+  return isBusy && !claim ? worthMs : Math.min(RACK_WAIT_MS, worthMs);
+}
+
 /** A gang waits whole: only once no member of an earlier run is left. */
 function waitingIndexes(step: Step, progress: StepProgress): number[] {
   const active = progress.tasks.some((task) => task.active !== undefined);
