--- a/packages/cell/src/job/progress.steps.ts
+++ b/packages/cell/src/job/progress.steps.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { testStep } from '../testing/cell-world.support.js';
+import { testStep, testSubmission } from '../testing/cell-world.support.js';
 import { packProgress, unpackProgress } from './job-rows.js';
 import { JobProgress, type EndKind } from './progress.js';
-import { submissionSchema, type Submission } from './submission.js';
+import type { Submission } from './submission.js';
 
 interface ProgressSteps {
   submission: Submission;
@@ -11,26 +11,6 @@
   maxAttempts: number;
 }
 
-function newSubmission(change: Partial<Submission>): Submission {
-  return submissionSchema.parse({
-    id: '0'.repeat(16),
-    queue: 'proofs',
-    terms: {
-      service: 'render',
-      priority: 0,
-      maxAttempts: 2,
-      stretch: 1,
-      targetLatencyMs: 0,
-      needsAdvice: false,
-    },
-    account: 'weddings',
-    spec: '',
-    steps: [testStep()],
-    acceptedAtMs: 0,
-    ...change,
-  });
-}
-
 function refOf(index: number): { occurrence: number; step: number; index: number } {
   return { occurrence: 0, step: 0, index };
 }
@@ -50,7 +30,7 @@
 Given(
   'a job of a gang of {int} task(s) and {int} attempts',
   function (this: ProgressSteps, tasks: number, attempts: number) {
-    this.submission = newSubmission({ steps: [testStep({ tasks, gang: true })] });
+    this.submission = testSubmission({ steps: [testStep({ tasks, gang: true })] });
     this.progress = new JobProgress(this.submission);
     this.maxAttempts = attempts;
   },
@@ -59,7 +39,7 @@
 Given(
   'a job of {int} occurrences, due at {int} and every {int} ms',
   function (this: ProgressSteps, count: number, firstAtMs: number, everyMs: number) {
-    this.submission = newSubmission({ schedule: { count, firstAtMs, everyMs } });
+    this.submission = testSubmission({ schedule: { count, firstAtMs, everyMs } });
     this.progress = new JobProgress(this.submission);
   },
 );
--- a/packages/cell/src/owner/wanted-groups.steps.ts
+++ b/packages/cell/src/owner/wanted-groups.steps.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then } from '@cucumber/cucumber';
-import { submissionSchema } from '../job/submission.js';
-import { testStep } from '../testing/cell-world.support.js';
+import { testStep, testSubmission } from '../testing/cell-world.support.js';
 import { OwnedJob } from './owned-job.js';
 import { wantedGroups, type RackPatience } from './wanted-groups.js';
 
@@ -23,23 +22,9 @@
 Given(
   'a gang expected to take {int} s that has waited {int} s for its rack',
   function (this: WantedSteps, expectedS: number, waitedS: number) {
-    const id = '0'.repeat(16);
-    const submission = submissionSchema.parse({
-      id,
-      queue: 'proofs',
-      terms: {
-        service: 'render',
-        priority: 0,
-        maxAttempts: 2,
-        stretch: 1,
-        targetLatencyMs: 0,
-        needsAdvice: false,
-      },
-      account: 'weddings',
-      spec: '',
-      steps: [testStep({ tasks: 2, gang: true, rackSensitive: true })],
-      acceptedAtMs: 0,
-    });
+    const step = testStep({ tasks: 2, gang: true, rackSensitive: true });
+    const submission = testSubmission({ steps: [step] });
+    const { id } = submission;
     const row = { id, submission, submissionVersion: 1, progressVersion: 0, cancelled: false };
     this.job = new OwnedJob(row);
     this.job.readySince.set('0.0', 0);
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -6,7 +6,12 @@
 import { EntryApp } from '../entry/entry-app.js';
 import { GuardApp } from '../guard/guard-app.js';
 import { jobRowKey, unpackProgress, unpackSubmission } from '../job/job-rows.js';
-import type { JobRequest, Step } from '../job/submission.js';
+import {
+  submissionSchema,
+  type JobRequest,
+  type Step,
+  type Submission,
+} from '../job/submission.js';
 import { OWNER_KEY, unpackOwner } from '../owner/owner-row.js';
 import { MemoryRowStore } from './memory-row-store.support.js';
 import { MemoryRunner } from './memory-runner.support.js';
@@ -54,6 +59,27 @@
   };
 }
 
+/** A submission with the defaults of tests. */
+export function testSubmission(change: Partial<Submission>): Submission {
+  return submissionSchema.parse({
+    id: '0'.repeat(16),
+    queue: 'proofs',
+    terms: {
+      service: 'render',
+      priority: 0,
+      maxAttempts: 2,
+      stretch: 1,
+      targetLatencyMs: 0,
+      needsAdvice: false,
+    },
+    account: 'weddings',
+    spec: '',
+    steps: [testStep()],
+    acceptedAtMs: 0,
+    ...change,
+  });
+}
+
 interface EntryVm {
   id: string;
   app: EntryApp;
