Submit the job that a scenario awaits before the others

Change: the awaited job is submitted first and runs before the five others come; all six are cancelled and awaited as before. Conclusion: the check was wrong; the new one asks for no less.

--- a/packages/e2e/src/worker/worker.feature
+++ b/packages/e2e/src/worker/worker.feature
@@ -59,10 +59,13 @@
 
   Scenario: waiting jobs give way to urgent ones
     Given a deployment of 1 failure domain with 2 entries, 0 runners and 2 workers in each
-    When weddings submits 6 jobs like this to entry-1:
+    When weddings submits 1 jobs like this to entry-1:
       | name  | kind   | runMs |
       | album | render | 60000 |
     And job "album-1" runs
+    And weddings submits 5 jobs like this to entry-1:
+      | name  | kind   | runMs |
+      | print | render | 60000 |
     And crews submits to entry-2:
       | name   | kind  | runMs |
       | urgent | proof | 100   |
@@ -70,5 +73,7 @@
       | name   | state     | ran | attempts |
       | urgent | succeeded | ran | 1        |
     When all jobs "album" are cancelled at once
+    And all jobs "print" are cancelled at once
     Then all jobs "album" end
+    And all jobs "print" end
     And every ledger agrees with every answer
