Keep a lease's margin in one place and drop what nobody calls

Cause: the last reading found the slow clock and the slack of leases three times, a subscription of the configuration watch without subscribers, an export used only inside its module, and a comment that promised more than refresh does. Change: clock/lease-margin.ts; the dead code is gone, the comment says what happens. Behaviour is the same.

--- a/packages/cell/src/config/config-watch.ts
+++ b/packages/cell/src/config/config-watch.ts
@@ -41,8 +41,6 @@
 
   readonly #source: ConfigSource;
 
-  readonly #subscribers: (() => void)[] = [];
-
   #known: KnownConfig | undefined;
 
   /** Version of the last row that couldn't be read: it is told of once. */
@@ -93,11 +91,6 @@
     );
   }
 
-  /** Calls back after each new version. */
-  subscribe(callback: () => void): void {
-    this.#subscribers.push(callback);
-  }
-
   start(): void {
     void this.#loop();
   }
@@ -107,7 +100,7 @@
     clearTimeout(this.#timer);
   }
 
-  /** Reads once, or joins the read in progress if that was sent after this call began waiting. */
+  /** Reads once, or joins the read in progress. */
   async refresh(): Promise<void> {
     this.#reading ??= this.#read().finally(() => {
       this.#reading = undefined;
@@ -125,7 +118,6 @@
       this.#known = { config, rowVersion: row.version };
       this.#ctx.metrics.count('config.applied');
       this.#ctx.log.info({ version: config.version, rowVersion: row.version }, 'config applied');
-      this.#subscribers.forEach((callback) => callback());
     } catch (err) {
       this.#unreadable = row.version;
       this.#ctx.metrics.count('config.unreadable');
--- a/packages/cell/src/guard/runner-lease.ts
+++ b/packages/cell/src/guard/runner-lease.ts
@@ -3,18 +3,14 @@
  * the contact was sent; the runner gets it as a moment on its own clock, so that a call that arrives late gives no more.
  */
 
+import { LEASE_SLACK_MS, SLOW_CLOCK } from '../clock/lease-margin.js';
+
 /** A reading of the runner's clock: it showed `runnerMs` no later than `at` on the guard's clock. */
 interface Reading {
   runnerMs: number;
   at: number;
 }
 
-/** A runner's clock may be slow by this factor. */
-const SLOW_CLOCK = 1.02;
-
-/** Delays that no clock shows, in ms. */
-const SLACK_MS = 300;
-
 /** One life of a runner. Times in ms; `now` is the guard's monotonic clock. */
 export class RunnerLease {
   #reading: Reading | undefined;
@@ -44,6 +40,6 @@
   /** True once no lease that was handed on can still hold. */
   isOver(now: number): boolean {
     if (!Number.isFinite(this.#handedEnd)) return false;
-    return now > this.#handedEnd + (SLOW_CLOCK - 1) * (now - this.#handedEnd) + SLACK_MS;
+    return now > this.#handedEnd + (SLOW_CLOCK - 1) * (now - this.#handedEnd) + LEASE_SLACK_MS;
   }
 }
--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { SLOW_CLOCK } from '../clock/lease-margin.js';
 import type { Step } from '../job/submission.js';
 import {
   CellWorld,
@@ -20,8 +21,6 @@
 type Entry = CellWorld['entries'][number];
 type Worker = CellWorld['workers'][number];
 
-const SLOW_CLOCK = 1.02;
-
 function cellOf({ cell }: CellSteps): CellWorld {
   assert.ok(cell);
   return cell;
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -1,14 +1,9 @@
 /** The workers of a cell, and when what was given to one that is out of contact is surely over. */
 import type { Clock } from '@zincspan/core';
+import { LEASE_SLACK_MS, SLOW_CLOCK } from '../clock/lease-margin.js';
 import { Worker, type Assignment } from '../worker/worker.js';
 import { Room } from '../placing/room.js';
 
-/** A runner's clock may be slow by this factor. */
-export const SLOW_CLOCK = 1.02;
-
-/** Delays between the two ends of a lease that no clock shows, in ms. */
-const LEASE_SLACK_MS = 300;
-
 /** Nothing is placed on a worker that was out of contact for longer, in ms: three missed contacts. */
 const PLACE_WITHIN_MS = 1600;
 
--- a/packages/cell/src/worker/standstill.ts
+++ b/packages/cell/src/worker/standstill.ts
@@ -11,7 +11,7 @@
 const ESTIMATE_SHARE = 0.04;
 
 /** How long a run of this estimate may show no progress, in ms. */
-export function patienceMs(estimateMs: number): number {
+function patienceMs(estimateMs: number): number {
   return Math.max(LEAST_MS, ESTIMATE_SHARE * estimateMs);
 }
 
