Ask other entries after 0.3 s without the store, tell callers of a long outage to come later, take a silent cell sooner

And a fault: a call that was passed on and whose link then failed counted as not passed on, so that the caller was told 503, never runs, of a job that the other entry may have accepted.

Change: own try and two other entries at once after 0.3 s, the first answer that settles the call stands, and a refusal is told only where none of them may have accepted; Retry-After grows with the outage, also on 504; an entry that hasn't heard of the store for 0.9 s has others say what became of open jobs; the feed is asked for 0.8 s instead of 1.5; a heartbeat of the owner each 0.2 s, and 0.7 s plus four answers of the store without one to take over.

--- /dev/null
+++ b/packages/bench/src/cell/simulated-cell.ts
@@ -0,0 +1,244 @@
+/** A cell's owner and its workers in virtual time: the owner's own scheduler decides, everything else is simulated. */
+import { ordersFor, takeUpContact, Scheduler, type OwnedJob } from '@zincspan/cell';
+import { quietContext } from '@zincspan/core';
+import type { DrawnJob } from './cell-load.js';
+import {
+  SimulatedWorker,
+  spreadFactor,
+  workOf,
+  type SimulatedRun,
+  type WorkerFault,
+} from './simulated-worker.js';
+
+/** One step of virtual time, in ms: what a start takes from its decision to the runner. */
+const TICK_MS = 20;
+
+/** A guard is in contact this often, in ms, and as soon as a run ends. */
+const CONTACT_EVERY_MS = 400;
+
+/** Pause between passes when nothing happens, in ms. */
+const PASS_EVERY_MS = 200;
+
+const LEASE_MS = 6000;
+const EARLIER_GRANT_MS = 0;
+const WORKERS_PER_RACK = 3;
+
+/** Cores that count as one accelerator in work that was thrown away. */
+const MILLI_CORES_PER_ACCELERATOR = 8000;
+
+/** The workers of a cell. */
+export interface CellShape {
+  workers: number;
+  capacity: { milliCores: number; memoryMb: number; accelerators: number };
+  reclaim: { reclaimMs: number; stopMs: number };
+}
+
+/** What came of a day. Times from acceptance, in ms; undefined: not done. */
+export interface DayResult {
+  jobs: { job: DrawnJob; tookMs: number | undefined }[];
+  /** Accelerator-seconds of work that was done and lost. */
+  thrownAway: number;
+}
+
+/** One day. */
+export class SimulatedCell {
+  readonly #workers: SimulatedWorker[];
+
+  readonly #scheduler: Scheduler;
+
+  readonly #jobs = new Map<string, DrawnJob>();
+
+  readonly #doneAt = new Map<string, number>();
+
+  readonly #dirty = new Set<OwnedJob>();
+
+  readonly #news = new Set<string>();
+
+  readonly #contactAt = new Map<string, number>();
+
+  #now = 0;
+
+  #version = 1;
+
+  #thrownAway = 0;
+
+  constructor({ workers, capacity, reclaim }: CellShape) {
+    this.#workers = Array.from(
+      { length: workers },
+      (_, index) =>
+        new SimulatedWorker({
+          vm: `vm-${index}`,
+          rack: `rack-${Math.floor(index / WORKERS_PER_RACK)}`,
+          capacity,
+        }),
+    );
+    const now = (): number => this.#now;
+    this.#scheduler = new Scheduler({
+      ctx: quietContext({ id: 'entry-1', clock: { now, wall: now } }),
+      leaseMs: LEASE_MS,
+      earlierGrantMs: EARLIER_GRANT_MS,
+      reclaim,
+      config: () => undefined,
+      events: {
+        onChanged: (job) => this.#dirty.add(job),
+        onNews: (vm) => this.#news.add(vm),
+      },
+    });
+  }
+
+  /** Plays a day. `faults`: by worker. */
+  play(
+    jobs: readonly DrawnJob[],
+    faults: ReadonlyMap<number, readonly WorkerFault[]>,
+    lengthMs: number,
+  ): DayResult {
+    faults.forEach((each, index) => this.#workers[index]?.faults.push(...each));
+    const waiting = [...jobs];
+    let passDue = 0;
+    for (; this.#now < lengthMs; this.#now += TICK_MS) {
+      while (waiting[0] !== undefined && waiting[0].atMs <= this.#now) {
+        this.#accept(waiting.shift());
+      }
+      this.#work();
+      const hadNews = this.#contacts();
+      if (hadNews || this.#now >= passDue) {
+        this.#scheduler.pass();
+        passDue = this.#now + PASS_EVERY_MS;
+      }
+      this.#write();
+    }
+    return {
+      jobs: jobs.map((job) => {
+        const doneAt = this.#doneAt.get(job.submission.id);
+        return { job, tookMs: doneAt === undefined ? undefined : doneAt - job.atMs };
+      }),
+      thrownAway: this.#thrownAway,
+    };
+  }
+
+  #accept(job: DrawnJob | undefined): void {
+    if (job === undefined) return;
+    const { submission } = job;
+    this.#jobs.set(submission.id, job);
+    const versions = { submissionVersion: 1, progressVersion: 0 };
+    this.#scheduler.add({ id: submission.id, submission, ...versions, cancelled: false });
+    this.#scheduler.pass();
+  }
+
+  /** Lets all runs work for one tick; sets that work together begin and end together. */
+  #work(): void {
+    this.#workers.forEach((worker) => {
+      worker.endStopped(this.#now).forEach((run) => this.#throwAway(run));
+      const leaving = worker.faults.find(({ kind }) => kind === 'leaving');
+      if (leaving !== undefined && this.#now >= leaving.fromMs + leaving.forMs) {
+        worker.faults.splice(worker.faults.indexOf(leaving), 1);
+        worker.replace().forEach((run) => this.#throwAway(run));
+        this.#news.add(worker.vm);
+      }
+    });
+    this.#sets().forEach((set) => this.#workTogether(set));
+  }
+
+  #sets(): SimulatedRun[][] {
+    const sets = new Map<string, SimulatedRun[]>();
+    this.#workers.forEach(({ runs }) =>
+      runs.forEach((run) => {
+        const { submission } = run.job;
+        const key = submission.steps[0]?.gang ? `${submission.id}#${run.run}` : run.task;
+        sets.set(key, [...(sets.get(key) ?? []), run]);
+      }),
+    );
+    return [...sets.values()];
+  }
+
+  #workTogether(set: readonly SimulatedRun[]): void {
+    const [first] = set;
+    if (first === undefined) return;
+    const { job } = first;
+    const step = job.submission.steps[0];
+    const isWhole = !step?.gang || set.length === step.tasks;
+    if (!isWhole || set.some(({ beginsAt }) => beginsAt > this.#now)) return;
+    const speed = Math.min(...set.map(({ worker }) => worker.speed(this.#now)));
+    set.forEach((run) =>
+      Object.assign(run, { doneMs: run.doneMs + (TICK_MS * speed) / spreadFactor(set) }),
+    );
+    if (
+      set.some(({ worker }) => worker.faultsAt(this.#now).some(({ kind }) => kind === 'failing'))
+    ) {
+      this.#endAll(set, 'failed');
+    } else if (set.every((run) => run.doneMs >= workOf(run))) {
+      const fails = set.some(({ run, index }) => run <= (job.failingRuns[index] ?? 0));
+      this.#endAll(set, fails ? 'failed' : 'done');
+    }
+  }
+
+  #endAll(set: readonly SimulatedRun[], how: 'done' | 'failed'): void {
+    set.forEach((run) => {
+      run.worker.end(run, how);
+      this.#news.add(run.worker.vm);
+    });
+  }
+
+  /** Contacts that are due; true if there were any. */
+  #contacts(): boolean {
+    const due = this.#workers.filter(
+      ({ vm }) => this.#news.has(vm) || this.#now >= (this.#contactAt.get(vm) ?? 0),
+    );
+    this.#news.clear();
+    due.forEach((worker) => this.#contact(worker));
+    return due.length > 0;
+  }
+
+  #contact(worker: SimulatedWorker): void {
+    const { book } = this.#scheduler;
+    this.#contactAt.set(worker.vm, this.#now + CONTACT_EVERY_MS);
+    const known = book.fleet.get(worker.vm);
+    const contact = worker.contact(this.#now);
+    takeUpContact(book, known, contact);
+    const orders = ordersFor(book, known, contact);
+    known.grant(this.#now, LEASE_MS);
+    worker.confirm(orders.confirmedEnd);
+    orders.stops.forEach((run) => worker.stop(run, this.#now));
+    orders.starts.forEach((order) => {
+      const job = this.#jobs.get(order.task.slice(0, order.task.indexOf('.')));
+      if (job !== undefined) worker.start(order, job, this.#now);
+    });
+    this.#noteDone(contact.ends);
+  }
+
+  #noteDone(ends: readonly { task: string }[]): void {
+    ends.forEach(({ task }) => {
+      const id = task.slice(0, task.indexOf('.'));
+      const job = this.#scheduler.book.jobs.get(id);
+      if (job?.progress.outcome === 'completed' && !this.#doneAt.has(id)) {
+        this.#doneAt.set(id, this.#now);
+      }
+    });
+  }
+
+  /** What was decided is durable one tick later; the guards concerned come for it. */
+  #write(): void {
+    const dirty = [...this.#dirty];
+    this.#dirty.clear();
+    dirty.forEach((job) => {
+      this.#version += 1;
+      job.wrote(job.change, this.#version);
+    });
+    const ids = new Set(dirty.map(({ id }) => id));
+    [...this.#scheduler.book.fleet.all()]
+      .filter(
+        (worker) =>
+          worker.hasPendingEndOf(ids) ||
+          [...worker.assignments.values()].some(({ jobId }) => ids.has(jobId)),
+      )
+      .forEach(({ vm }) => this.#news.add(vm));
+  }
+
+  #throwAway(run: SimulatedRun): void {
+    const step = run.job.submission.steps[0];
+    if (step === undefined || step.checkpointing) return;
+    const { accelerators, milliCores } = step.demand;
+    const size = accelerators + milliCores / MILLI_CORES_PER_ACCELERATOR;
+    this.#thrownAway += (size * run.doneMs) / 1000;
+  }
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 /** Command line of the benches: one command for each. */
 import { cac } from 'cac';
 import { benchCapacity, type CapacityBenchOptions } from './capacity/capacity-bench.js';
+import { benchCell, type CellBenchOptions } from './cell/cell-bench.js';
 import { benchPath, type PathBenchOptions } from './path/path-bench.js';
 import { benchDecide, type DecideBenchOptions } from './decide/decide-bench.js';
 import { benchPolicy, type PolicyBenchOptions } from './policy/policy-bench.js';
@@ -22,6 +23,17 @@
   .option('--version-name <text>', 'Only policy versions whose name contains this', { default: '' })
   .action((options: PolicyBenchOptions) => benchPolicy(options));
 
+cli
+  .command(
+    'cell',
+    "Job graphs on a cell: the owner's own decisions against loads and failing workers",
+  )
+  .option('--seed <seed>', 'First seed of the days', { default: 1 })
+  .option('--days <count>', 'Days of each load and scenario', { default: 20 })
+  .option('--load <text>', 'Only loads whose name contains this', { default: '' })
+  .option('--scenario <text>', 'Only scenarios whose name contains this', { default: '' })
+  .action((options: CellBenchOptions) => benchCell(options));
+
 cli
   .command(
     'path',
--- a/packages/cell/src/entry/acceptance.ts
+++ b/packages/cell/src/entry/acceptance.ts
@@ -7,6 +7,7 @@
 import type { CallRefusal, CancelResult, SubmitResult } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
 import { pause } from '../clock/pause.js';
+import { storeRetryMs } from './store-retry.js';
 
 /** One try at the store within a caller's time, in ms. */
 const TRY_TIMEOUT_MS = 900;
@@ -14,9 +15,6 @@
 /** Pause between tries, in ms. */
 const RETRY_PAUSE_MS = 60;
 
-/** Told to callers when the store refuses or is out of reach, in ms: outages last seconds. */
-const STORE_RETRY_MS = 1000;
-
 /** After a try without an answer another entry is asked once reads have failed for this long, in ms. */
 const STORE_SILENT_MS = 900;
 
@@ -100,11 +98,11 @@
       detail = result.detail;
       if (result.outcome === 'unknown') maybeDone = true;
       else refusals += 1;
-      if (!maybeDone && refusals >= REFUSALS_TO_GIVE_UP) return storeAway(detail);
+      if (!maybeDone && refusals >= REFUSALS_TO_GIVE_UP) return this.#storeAway(detail);
       if (maybeDone && this.#config.ageMs > STORE_SILENT_MS) break;
       await pause(RETRY_PAUSE_MS);
     }
-    return maybeDone ? unanswered(detail) : storeAway(detail);
+    return maybeDone ? this.#unanswered(detail) : this.#storeAway(detail);
   }
 
   /** Writes the cancellation, or finds it written. */
@@ -112,17 +110,29 @@
     const key = jobRowKey(id, 'cancellation');
     for (;;) {
       const timeoutMs = Math.min(TRY_TIMEOUT_MS, until - this.#ctx.clock.now());
-      if (timeoutMs <= 0) return unanswered('no time left');
+      if (timeoutMs <= 0) return this.#unanswered('no time left');
       const tx = { expected: [{ ...key, version: 0 }], set: [{ ...key, value: Buffer.from('1') }] };
       const result = await this.#store.transact(tx, { timeoutMs });
       if (result.outcome === 'done') this.#tellWritten(tx, result.version);
       const isThere = result.outcome === 'done' || result.outcome === 'conflict';
       if (isThere) return { outcome: 'cancelled' };
-      if (this.#config.ageMs > STORE_SILENT_MS) return unanswered(result.detail);
+      if (this.#config.ageMs > STORE_SILENT_MS) return this.#unanswered(result.detail);
       await pause(RETRY_PAUSE_MS);
     }
   }
 
+  #storeAway(detail: string): CallRefusal {
+    return storeAway(detail, this.#config.ageMs);
+  }
+
+  #unanswered(detail: string): CallRefusal {
+    return {
+      outcome: 'unknown',
+      retryAfterMs: storeRetryMs(this.#config.ageMs),
+      detail: `The store did not answer: ${detail}.`,
+    };
+  }
+
   #tellWritten({ set }: Transaction, version: number): void {
     set.forEach((row) => this.#onWritten({ ...row, version }));
   }
@@ -148,15 +158,11 @@
   }
 }
 
-/** The store can't be used from here; nothing was done. */
-export function storeAway(detail: string): CallRefusal {
+/** The store can't be used from here; nothing was done. `awayMs`: since it last answered. */
+export function storeAway(detail: string, awayMs: number): CallRefusal {
   return {
     outcome: 'not-accepted',
-    retryAfterMs: STORE_RETRY_MS,
+    retryAfterMs: storeRetryMs(awayMs),
     detail: `The store cannot be used from here: ${detail}.`,
   };
 }
-
-function unanswered(detail: string): CallRefusal {
-  return { outcome: 'unknown', detail: `The store did not answer: ${detail}.` };
-}
--- a/packages/cell/src/entry/call-result.ts
+++ b/packages/cell/src/entry/call-result.ts
@@ -13,8 +13,8 @@
   z.strictObject({ outcome: z.literal('bad-input'), detail }),
   /** Surely not accepted; another try makes sense after this time. */
   z.strictObject({ outcome: z.literal('not-accepted'), retryAfterMs, detail }),
-  /** It isn't known whether it was accepted: the caller asks again with the same id. */
-  z.strictObject({ outcome: z.literal('unknown'), detail }),
+  /** It isn't known whether it was accepted: the caller asks again with the same id after this time. */
+  z.strictObject({ outcome: z.literal('unknown'), retryAfterMs, detail }),
 ] as const;
 
 export const callRefusalSchema = z.discriminatedUnion('outcome', refusalSchemas);
--- a/packages/cell/src/entry/caller-gate.ts
+++ b/packages/cell/src/entry/caller-gate.ts
@@ -8,13 +8,11 @@
 } from '../config/cell-config.js';
 import type { ConfigWatch } from '../config/config-watch.js';
 import type { CallRefusal } from './call-result.js';
+import { storeRetryMs } from './store-retry.js';
 
 /** Before a queue or key is said to be unknown, the configuration is read again if it is older than this, in ms. */
 const DOUBT_AFTER_MS = 100;
 
-/** Told to callers of an entry that doesn't know the configuration, in ms. */
-const NOT_READY_RETRY_MS = 1000;
-
 /** A call as it came: `path` with its leading slash, without a query. */
 export interface CallerCall {
   host: string;
@@ -62,8 +60,12 @@
 
   #check({ host, path, key }: CallerCall): Admitted | CallRefusal {
     const { known } = this.#config;
-    if (known === undefined) return notReady('No configuration is known here yet.');
-    if (!this.isFresh) return notReady('The store has not been reached here for too long.');
+    if (known === undefined) {
+      return notReady('No configuration is known here yet.', this.#config.ageMs);
+    }
+    if (!this.isFresh) {
+      return notReady('The store has not been reached here for too long.', this.#config.ageMs);
+    }
     const queue = findQueue(known.config, host, path);
     if (queue === undefined) return { outcome: 'no-such-queue' };
     const account = key === undefined ? undefined : accountOfKey(known.config, key);
@@ -74,6 +76,6 @@
   }
 }
 
-function notReady(detail: string): CallRefusal {
-  return { outcome: 'not-ready', retryAfterMs: NOT_READY_RETRY_MS, detail };
+function notReady(detail: string, awayMs: number): CallRefusal {
+  return { outcome: 'not-ready', retryAfterMs: storeRetryMs(awayMs), detail };
 }
--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -17,6 +17,8 @@
   type WaitingResult,
 } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
+import { isOutOfReach, settleCall } from './settled-call.js';
+import { storeRetryMs } from './store-retry.js';
 
 /** Kept back from a caller's time for the answer's way, in ms. */
 const ANSWER_RESERVE_MS = 150;
@@ -30,6 +32,9 @@
  */
 export const STORE_AWAY_MS = 1200;
 
+/** States that may still change are asked of another entry after this time without the store, in ms: two reads. */
+const OLD_STATE_MS = 900;
+
 /** Told to callers of a queue that needs advice where there is no advisor, in ms: only other settings help. */
 const ADVICE_RETRY_MS = 60_000;
 
@@ -39,8 +44,8 @@
 /** The body, decoded only once the call is let through. */
 export type DecodeJob = () => { job: JobRequest } | { fault: string };
 
-/** Has another entry serve a call; undefined if none can be reached. */
-export type Forward = (call: ForwardedCall) => Promise<ForwardedResult | undefined>;
+/** Has other entries serve a call: one answer each, none if none is linked. A link that fails rejects. */
+export type Forward = (call: ForwardedCall) => Promise<ForwardedResult>[];
 
 /** What the calls are made of. */
 export interface JobCallsOptions {
@@ -83,18 +88,18 @@
     }: CallOptions & { decode: DecodeJob },
   ): Promise<SubmitResult> {
     const until = this.#now() + budgetMs - ANSWER_RESERVE_MS;
-    const result = await this.#trySubmit(call, decode, until);
-    // A definite answer, or one that another entry would give as well.
-    if (isForwarded || !isOutOfReach(result)) return this.#log('submit', call, result);
-    const decoded = decode();
-    if ('fault' in decoded) return this.#log('submit', call, result);
-    const forwarded = await this.#forward(submitResultSchema, {
-      call: 'submit',
-      ...call,
-      job: decoded.job,
-      budgetMs: until - this.#now(),
+    const own = this.#trySubmit(call, decode, until);
+    if (isForwarded) return this.#log('submit', call, await own);
+    const result = await settleCall({
+      own,
+      askOthers: () => {
+        const decoded = decode();
+        if ('fault' in decoded) return [];
+        const { job } = decoded;
+        return this.#forward(submitResultSchema, { call: 'submit', ...call, job, until });
+      },
     });
-    return this.#log('submit', call, combine(result, forwarded));
+    return this.#log('submit', call, result);
   }
 
   /** What has become of a job. */
@@ -102,10 +107,16 @@
     call: CallerCall,
     { budgetMs = DEFAULT_BUDGET_MS, isForwarded = false }: CallOptions = {},
   ): Promise<StateResult> {
-    const result = await this.#tryState(call, budgetMs);
-    if (isForwarded || !isOutOfReach(result)) return result;
-    const forwarded = await this.#forward(stateResultSchema, { call: 'state', ...call, budgetMs });
-    return this.#log('state', call, forwarded ?? result);
+    const until = this.#now() + budgetMs - ANSWER_RESERVE_MS;
+    const known = this.#tryState(call, until);
+    const own = known.then((result) => this.#unlessOld(result));
+    if (isForwarded) return own;
+    const result = await settleCall({
+      own,
+      askOthers: () => this.#forward(stateResultSchema, { call: 'state', ...call, until }),
+    });
+    // Nobody knows better.
+    return isOutOfReach(result) ? known : result;
   }
 
   /** Stops a job for good. */
@@ -114,14 +125,13 @@
     { budgetMs = DEFAULT_BUDGET_MS, isForwarded = false }: CallOptions = {},
   ): Promise<CancelResult> {
     const until = this.#now() + budgetMs - ANSWER_RESERVE_MS;
-    const result = await this.#tryCancel(call, until);
-    if (isForwarded || !isOutOfReach(result)) return this.#log('cancel', call, result);
-    const forwarded = await this.#forward(cancelResultSchema, {
-      call: 'cancel',
-      ...call,
-      budgetMs: until - this.#now(),
+    const own = this.#tryCancel(call, until);
+    if (isForwarded) return this.#log('cancel', call, await own);
+    const result = await settleCall({
+      own,
+      askOthers: () => this.#forward(cancelResultSchema, { call: 'cancel', ...call, until }),
     });
-    return this.#log('cancel', call, forwarded ?? result);
+    return this.#log('cancel', call, result);
   }
 
   /** How many of a queue's jobs wait. */
@@ -165,47 +175,67 @@
     const fault = graphFault(decoded.job.steps);
     if (fault !== undefined) return badInput(fault);
     if (admitted.queue.needsAdvice && !canAskAdvice) return adviceMissing(admitted.queue.name);
-    if (config.ageMs > STORE_AWAY_MS) return storeAway('no read was answered lately');
+    const { ageMs } = config;
+    if (ageMs > STORE_AWAY_MS) return storeAway('no read was answered lately', ageMs);
     return this.#acceptance.accept({ call, admitted, id, job: decoded.job, until });
   }
 
-  async #tryState(call: CallerCall, budgetMs: number): Promise<StateResult> {
+  async #tryState(call: CallerCall, until: number): Promise<StateResult> {
     const admitted = await this.#options.gate.admit(call);
     if (admitted.outcome !== 'admitted') return admitted;
-    const job = await this.#find(admitted, budgetMs);
+    const job = await this.#find(admitted, until);
     if (job === 'absent') return { outcome: 'no-such-job' };
-    if (job === 'unknown') return storeAway('a read failed');
+    if (job === 'unknown') return storeAway('a read failed', this.#options.config.ageMs);
     return { outcome: 'state', state: jobState(job) };
   }
 
+  /** An entry that is cut from the store would show a job as running long after it has ended. */
+  #unlessOld(result: StateResult): StateResult {
+    const { ageMs } = this.#options.config;
+    const mayChange =
+      result.outcome === 'state' && (result.state === 'queued' || result.state === 'running');
+    return mayChange && ageMs > OLD_STATE_MS ? storeAway('states may be old', ageMs) : result;
+  }
+
   async #tryCancel(call: CallerCall, until: number): Promise<CancelResult> {
     const admitted = await this.#options.gate.admit(call);
     if (admitted.outcome !== 'admitted') return admitted;
-    const job = await this.#find(admitted, until - this.#now());
+    const job = await this.#find(admitted, until);
     if (job === 'absent') return { outcome: 'no-such-job' };
-    if (job === 'unknown') return storeAway('a read failed');
+    if (job === 'unknown') return storeAway('a read failed', this.#options.config.ageMs);
     if (job.cancelled) return { outcome: 'cancelled' };
     return this.#acceptance.cancel(job.id, until);
   }
 
   /** The job, unless it is another account's. */
-  async #find({ rest: id, account }: Admitted, budgetMs: number): ReturnType<JobView['find']> {
+  async #find({ rest: id, account }: Admitted, until: number): ReturnType<JobView['find']> {
     if (!ID_PATTERN.test(id)) return 'absent';
-    const job = await this.#options.view.find(id, { timeoutMs: Math.max(1, budgetMs) });
+    const timeoutMs = Math.max(1, until - this.#now());
+    const job = await this.#options.view.find(id, { timeoutMs });
     if (typeof job === 'string') return job;
     return job.submission.account === (account?.name ?? '') ? job : 'absent';
   }
 
-  /** Another entry's answer; undefined if none can be reached or its answer can't be read. */
-  async #forward<T>(schema: z.ZodType<T>, call: ForwardedCall): Promise<T | undefined> {
-    if (call.budgetMs <= 0) return undefined;
-    try {
-      return schema.safeParse(await this.#options.forward(call)).data;
-    } catch (err) {
-      this.#options.ctx.metrics.count('call.forward-failed');
-      this.#options.ctx.log.warn({ path: call.path, err: String(err) }, 'forwarding a call failed');
-      return undefined;
-    }
+  /** Other entries' answers. One that doesn't come, or can't be read, may have been carried out all the same. */
+  #forward<T>(
+    schema: z.ZodType<T | CallRefusal>,
+    { until, ...call }: Omit<ForwardedCall, 'budgetMs'> & { until: number },
+  ): Promise<T | CallRefusal>[] {
+    const budgetMs = until - this.#now();
+    if (budgetMs <= 0) return [];
+    return this.#options
+      .forward({ ...call, budgetMs })
+      .map(async (answer): Promise<T | CallRefusal> => {
+        try {
+          return schema.parse(await answer);
+        } catch (err) {
+          const { ctx, config } = this.#options;
+          ctx.metrics.count('call.forward-failed');
+          ctx.log.warn({ path: call.path, err: String(err) }, 'forwarding a call failed');
+          const retryAfterMs = storeRetryMs(config.ageMs);
+          return { outcome: 'unknown', retryAfterMs, detail: 'Another entry did not answer.' };
+        }
+      });
   }
 
   #now(): number {
@@ -226,17 +256,6 @@
   }
 }
 
-/** True if another entry may do better: this one can't use the store. */
-function isOutOfReach({ outcome }: { outcome: string }): boolean {
-  return outcome === 'not-accepted' || outcome === 'not-ready' || outcome === 'unknown';
-}
-
-/** What an own try that may still be carried out and another entry's answer come to together. */
-function combine(own: SubmitResult, other: SubmitResult | undefined): SubmitResult {
-  if (other === undefined) return own;
-  return own.outcome === 'unknown' && other.outcome !== 'accepted' ? own : other;
-}
-
 /** Its tasks would need tickets of a placement advisor, and the settings name none. */
 function adviceMissing(queue: string): CallRefusal {
   return {
--- a/packages/cell/src/entry/peer-entries.ts
+++ b/packages/cell/src/entry/peer-entries.ts
@@ -20,6 +20,9 @@
 
 const CALL_TIMEOUT_MS = 1200;
 
+/** A call is passed on to this many entries at once: the store may turn one of them away as well. */
+const ASKED_AT_ONCE = 2;
+
 /** What the peers are found and reached by. */
 export interface PeerEntriesOptions {
   ctx: ProcessContext;
@@ -54,13 +57,13 @@
     this.#dialers.forEach(({ dialer }) => dialer.close());
   }
 
-  /** Has another entry serve a call. Undefined if none is linked; rejects if the link fails meanwhile. */
-  async forward(call: ForwardedCall): Promise<ForwardedResult | undefined> {
+  /** Has other entries serve a call: an answer of each that is asked. Rejects where the link fails meanwhile. */
+  forward(call: ForwardedCall): Promise<ForwardedResult>[] {
     const live = [...this.#dialers.values()].flatMap(({ dialer }) => dialer.link ?? []);
-    const link = live[Math.floor(Math.random() * live.length)];
-    if (link === undefined) return undefined;
-    this.#options.ctx.metrics.count('call.forwarded');
-    return link.call('caller.forward', call, { timeoutMs: call.budgetMs });
+    const first = Math.floor(Math.random() * live.length);
+    const asked = [...live.slice(first), ...live.slice(0, first)].slice(0, ASKED_AT_ONCE);
+    this.#options.ctx.metrics.count('call.forwarded', asked.length);
+    return asked.map((link) => link.call('caller.forward', call, { timeoutMs: call.budgetMs }));
   }
 
   /** Tells an entry of a row that was written here; without a link, or if it fails, the store's feed does. */
--- a/packages/cell/src/guard/owner-link.ts
+++ b/packages/cell/src/guard/owner-link.ts
@@ -7,7 +7,7 @@
 
 /** Pause between looks at the owner's row while the link is live, and while there is none, in ms. */
 const LOOK_EVERY_MS = 1000;
-const LOOK_WITHOUT_LINK_MS = 250;
+const LOOK_WITHOUT_LINK_MS = 150;
 
 const READ_TIMEOUT_MS = 1000;
 
--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -121,6 +121,29 @@
   await pause(2000);
 });
 
+Given('the answers of entries that calls are passed on to are lost', function (this: CellSteps) {
+  cellOf(this).entries.forEach(({ app: { calls } }) => {
+    const serve = calls.serveForwarded.bind(calls);
+    const serveAndFail = async (call: Parameters<typeof serve>[0]): ReturnType<typeof serve> => {
+      await serve(call);
+      throw new Error('the answer is lost');
+    };
+    Object.assign(calls, { serveForwarded: serveAndFail });
+  });
+});
+
+When(
+  'a job is handed in at that entry, and its outcome is {string}',
+  async function (this: CellSteps, expected: string) {
+    const cell = cellOf(this);
+    const cutOff = cell.entries.find(({ store }) => store.fault !== 'none');
+    assert.ok(cutOff);
+    const id = cell.newJobId();
+    this.jobs.push(id);
+    assert.equal(await submit(cutOff, id), expected);
+  },
+);
+
 Given('entries that have all been cut from the store for 2 s', async function (this: CellSteps) {
   cellOf(this).entries.forEach(({ store }) => Object.assign(store, { fault: 'silent' }));
   await pause(2000);
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -7,34 +7,22 @@
   type Peer,
   type ProcessContext,
 } from '@zincspan/core';
-import { AdviceBook } from '../advice/advice-book.js';
 import { AdviceDesk } from '../advice/advice-desk.js';
 import type { Advisor } from '../advice/advisor.js';
+import { pause } from '../clock/pause.js';
 import type { CellConfig } from '../config/cell-config.js';
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type KnownJob } from '../job/job-view.js';
 import type { RowStore } from '../store/row-store.js';
-import { DurationBook } from '../placing/duration-book.js';
 import { readTable } from '../store/table-follower.js';
 import { ordersFor, takeUpContact } from './contact-handler.js';
 import { EndedSweeper } from './ended-sweeper.js';
-import { Fleet } from './fleet.js';
 import { leaseLengthMs } from './lease-length.js';
-import { OwnedJob } from './owned-job.js';
-import { findOccupants } from './occupants.js';
-import { decidePass, type ReclaimBounds } from './placing-pass.js';
+import type { OwnedJob } from './owned-job.js';
+import type { ReclaimBounds } from './placing-pass.js';
 import { ProgressWriter } from './progress-writer.js';
-import { RunBook } from './run-book.js';
-import { evacuate, stopStandstills } from './run-watch.js';
-import {
-  QueueMeans,
-  describeStep,
-  durationsOf,
-  findClaims,
-  objectiveMs,
-  totalWork,
-} from './standings.js';
-import { pause } from '../clock/pause.js';
+import type { RunBook } from './run-book.js';
+import { Scheduler } from './scheduler.js';
 
 /** Pause between passes when nothing happens, in ms: time alone changes what may be placed. */
 const PASS_EVERY_MS = 200;
@@ -86,18 +74,12 @@
 export class CellOwner {
   readonly #options: CellOwnerOptions;
 
-  readonly #book: RunBook;
+  readonly #scheduler: Scheduler;
 
   readonly #writer: ProgressWriter;
 
   readonly #sweeper: EndedSweeper;
 
-  readonly #means = new QueueMeans();
-
-  readonly #durations = new DurationBook();
-
-  readonly #advice = new AdviceBook();
-
   readonly #adviceDesk: AdviceDesk | undefined;
 
   /** Links to guards, by VM. */
@@ -115,12 +97,24 @@
 
   constructor(options: CellOwnerOptions) {
     this.#options = options;
-    const { ctx, store, view, ownerVersion, leaseMs, keepEndedMs, advisor } = options;
+    const { ctx, store, view, ownerVersion, leaseMs, reclaim, config, keepEndedMs, advisor } =
+      options;
+    this.#scheduler = new Scheduler({
+      ctx,
+      leaseMs,
+      earlierGrantMs: UNCONFIRMED_MS,
+      reclaim,
+      config,
+      events: {
+        onChanged: (job) => this.#writer.mark(job),
+        onNews: (vm) => this.#poke(vm),
+      },
+    });
     if (advisor !== undefined) {
       this.#adviceDesk = new AdviceDesk({
         ctx,
         advisor,
-        book: this.#advice,
+        book: this.#scheduler.advice,
         onAdvice: () => this.#wantPass(),
       });
     }
@@ -144,16 +138,10 @@
         onConfirmed: options.onConfirmed,
       },
     });
-    this.#book = new RunBook({
-      ctx,
-      advice: this.#advice,
-      durations: this.#durations,
-      fleet: new Fleet({ clock: ctx.clock, leaseMs, earlierGrantMs: UNCONFIRMED_MS }),
-      events: {
-        onChanged: (job) => this.#writer.mark(job),
-        onNews: (vm) => this.#poke(vm),
-      },
-    });
+  }
+
+  get #book(): RunBook {
+    return this.#scheduler.book;
   }
 
   start(): void {
@@ -179,7 +167,7 @@
     }
     // A job that this owner has ended isn't taken up again, also when a feed that is behind tells of it only now.
     if (this.#book.ended.has(known.id) || known.progressVersion > 0) return;
-    this.#add(known);
+    this.#scheduler.add(known);
     this.#wantPass();
   }
 
@@ -211,7 +199,7 @@
       if (read !== undefined) {
         const fresh = new JobView({ ctx, store });
         read.rows.forEach((row) => fresh.apply(row));
-        [...fresh.all()].forEach((known) => this.#add(known));
+        [...fresh.all()].forEach((known) => this.#scheduler.add(known));
         this.#loaded = true;
         // What the feed told while the table was being read.
         [...view.all()].forEach((known) => this.noteJob(known));
@@ -223,28 +211,6 @@
     }
   }
 
-  #add(known: KnownJob): void {
-    const { submission } = known;
-    const job = new OwnedJob(known);
-    submission.steps.forEach(({ estimateMs }) =>
-      this.#durations.noteEstimate(submission.queue, estimateMs),
-    );
-    const expectedMs = durationsOf(job, this.#durations);
-    this.#means.note(submission.queue, totalWork(submission.steps, expectedMs));
-    this.#book.add(job);
-    if (job.progress.begun) return;
-    const { account, queue, acceptedAtMs, steps } = submission;
-    this.#book.log('job taken up', {
-      job: job.id,
-      account,
-      queue,
-      priority: job.terms.priority,
-      sinceAcceptedMs: Math.round(this.#options.ctx.clock.wall() - acceptedAtMs),
-      objectiveMs: Math.round(objectiveMs(job, this.#durations)),
-      steps: steps.map(describeStep).join(' '),
-    });
-  }
-
   #wantPass(): void {
     if (this.#passDue || this.#stopped) return;
     this.#passDue = true;
@@ -259,15 +225,8 @@
     const startedAt = this.#book.now();
     if (startedAt - this.#options.confirmedAt() > DECIDE_WITHIN_MS) return;
     try {
-      this.#book.loseUnreachable();
-      stopStandstills(this.#book);
-      evacuate(this.#book);
-      this.#book.keepCheckpoints();
-      this.#book.openDue(this.#options.ctx.clock.wall());
-      this.#refreshTerms();
-      this.#decide();
-      this.#book.forgetEnded();
-      this.#advice.keepOnly((jobId) => this.#book.jobs.has(jobId));
+      const questions = this.#scheduler.pass();
+      this.#adviceDesk?.want(questions);
     } catch (err) {
       this.#options.ctx.metrics.count('pass.failed');
       this.#options.ctx.log.error({ err }, 'a placing pass failed');
@@ -275,43 +234,6 @@
     this.#options.ctx.metrics.timing('pass', this.#book.now() - startedAt);
   }
 
-  #refreshTerms(): void {
-    const queues = new Map(this.#options.config()?.queues.map((queue) => [queue.name, queue]));
-    this.#book.jobs.forEach((job) => {
-      const queue = queues.get(job.submission.queue);
-      if (queue !== undefined) job.noteTerms(queue);
-    });
-  }
-
-  #decide(): void {
-    const jobs = [...this.#book.jobs.values()];
-    const guaranteed = new Map(
-      this.#options
-        .config()
-        ?.accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
-    );
-    const claims = findClaims(jobs, (account) => guaranteed.get(account) ?? 0);
-    const { starts, stops, questions } = decidePass({
-      jobs,
-      claims,
-      rooms: this.#book.fleet.rooms(),
-      occupants: findOccupants(this.#book, claims),
-      means: this.#means,
-      durations: this.#durations,
-      bounds: this.#options.reclaim,
-      now: this.#book.now(),
-      wallMs: this.#options.ctx.clock.wall(),
-      advice: this.#advice,
-    });
-    starts.forEach((start) => this.#book.start(start));
-    stops.forEach(({ occupant, forJob }) => {
-      const [first] = occupant.assignments;
-      if (first !== undefined) this.#book.stop(first, `room for ${forJob.id}`);
-      forJob.noteRoomMade(this.#book.now());
-    });
-    this.#adviceDesk?.want(questions);
-  }
-
   #noteDurable(jobs: readonly OwnedJob[]): void {
     const ids = new Set(jobs.map(({ id }) => id));
     [...this.#book.fleet.all()].forEach((worker) => {
--- a/packages/cell/src/owner/cell.feature
+++ b/packages/cell/src/owner/cell.feature
@@ -132,6 +132,13 @@
     Then it completes
     And its task ran once
 
+  Scenario: a submission that another entry took, and whose answer is lost, isn't said to be refused
+    Given an entry that has been cut from the store for 2 s
+    And the answers of entries that calls are passed on to are lost
+    When a job is handed in at that entry, and its outcome is "unknown"
+    Then it completes
+    And its task ran once
+
   Scenario: without the store a submission is refused at once
     Given entries that have all been cut from the store for 2 s
     Then a job handed in there is refused as not accepted within 100 ms
--- a/packages/cell/src/owner/ownership.ts
+++ b/packages/cell/src/owner/ownership.ts
@@ -15,10 +15,16 @@
 } from './owner-row.js';
 
 /** Pause between looks at the rows, and between heartbeats, in ms. */
-const TICK_MS = 400;
+const TICK_MS = 200;
 
-/** A heartbeat that hasn't changed for this long, over reads that all succeeded, is a dead owner's, in ms. */
-const TAKEOVER_AFTER_MS = 1600;
+/**
+ * A heartbeat that hasn't changed for this long, over reads that all succeeded, is a dead owner's, in ms: three of its
+ * ticks. Short, as an urgent job of 2.5 s has 1.5 s to spare for everything; taking over from an owner that lives is safe.
+ */
+const TAKEOVER_AFTER_MS = 700;
+
+/** And this many answers of the store, as long as the last one took: a heartbeat of a slow store comes later. */
+const TAKEOVER_ANSWERS = 4;
 
 /** One call to the store may take this long, in ms: several times a slow store's answer. */
 const CALL_TIMEOUT_MS = 1200;
@@ -169,17 +175,21 @@
     const ownerRow = result.rows.find(({ key }) => key === OWNER_KEY.key);
     this.#holderId = ownerRow && unpackOwner(ownerRow.value).holder?.id;
     const beatVersion = result.rows.find(({ key }) => key === OWNER_BEAT_KEY.key)?.version ?? 0;
-    if (this.#mayTake({ ownerRow, beatVersion, now })) await this.#take(ownerRow);
+    const answerMs = this.#ctx.clock.now() - now;
+    if (this.#mayTake({ ownerRow, beatVersion, now, answerMs })) await this.#take(ownerRow);
   }
 
   #mayTake({
     ownerRow,
     beatVersion,
     now,
+    answerMs,
   }: {
     ownerRow: Row | undefined;
     beatVersion: number;
+    /** When the read was sent. */
     now: number;
+    answerMs: number;
   }): boolean {
     if (ownerRow === undefined) return true;
     const { holder } = unpackOwner(ownerRow.value);
@@ -190,7 +200,7 @@
       this.#seen = { beatVersion, ownerVersion: ownerRow.version, since: now };
       return false;
     }
-    return now - seen.since >= TAKEOVER_AFTER_MS;
+    return now - seen.since >= TAKEOVER_AFTER_MS + TAKEOVER_ANSWERS * answerMs;
   }
 
   async #take(ownerRow: Row | undefined): Promise<void> {
--- /dev/null
+++ b/packages/cell/src/owner/scheduler.ts
@@ -0,0 +1,131 @@
+/** All that an owner decides about the jobs of its cell, for one term; no I/O, and time is passed in by the context. */
+import type { ProcessContext } from '@zincspan/core';
+import { AdviceBook } from '../advice/advice-book.js';
+import type { AdviceQuestion } from '../advice/advice-desk.js';
+import type { CellConfig } from '../config/cell-config.js';
+import type { KnownJob } from '../job/job-view.js';
+import { DurationBook } from '../placing/duration-book.js';
+import { Fleet } from './fleet.js';
+import { findOccupants } from './occupants.js';
+import { OwnedJob } from './owned-job.js';
+import { decidePass, type ReclaimBounds } from './placing-pass.js';
+import { RunBook, type RunBookEvents } from './run-book.js';
+import { evacuate, stopStandstills } from './run-watch.js';
+import {
+  QueueMeans,
+  describeStep,
+  durationsOf,
+  findClaims,
+  objectiveMs,
+  totalWork,
+} from './standings.js';
+
+/** What a scheduler is made of. */
+export interface SchedulerOptions {
+  ctx: ProcessContext;
+  /** Longest authority that a contact gives, in ms. */
+  leaseMs: number;
+  /** How long an earlier owner may still have given authority, in ms. */
+  earlierGrantMs: number;
+  reclaim: ReclaimBounds;
+  config: () => CellConfig | undefined;
+  events: RunBookEvents;
+}
+
+/** Jobs, workers and what is learned of both, for one term. */
+export class Scheduler {
+  readonly book: RunBook;
+
+  readonly advice = new AdviceBook();
+
+  readonly #options: SchedulerOptions;
+
+  readonly #means = new QueueMeans();
+
+  readonly #durations = new DurationBook();
+
+  constructor(options: SchedulerOptions) {
+    this.#options = options;
+    const { ctx, leaseMs, earlierGrantMs, events } = options;
+    this.book = new RunBook({
+      ctx,
+      advice: this.advice,
+      durations: this.#durations,
+      fleet: new Fleet({ clock: ctx.clock, leaseMs, earlierGrantMs }),
+      events,
+    });
+  }
+
+  /** Takes a job in, with the runs that an earlier owner wrote down. */
+  add(known: KnownJob): void {
+    const { submission } = known;
+    const job = new OwnedJob(known);
+    submission.steps.forEach(({ estimateMs }) =>
+      this.#durations.noteEstimate(submission.queue, estimateMs),
+    );
+    const expectedMs = durationsOf(job, this.#durations);
+    this.#means.note(submission.queue, totalWork(submission.steps, expectedMs));
+    this.book.add(job);
+    if (job.progress.begun) return;
+    const { account, queue, acceptedAtMs, steps } = submission;
+    this.book.log('job taken up', {
+      job: job.id,
+      account,
+      queue,
+      priority: job.terms.priority,
+      sinceAcceptedMs: Math.round(this.#options.ctx.clock.wall() - acceptedAtMs),
+      objectiveMs: Math.round(objectiveMs(job, this.#durations)),
+      steps: steps.map(describeStep).join(' '),
+    });
+  }
+
+  /** One look over everything. Answers what the placement advisor is to be asked, the most urgent first. */
+  pass(): AdviceQuestion[] {
+    this.book.loseUnreachable();
+    stopStandstills(this.book);
+    evacuate(this.book);
+    this.book.keepCheckpoints();
+    this.book.openDue(this.#options.ctx.clock.wall());
+    this.#refreshTerms();
+    const questions = this.#decide();
+    this.book.forgetEnded();
+    this.advice.keepOnly((jobId) => this.book.jobs.has(jobId));
+    return questions;
+  }
+
+  #refreshTerms(): void {
+    const queues = new Map(this.#options.config()?.queues.map((queue) => [queue.name, queue]));
+    this.book.jobs.forEach((job) => {
+      const queue = queues.get(job.submission.queue);
+      if (queue !== undefined) job.noteTerms(queue);
+    });
+  }
+
+  #decide(): AdviceQuestion[] {
+    const { config, reclaim, ctx } = this.#options;
+    const jobs = [...this.book.jobs.values()];
+    const guaranteed = new Map(
+      config()?.accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
+    );
+    const claims = findClaims(jobs, (account) => guaranteed.get(account) ?? 0);
+    const { starts, stops, questions } = decidePass({
+      jobs,
+      claims,
+      rooms: this.book.fleet.rooms(),
+      occupants: findOccupants(this.book, claims),
+      means: this.#means,
+      durations: this.#durations,
+      bounds: reclaim,
+      now: this.book.now(),
+      wallMs: ctx.clock.wall(),
+      advice: this.advice,
+    });
+    starts.forEach((start) => this.book.start(start));
+    stops.forEach(({ occupant, forJob }) => {
+      const [first] = occupant.assignments;
+      if (first !== undefined) this.book.stop(first, `room for ${forJob.id}`);
+      forJob.noteRoomMade(this.book.now());
+    });
+    return questions;
+  }
+}
--- a/packages/cell/src/store/table-follower.ts
+++ b/packages/cell/src/store/table-follower.ts
@@ -3,11 +3,14 @@
 import type { FeedRow, RowStore } from './row-store.js';
 import { pause } from '../clock/pause.js';
 
-/** How long a feed call waits for a change, in ms. Short, as a connection may go silent without an error. */
-const FEED_WAIT_MS = 1500;
-
-/** Beyond its wait, a feed call may take this long, in ms. */
-const FEED_SLACK_MS = 1000;
+/**
+ * How long a feed call waits for a change, in ms. Short, as a connection may go silent without an error, and jobs are
+ * shown as they were meanwhile; a call costs the platform less than a hundredth of what a late urgent job does.
+ */
+const FEED_WAIT_MS = 800;
+
+/** Beyond its wait, a feed call may take this long, in ms: twice what a store sixty times slower than usual takes. */
+const FEED_SLACK_MS = 600;
 
 /** A page of a table may take this long, in ms. */
 const READ_TIMEOUT_MS = 2500;
