--- a/packages/cell/src/owner/placing-pass.feature
+++ b/packages/cell/src/owner/placing-pass.feature
@@ -33,13 +33,13 @@
     Then nothing starts
 
   Scenario: tasks that work alone get as much room as may be thrown away for them
-    Given 3 full workers, each with a run that loses 25000 accelerator-ms
+    Given 3 full workers, each with a run that loses 15000 accelerator-ms
     And an urgent job of 3 tasks that need a whole worker each
     When a pass is decided
     Then 2 runs are stopped
 
   Scenario: a gang gets its room whole or stops nobody
-    Given 3 full workers, each with a run that loses 25000 accelerator-ms
+    Given 3 full workers, each with a run that loses 15000 accelerator-ms
     And an urgent gang of 3 tasks that need a whole worker each
     When a pass is decided
     Then 0 runs are stopped
