--- a/packages/bench/src/cell/cell-bench.ts
+++ b/packages/bench/src/cell/cell-bench.ts
@@ -2,7 +2,13 @@
 import { quantile } from 'simple-statistics';
 import { RandomSource } from '../route/random-source.js';
 import { drawDay, type DrawnJob } from './cell-load.js';
-import { CELL_LOADS, CELL_SCENARIOS, type CellLoad, type CellScenario } from './cell-scenarios.js';
+import {
+  CELL_LOADS,
+  CELL_SCENARIOS,
+  DAY_MS,
+  type CellLoad,
+  type CellScenario,
+} from './cell-scenarios.js';
 import { SimulatedCell, type DayResult } from './simulated-cell.js';
 import type { WorkerFault } from './simulated-worker.js';
 
@@ -14,8 +20,7 @@
   scenario: string;
 }
 
-/** Jobs come for this long, in ms; then the cell has this long to finish them. */
-const DAY_MS = 34_000;
+/** Once no more jobs come the cell has this long to finish them, in ms. */
 const FINISH_MS = 40_000;
 
 /** Of a kind, over all days of a scenario. */
@@ -60,7 +65,7 @@
   };
 }
 
-/** Prints a line for each kind of each load and scenario, and one for each load. */
+/** Prints a line for each kind of each load and scenario. */
 export function benchCell({ seed, days, load, scenario }: CellBenchOptions): void {
   say(
     'load      scenario             kind      jobs  in objective  undone   p50   p99  thrown away',
--- a/packages/bench/src/cell/cell-load.ts
+++ b/packages/bench/src/cell/cell-load.ts
@@ -50,7 +50,9 @@
 }
 
 const ACCOUNTS = ['account-1', 'account-2', 'account-3', 'account-4'];
-const SERVICE = 'service';
+
+/** The service that all workers of a simulated cell belong to. */
+export const SIMULATED_SERVICE = 'service';
 
 /** Accelerators of a gang at most, and of one that should lie on a rack: larger ones never find their room. */
 const LARGEST_GANG = 40;
@@ -106,7 +108,7 @@
     id: number.toString(16).padStart(16, '0'),
     queue: kind.name,
     terms: {
-      service: SERVICE,
+      service: SIMULATED_SERVICE,
       priority,
       maxAttempts,
       stretch,
@@ -139,6 +141,3 @@
   const objectiveMs = stretch * chainMs + targetLatencyMs;
   return { atMs, kind, submission, workMs, failingRuns, objectiveMs };
 }
-
-/** The service that all workers of a simulated cell belong to. */
-export const SIMULATED_SERVICE = SERVICE;
--- a/packages/bench/src/cell/cell-scenarios.ts
+++ b/packages/bench/src/cell/cell-scenarios.ts
@@ -1,4 +1,5 @@
 /** Loads of three customers as they describe them, and what goes wrong on their days. */
+import type { Demand } from '@zincspan/cell';
 import type { Burst, JobKind } from './cell-load.js';
 import type { CellShape } from './simulated-cell.js';
 import type { WorkerFault } from './simulated-worker.js';
@@ -18,6 +19,9 @@
   faults: readonly (WorkerFault & { workers: number })[];
 }
 
+/** Jobs come for this long, in ms. */
+export const DAY_MS = 34_000;
+
 const MIXED_SIZES = [1, 2, 4, 8, 8];
 
 /** Long jobs of whole workers that may wait. */
@@ -83,7 +87,7 @@
   fails: 0.005,
 };
 
-function worker(cores: number, memoryGb: number): CellShape['capacity'] {
+function worker(cores: number, memoryGb: number): Demand {
   return { milliCores: cores * 1000, memoryMb: memoryGb * 1024, accelerators: 8 };
 }
 
@@ -132,7 +136,7 @@
       kind,
       factor: 1.6,
       fromMs: 0,
-      forMs: 34_000,
+      forMs: DAY_MS,
     })),
   },
   {
--- a/packages/bench/src/cell/simulated-cell.ts
+++ b/packages/bench/src/cell/simulated-cell.ts
@@ -1,5 +1,13 @@
 /** A cell's owner and its workers in virtual time: the owner's own scheduler decides, everything else is simulated. */
-import { ordersFor, takeUpContact, Scheduler, type OwnedJob } from '@zincspan/cell';
+import {
+  Scheduler,
+  acceleratorsOf,
+  ordersFor,
+  parseTaskName,
+  takeUpContact,
+  type Demand,
+  type OwnedJob,
+} from '@zincspan/cell';
 import { quietContext } from '@zincspan/core';
 import type { DrawnJob } from './cell-load.js';
 import {
@@ -23,13 +31,10 @@
 const EARLIER_GRANT_MS = 0;
 const WORKERS_PER_RACK = 3;
 
-/** Cores that count as one accelerator in work that was thrown away. */
-const MILLI_CORES_PER_ACCELERATOR = 8000;
-
 /** The workers of a cell. */
 export interface CellShape {
   workers: number;
-  capacity: { milliCores: number; memoryMb: number; accelerators: number };
+  capacity: Demand;
   reclaim: { reclaimMs: number; stopMs: number };
 }
 
@@ -200,15 +205,17 @@
     worker.confirm(orders.confirmedEnd);
     orders.stops.forEach((run) => worker.stop(run, this.#now));
     orders.starts.forEach((order) => {
-      const job = this.#jobs.get(order.task.slice(0, order.task.indexOf('.')));
-      if (job !== undefined) worker.start(order, job, this.#now);
+      const parsed = parseTaskName(order.task);
+      const job = this.#jobs.get(parsed?.jobId ?? '');
+      if (parsed === undefined || job === undefined) return;
+      worker.start(order, { job, index: parsed.ref.index }, this.#now);
     });
     this.#noteDone(contact.ends);
   }
 
   #noteDone(ends: readonly { task: string }[]): void {
     ends.forEach(({ task }) => {
-      const id = task.slice(0, task.indexOf('.'));
+      const id = parseTaskName(task)?.jobId ?? '';
       const job = this.#scheduler.book.jobs.get(id);
       if (job?.progress.outcome === 'completed' && !this.#doneAt.has(id)) {
         this.#doneAt.set(id, this.#now);
@@ -225,20 +232,12 @@
       job.wrote(job.change, this.#version);
     });
     const ids = new Set(dirty.map(({ id }) => id));
-    [...this.#scheduler.book.fleet.all()]
-      .filter(
-        (worker) =>
-          worker.hasPendingEndOf(ids) ||
-          [...worker.assignments.values()].some(({ jobId }) => ids.has(jobId)),
-      )
-      .forEach(({ vm }) => this.#news.add(vm));
+    this.#scheduler.book.fleet.concernedBy(ids).forEach(({ vm }) => this.#news.add(vm));
   }
 
   #throwAway(run: SimulatedRun): void {
     const step = run.job.submission.steps[0];
     if (step === undefined || step.checkpointing) return;
-    const { accelerators, milliCores } = step.demand;
-    const size = accelerators + milliCores / MILLI_CORES_PER_ACCELERATOR;
-    this.#thrownAway += (size * run.doneMs) / 1000;
+    this.#thrownAway += (acceleratorsOf(step.demand) * run.doneMs) / 1000;
   }
 }
--- a/packages/bench/src/cell/simulated-worker.ts
+++ b/packages/bench/src/cell/simulated-worker.ts
@@ -1,7 +1,7 @@
 /** A worker with its runner and guard in virtual time: speeds, failures, checkpoints, gangs that begin and end together. */
-import type { EndKind } from '@zincspan/cell';
+import type { Demand, EndKind } from '@zincspan/cell';
 import type { CellContact, StartOrder } from '@zincspan/core';
-import type { DrawnJob } from './cell-load.js';
+import { SIMULATED_SERVICE, type DrawnJob } from './cell-load.js';
 
 /** What is wrong with a worker for a time. */
 export interface WorkerFault {
@@ -20,7 +20,6 @@
   index: number;
   /** Work done, of this run and those it continues, in ms. */
   doneMs: number;
-  startedAt: number;
   beginsAt: number;
   worker: SimulatedWorker;
 }
@@ -47,7 +46,7 @@
 
   readonly faults: WorkerFault[] = [];
 
-  readonly #capacity: { milliCores: number; memoryMb: number; accelerators: number };
+  readonly #capacity: Demand;
 
   readonly #stopping = new Map<SimulatedRun, number>();
 
@@ -57,26 +56,22 @@
 
   #life = 1;
 
-  constructor({
-    vm,
-    rack,
-    capacity,
-  }: {
-    vm: string;
-    rack: string;
-    capacity: { milliCores: number; memoryMb: number; accelerators: number };
-  }) {
+  constructor({ vm, rack, capacity }: { vm: string; rack: string; capacity: Demand }) {
     this.vm = vm;
     this.rack = rack;
     this.#capacity = capacity;
   }
 
-  start({ task, run, checkpoint }: StartOrder, job: DrawnJob, now: number): void {
+  /** Begins a run of the job's task with this place in its step. */
+  start(
+    { task, run, checkpoint }: StartOrder,
+    { job, index }: Pick<SimulatedRun, 'job' | 'index'>,
+    now: number,
+  ): void {
     if (this.runs.has(task)) return;
-    const index = Number(task.slice(task.lastIndexOf('.') + 1));
     const doneMs = Number(checkpoint) || 0;
     const beginsAt = now + (doneMs > 0 ? RESTORE_MS : 0);
-    this.runs.set(task, { task, run, job, index, doneMs, startedAt: now, beginsAt, worker: this });
+    this.runs.set(task, { task, run, job, index, doneMs, beginsAt, worker: this });
   }
 
   stop({ task, run }: { task: string; run: number }, now: number): void {
@@ -101,7 +96,7 @@
     this.#ended += 1;
     if (how === 'lost') return;
     const { task } = run;
-    const checkpoint = how === 'stopped' ? checkpointOf(run, true) : checkpointOf(run, false);
+    const checkpoint = checkpointOf(run, how === 'stopped');
     this.#ends.push({ number: this.#ended, task, run: run.run, how, checkpoint });
   }
 
@@ -119,10 +114,6 @@
     this.#ends = this.#ends.filter((end) => end.number > number);
   }
 
-  get hasEnds(): boolean {
-    return this.#ends.length > 0;
-  }
-
   /** Share of its full speed; 0 while it stands still. */
   speed(now: number): number {
     return this.faultsAt(now).reduce((speed, { kind, factor }) => {
@@ -140,7 +131,7 @@
     return {
       runner: {
         id: `${this.vm}-life-${this.#life}`,
-        service: 'service',
+        service: SIMULATED_SERVICE,
         failureDomain: 'hall',
         labels: ['a', this.rack],
         capacity: this.#capacity,
--- a/packages/cell/src/entry/acceptance.ts
+++ b/packages/cell/src/entry/acceptance.ts
@@ -4,7 +4,7 @@
 import { jobRowKey, packSubmission } from '../job/job-rows.js';
 import type { JobRequest, Submission } from '../job/submission.js';
 import { sameRow, type Row, type Transaction } from '../store/row-store.js';
-import type { WatchedStore } from '../store/store-health.js';
+import type { WatchedStore } from '../store/watched-store.js';
 import type { CallRefusal, CancelResult, SubmitResult } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
 import { pause } from '../clock/pause.js';
@@ -131,11 +131,7 @@
   }
 
   #unanswered(detail: string): CallRefusal {
-    return {
-      outcome: 'unknown',
-      retryAfterMs: storeRetryMs(this.#config.ageMs),
-      detail: `The store did not answer: ${detail}.`,
-    };
+    return outcomeUnknown(`The store did not answer: ${detail}.`, this.#config.ageMs);
   }
 
   #tellWritten({ set }: Transaction, version: number): void {
@@ -171,3 +167,8 @@
     detail: `The store cannot be used from here: ${detail}.`,
   };
 }
+
+/** It may have been carried out. `awayMs`: since the store last answered. */
+export function outcomeUnknown(detail: string, awayMs: number): CallRefusal {
+  return { outcome: 'unknown', retryAfterMs: storeRetryMs(awayMs), detail };
+}
--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -10,7 +10,7 @@
 import { Ownership } from '../owner/ownership.js';
 import type { ReclaimBounds } from '../owner/placing-pass.js';
 import type { Row, RowStore } from '../store/row-store.js';
-import { WatchedStore } from '../store/store-health.js';
+import { WatchedStore } from '../store/watched-store.js';
 import { CallerGate } from './caller-gate.js';
 import { JobCalls, STORE_AWAY_MS } from './job-calls.js';
 import { PeerEntries } from './peer-entries.js';
--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -5,8 +5,8 @@
 import { jobState, type JobView } from '../job/job-view.js';
 import { graphFault, jobRequestSchema, type JobRequest } from '../job/submission.js';
 import type { Row } from '../store/row-store.js';
-import type { WatchedStore } from '../store/store-health.js';
-import { Acceptance, storeAway } from './acceptance.js';
+import type { WatchedStore } from '../store/watched-store.js';
+import { Acceptance, outcomeUnknown, storeAway } from './acceptance.js';
 import {
   cancelResultSchema,
   stateResultSchema,
@@ -19,7 +19,6 @@
 } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
 import { isOutOfReach, settleCall } from './settled-call.js';
-import { storeRetryMs } from './store-retry.js';
 
 /** Kept back from a caller's time for the answer's way, in ms. */
 const ANSWER_RESERVE_MS = 150;
@@ -163,7 +162,7 @@
   }
 
   async #trySubmit(call: CallerCall, decode: DecodeJob, until: number): Promise<SubmitResult> {
-    const { gate, view, config, canAskAdvice } = this.#options;
+    const { gate, view, config, store, canAskAdvice } = this.#options;
     const admitted = await gate.admit(call);
     if (admitted.outcome !== 'admitted') return admitted;
     const { rest: id } = admitted;
@@ -179,7 +178,7 @@
     const { ageMs } = config;
     if (ageMs > STORE_AWAY_MS) return storeAway('no read was answered lately', ageMs);
     // Nothing is sent that might be carried out unseen; the reads of the configuration go on and find it again.
-    if (this.#options.store.isAway) return storeAway('its last calls all failed', ageMs);
+    if (store.isAway) return storeAway('its last calls all failed', ageMs);
     return this.#acceptance.accept({ call, admitted, id, job: decoded.job, until });
   }
 
@@ -235,8 +234,7 @@
           const { ctx, config } = this.#options;
           ctx.metrics.count('call.forward-failed');
           ctx.log.warn({ path: call.path, err: String(err) }, 'forwarding a call failed');
-          const retryAfterMs = storeRetryMs(config.ageMs);
-          return { outcome: 'unknown', retryAfterMs, detail: 'Another entry did not answer.' };
+          return outcomeUnknown('Another entry did not answer.', config.ageMs);
         }
       });
   }
--- a/packages/cell/src/job/submission.ts
+++ b/packages/cell/src/job/submission.ts
@@ -105,11 +105,14 @@
 }
 
 /** Longest chain of steps, in ms, by how long a task of each is expected to take. */
-export function longestChainMs(steps: readonly Step[], expectedMs: (step: Step) => number): number {
+export function longestChainMs(
+  steps: readonly Step[],
+  expectedMs: (step: Step, index: number) => number,
+): number {
   const ends: number[] = [];
-  steps.forEach((step) => {
+  steps.forEach((step, index) => {
     const startMs = Math.max(0, ...step.after.map((other) => ends[other] ?? 0));
-    ends.push(startMs + expectedMs(step));
+    ends.push(startMs + expectedMs(step, index));
   });
   return Math.max(0, ...ends);
 }
--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -1,11 +1,17 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { Packr } from 'msgpackr';
 import { pause } from '../clock/pause.js';
-import { CellWorld, TEST_QUEUE, eventually, submit } from '../testing/cell-world.support.js';
+import {
+  CellWorld,
+  TEST_QUEUE,
+  eventually,
+  submit,
+  testSubmission,
+} from '../testing/cell-world.support.js';
 import { OWNER_KEY } from './owner-row.js';
 import { entryRowKey } from '../entry/entry-row.js';
-import { jobRowKey } from '../job/job-rows.js';
+import { jobRowKey, packProgress } from '../job/job-rows.js';
+import { JobProgress } from '../job/progress.js';
 import {
   cellOf,
   handIn,
@@ -16,8 +22,6 @@
   type CellSteps,
 } from './cell-steps.support.js';
 
-const packr = new Packr({ useRecords: true });
-
 Given("the store does what an entry writes and doesn't answer", function (this: CellSteps) {
   otherEntry(this).store.fault = 'lost';
 });
@@ -50,10 +54,7 @@
 Given('an owner whose feed stands still', async function (this: CellSteps) {
   // The entries look for each other every 2 s; what the feed was waiting for has come by then.
   await pause(2500);
-  ownerOf(this).store.feed = async () => {
-    await pause(500);
-    return { outcome: 'failed', detail: 'frozen' };
-  };
+  ownerOf(this).store.feedStandsStill = true;
   await pause(1600);
 });
 
@@ -74,7 +75,8 @@
   async function (this: CellSteps) {
     const { tables } = cellOf(this);
     const key = jobRowKey(jobOf(this), 'progress');
-    const value = packr.pack({ outcome: 'failed', begun: true, opened: 1, occurrences: [] });
+    const row = { outcome: 'failed' as const, begun: true, opened: 1, occurrences: [] };
+    const value = packProgress(new JobProgress(testSubmission({}), row));
     assert.equal(
       tables.transact({ expected: [], set: [{ ...key, value }], remove: [] }).outcome,
       'done',
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -236,10 +236,7 @@
 
   #noteDurable(jobs: readonly OwnedJob[]): void {
     const ids = new Set(jobs.map(({ id }) => id));
-    [...this.#book.fleet.all()].forEach((worker) => {
-      const concerned = [...worker.assignments.values()].some(({ jobId }) => ids.has(jobId));
-      if (concerned || worker.hasPendingEndOf(ids)) this.#poke(worker.vm);
-    });
+    this.#book.fleet.concernedBy(ids).forEach(({ vm }) => this.#poke(vm));
     this.#wantPass();
   }
 
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -46,6 +46,14 @@
     this.get(vm).assignments.set(assignment.name, assignment);
   }
 
+  /** Workers with a run of these jobs, or with an end of theirs that waits to be confirmed. */
+  concernedBy(jobIds: ReadonlySet<string>): Worker[] {
+    return [...this.#workers.values()].filter((worker) => {
+      const hasRun = [...worker.assignments.values()].some(({ jobId }) => jobIds.has(jobId));
+      return hasRun || worker.hasPendingEndOf(jobIds);
+    });
+  }
+
   /** Workers whose leases have surely ended although something was given to them. */
   lost(): Worker[] {
     const now = this.#clock.now();
--- a/packages/cell/src/owner/progress-writer.ts
+++ b/packages/cell/src/owner/progress-writer.ts
@@ -189,6 +189,7 @@
       }
       if (job.progressVersion === 0 && rowOf('submission') === undefined) {
         this.#dirty.delete(job);
+        this.#unanswered.delete(job);
         this.#events.onRemoved(job);
       } else if (!job.cancelled && rowOf('cancellation') !== undefined) {
         job.noteCancelled();
--- a/packages/cell/src/owner/standings.ts
+++ b/packages/cell/src/owner/standings.ts
@@ -67,10 +67,10 @@
   const { submission, terms, progress } = job;
   const expectedMs = durationsOf(job, durations);
   const steps = progress.occurrences.find(({ index }) => index === occurrence)?.steps ?? [];
-  const chainMs = longestChainMs(submission.steps, (step) => {
-    const runs = 1 + failedRuns(steps[submission.steps.indexOf(step)]);
-    return runs * expectedMs(step);
-  });
+  const chainMs = longestChainMs(
+    submission.steps,
+    (step, index) => (1 + failedRuns(steps[index])) * expectedMs(step),
+  );
   return terms.stretch * chainMs + terms.targetLatencyMs;
 }
 
--- a/packages/cell/src/placing/order.ts
+++ b/packages/cell/src/placing/order.ts
@@ -23,19 +23,19 @@
   leftChainMs: number;
 }
 
-/** Worth of priorities 0, 1, 2: the sheets give 4, 3 and 1; later ones like the last. */
+/** Worth of priorities 0, 1, 2 to their users, relative to each other; later ones like the last. */
 const WORTH = [4, 3, 1];
 
-/** A job of mean size earns 1; one without work 0.3 of it, from the sheets. */
+/** A job of mean size is worth 1 to its users, one with hardly any work this much: small jobs aren't starved by large ones. */
 const FIXED_SHARE = 0.3;
 
-/** A job earns at most this many times its queue's worth, from the sheets. */
+/** However large, a job is worth at most this many times its queue's mean job. */
 const MOST_OF_MEAN = 4;
 
 /** Up to this many objectives a job is late but still earns. */
 const LATE_UNTIL = 3;
 
-/** What a late job earns of its worth: 0.8 of 4, 0.9 of 3 and 0.3 of 1 in the sheets. */
+/** Share of its worth that a late job keeps: 0.1 to 0.3 by priority, as three customers weigh it. */
 const LATE_SHARE = 0.27;
 
 /** What is past all use goes last, but goes: it has been accepted. */
--- a/packages/cell/src/store/store-health.steps.ts
+++ b/packages/cell/src/store/watched-store.steps.ts
@@ -2,7 +2,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { RowTables } from '@zincspan/stand-ins';
 import { MemoryRowStore } from '../testing/memory-row-store.support.js';
-import { WatchedStore } from './store-health.js';
+import { WatchedStore } from './watched-store.js';
 
 interface HealthSteps {
   now: number;
