Note states that another entry told, as before

Cause: with others asked in parallel, the line and the counter of a state that came from another entry were lost, though each decision that touches a call is to be found by its id. Found on reading the change again.

Before: "a state that another entry told is noted where it was asked for" failed (no counter); after: passes, with the two scenarios of cut entries beside it.

--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -111,12 +111,17 @@
     const known = this.#tryState(call, until);
     const own = known.then((result) => this.#unlessOld(result));
     if (isForwarded) return own;
-    const result = await settleCall({
+    let isPassedOn = false;
+    const settled = await settleCall({
       own,
-      askOthers: () => this.#forward(stateResultSchema, { call: 'state', ...call, until }),
+      askOthers: () => {
+        isPassedOn = true;
+        return this.#forward(stateResultSchema, { call: 'state', ...call, until });
+      },
     });
-    // Nobody knows better.
-    return isOutOfReach(result) ? known : result;
+    // Where nobody knows better, what is known here is told.
+    const result = isOutOfReach(settled) ? await known : settled;
+    return isPassedOn ? this.#log('state', call, result) : result;
   }
 
   /** Stops a job for good. */
--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -4,6 +4,7 @@
 import {
   CellWorld,
   TEST_QUEUE,
+  callOf,
   eventually,
   submit,
   testSubmission,
@@ -151,6 +152,17 @@
   assert.deepEqual(cellOf(this).tables.get(OWNER_KEY)?.value, this.ownerRow);
 });
 
+Then(
+  'its state is told there, and noted as a call that was answered',
+  async function (this: CellSteps) {
+    const cutOff = cellOf(this).entries.find(({ store }) => store.fault !== 'none');
+    assert.ok(cutOff);
+    const { outcome } = await cutOff.app.calls.state(callOf(jobOf(this)));
+    assert.equal(outcome, 'state');
+    assert.equal(cutOff.metrics.counters.get('call.state.state'), 1);
+  },
+);
+
 Given("a row of an entry that can't be read", function (this: CellSteps) {
   const row = { ...entryRowKey('entry-0'), value: Buffer.from('of another writer') };
   const { outcome } = cellOf(this).tables.transact({ expected: [], set: [row], remove: [] });
--- a/packages/cell/src/owner/cell.feature
+++ b/packages/cell/src/owner/cell.feature
@@ -136,6 +136,11 @@
     Then it completes
     And its task ran once
 
+  Scenario: a state that another entry told is noted where it was asked for
+    Given an entry that has been cut from the store for 2 s
+    When a job is handed in at that entry
+    Then its state is told there, and noted as a call that was answered
+
   Scenario: a row of an entry that can't be read leaves the others known
     Given a row of an entry that can't be read
     When an entry joins and is cut from the store 3 s later
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -1,6 +1,6 @@
 /** Entries and guards of a small cell in one process: real links over loopback, store and runners in memory. */
 import { createServer } from 'node:net';
-import { quietContext } from '@zincspan/core';
+import { quietContext, type CountingMetrics } from '@zincspan/core';
 import { GangBoard, RowTables, RunnerModel, type AdvisorModel } from '@zincspan/stand-ins';
 import type { Advisor } from '../advice/advisor.js';
 import type { CellConfig, Queue } from '../config/cell-config.js';
@@ -89,6 +89,7 @@
   id: string;
   app: EntryApp;
   store: MemoryRowStore;
+  metrics: CountingMetrics;
 }
 
 interface WorkerVm {
@@ -143,8 +144,9 @@
   async addEntry(): Promise<EntryVm> {
     const id = `entry-${this.#nextEntry()}`;
     const store = new MemoryRowStore(this.tables);
+    const ctx = quietContext({ id, role: 'entry' });
     const app = new EntryApp({
-      ctx: quietContext({ id, role: 'entry' }),
+      ctx,
       store,
       configSource: {
         key: CONFIG_KEY,
@@ -159,7 +161,7 @@
       revokeMs: 5000,
     });
     await app.start();
-    const entry = { id, app, store };
+    const entry = { id, app, store, metrics: ctx.metrics };
     this.entries.push(entry);
     return entry;
   }
