Link entries to the owner and two others, read jobs when they are asked about, and let three entries look out for the owner

Cause: at 35 entries each kept a link to each other (1,190 links, 212 frames a second in an idle entry), followed the whole table of jobs, and read the owner's row every 200 ms.

Ruled out: a longer wait of the feed (it answers at each change, so that 35 entries hear of each); pausing between feed answers only (what callers are told would be older).

Change: an entry answers for a job by reading its rows at the question; the newest submission rows are kept (lru-cache). The owner alone follows the table, and starts to do so once its term is durable. `waiting` is asked of the owner, or counted from the table. Entries are linked to the owner and to two in other failure domains by rendezvous hashing; one that can't be reached for 3 s gives way. The owner names its three best successors in its heartbeats, by the share of a processor that entries tell; these look every 200 ms, the others once a second while their link to the owner is up, and take the cell in that order.

--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -1,11 +1,10 @@
 /** The entry: callers' calls, and the ownership of the cell while it has it. */
 import type { Handlers, ProcessContext } from '@zincspan/core';
-import { LinkServer } from '@zincspan/link';
+import { LinkServer, type Link } from '@zincspan/link';
 import type { Advisor } from '../advice/advisor.js';
 import { ConfigWatch, type ConfigSource } from '../config/config-watch.js';
 import { LINK_HEARTBEAT } from '../guard/owner-link.js';
 import { JOB_TABLE } from '../job/job-rows.js';
-import { JobView } from '../job/job-view.js';
 import { CellOwner, notOwner } from '../owner/cell-owner.js';
 import { Ownership } from '../owner/ownership.js';
 import type { ReclaimBounds } from '../owner/placing-pass.js';
@@ -13,7 +12,10 @@
 import { WatchedStore } from '../store/watched-store.js';
 import { CallerGate } from './caller-gate.js';
 import { JobCalls, STORE_AWAY_MS } from './job-calls.js';
+import { JobLookup } from './job-lookup.js';
+import { successorsAmong } from './owner-status.js';
 import { PeerEntries } from './peer-entries.js';
+import { WaitingCount } from './waiting-count.js';
 
 /**
  * Share of the time within which a taken key must stop working after which an entry without a sound way to the store
@@ -21,9 +23,6 @@
  */
 const STALE_SHARE = 0.5;
 
-/** An entry whose feed hasn't answered for this long isn't ready for new callers, in ms. */
-const FEED_AWAY_MS = 6000;
-
 /** What an entry is made of. */
 export interface EntryAppOptions {
   ctx: ProcessContext;
@@ -34,6 +33,8 @@
   /** Address for links from guards. */
   linkAddress: string;
   linkKey: string;
+  /** Cores that this process may use. */
+  processorShare: number;
   /** Longest authority that a contact may give, in ms. */
   leaseMs: number;
   reclaim: ReclaimBounds;
@@ -51,7 +52,7 @@
 
   readonly #config: ConfigWatch;
 
-  readonly #view: JobView;
+  readonly #jobs: JobLookup;
 
   readonly #gate: CallerGate;
 
@@ -69,28 +70,42 @@
     const { ctx } = options;
     const store = new WatchedStore({ store: options.store, clock: ctx.clock });
     this.#options = { ...options, store };
-    const { configSource, linkAddress, linkKey, revokeMs } = options;
+    const { configSource, linkAddress, linkKey, processorShare, revokeMs } = options;
     this.#config = new ConfigWatch({ ctx, store, source: configSource });
-    this.#view = new JobView({ ctx, store });
+    this.#jobs = new JobLookup({ ctx, store });
     this.#gate = new CallerGate({ config: this.#config, staleAfterMs: STALE_SHARE * revokeMs });
+    const waiting = new WaitingCount({
+      ctx,
+      store,
+      ownCount: (queue) => this.#owner?.waiting(queue),
+      ownerLink: () => this.#peers.ownerLink,
+    });
     this.calls = new JobCalls({
       ctx,
       store,
       config: this.#config,
       gate: this.#gate,
-      view: this.#view,
+      jobs: this.#jobs,
+      countWaiting: (queue, limit) => waiting.of(queue, limit),
       canAskAdvice: options.advisor !== undefined,
       forward: (call) => this.#peers.forward(call),
       onWritten: (row) => this.#noteWritten(row),
     });
-    const self = { id: ctx.self.id, incarnation: ctx.self.incarnation, address: linkAddress };
-    this.#peers = new PeerEntries({ ctx, store, self, linkKey });
+    const { id, incarnation, failureDomain } = ctx.self;
+    const self = { id, incarnation, address: linkAddress };
+    this.#peers = new PeerEntries({
+      ctx,
+      store,
+      self: { ...self, failureDomain, processorShare },
+      linkKey,
+    });
     this.#links = new LinkServer({
       ctx,
       keys: [linkKey],
       handlers: this.#handlers(),
       heartbeat: LINK_HEARTBEAT,
       listen: linkAddress,
+      status: () => this.#status(),
     });
     this.#ownership = new Ownership({
       ctx,
@@ -99,23 +114,28 @@
       events: {
         onGained: (term, ownerVersion) => this.#open(term, ownerVersion),
         onLost: () => this.#close(),
+        onHolder: (holder) => this.#peers.followOwner(holder),
       },
+      rank: () => this.#peers.rank(),
+      isLinked: () => this.#peers.ownerLink !== undefined,
     });
-    this.#view.subscribe((job) => this.#owner?.noteJob(job));
   }
 
   /** True if new callers are welcome. */
   get isReady(): boolean {
-    if (this.#draining || !this.#view.loaded) return false;
-    return this.#config.ageMs < STORE_AWAY_MS && this.#view.ageMs < FEED_AWAY_MS;
+    return !this.#draining && this.#config.ageMs < STORE_AWAY_MS;
+  }
+
+  /** Links that this entry has dialled and that are up. */
+  get peers(): Link[] {
+    return this.#peers.links;
   }
 
   async start(): Promise<void> {
     await this.#links.start();
     this.#config.start();
-    this.#view.start();
-    this.#ownership.start();
     this.#peers.start();
+    this.#ownership.start();
   }
 
   /** Takes no new callers any more and hands the cell over; calls that come all the same are served. */
@@ -127,7 +147,6 @@
   async stop(): Promise<void> {
     this.#close();
     this.#config.stop();
-    this.#view.stop();
     this.#peers.stop();
     await this.#links.close();
   }
@@ -137,7 +156,6 @@
     this.#owner = new CellOwner({
       ctx,
       store,
-      view: this.#view,
       advisor,
       term,
       ownerVersion,
@@ -154,9 +172,14 @@
 
   /** The owner hears of it now: the store's feed may be a second behind. */
   #noteWritten(row: Row): void {
-    this.#view.apply({ ...row, deleted: false });
-    const { holderId } = this.#ownership;
-    if (this.#owner === undefined && holderId !== undefined) this.#peers.tell(holderId, row);
+    this.#jobs.noteRow(row);
+    if (this.#owner === undefined) this.#peers.tellOwner(row);
+    else this.#owner.noteWritten(row);
+  }
+
+  /** Told in heartbeats; only the owner has something to tell. */
+  #status(): Record<string, unknown> {
+    return this.#owner === undefined ? {} : { successors: successorsAmong(this.#links.links()) };
   }
 
   #close(): void {
@@ -171,9 +194,14 @@
         return this.#owner.contact(req, peer);
       },
       'caller.forward': (req) => this.calls.serveForwarded(req),
+      'cell.waiting': ({ queue }) => {
+        const count = this.#owner?.waiting(queue);
+        if (count === undefined) throw notOwner();
+        return { count };
+      },
       'job.news': ({ key, value, version }) => {
         const row = { table: JOB_TABLE, part: '', key, value: Buffer.from(value), version };
-        this.#view.apply({ ...row, deleted: false });
+        this.#owner?.noteWritten(row);
         return {};
       },
     };
--- /dev/null
+++ b/packages/cell/src/entry/entry-load.steps.ts
@@ -0,0 +1,161 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { pause } from '../clock/pause.js';
+import { OWNER_KEY } from '../owner/owner-row.js';
+import {
+  cellOf,
+  handIn,
+  jobOf,
+  otherEntry,
+  ownerOf,
+  type CellSteps,
+  type Entry,
+} from '../owner/cell-steps.support.js';
+import { CellWorld, PREFIX, callOf, eventually } from '../testing/cell-world.support.js';
+
+/** Links beside the owner's that each entry keeps. */
+const NEIGHBOURS = 2;
+
+function entriesButOwner(world: CellSteps): Entry[] {
+  const owner = ownerOf(world);
+  return cellOf(world).entries.filter((entry) => entry !== owner);
+}
+
+/** Links that an entry has dialled and that are up. */
+function dialled({ app }: Entry): string[] {
+  return app.peers.map(({ process }) => process.id);
+}
+
+async function areLinked(world: CellSteps): Promise<boolean> {
+  return eventually(() => {
+    const owner = cellOf(world).owner();
+    return cellOf(world).entries.every((entry) => {
+      const links = dialled(entry);
+      const others = links.filter((id) => id !== owner?.id).length;
+      return others === NEIGHBOURS && (entry === owner || links.includes(owner?.id ?? ''));
+    });
+  });
+}
+
+async function stateAt(entry: Entry, world: CellSteps): Promise<string> {
+  const result = await entry.app.calls.state(callOf(jobOf(world)));
+  return result.outcome === 'state' ? result.state : result.outcome;
+}
+
+async function waitingAt(entry: Entry): Promise<number | string> {
+  const result = await entry.app.calls.waiting({ ...callOf(''), path: PREFIX });
+  return result.outcome === 'waiting' ? result.count : result.outcome;
+}
+
+async function handInAtOwner(world: CellSteps, count: number): Promise<void> {
+  for (let each = 0; each < count; each++) {
+    await handIn(world, { entry: ownerOf(world), spec: { workMs: 50 } });
+  }
+}
+
+Given(
+  'a cell of 5 entries, the last two of which have more of a processor, and 1 worker',
+  async function (this: CellSteps) {
+    const cell = new CellWorld();
+    this.cell = cell;
+    this.jobs = [];
+    await cell.start(3, 1);
+    await cell.addEntry({ processorShare: 2 });
+    await cell.addEntry({ processorShare: 2 });
+    assert.ok(await areLinked(this));
+    // The owner's next heartbeat names them.
+    await pause(1500);
+  },
+);
+
+When('{int} jobs are handed in at the owner', async function (this: CellSteps, count: number) {
+  await handInAtOwner(this, count);
+});
+
+When(
+  '{int} jobs are handed in at the owner and complete',
+  async function (this: CellSteps, count: number) {
+    await handInAtOwner(this, count);
+    const areOver = (): boolean =>
+      this.jobs.every((id) => cellOf(this).writtenProgress(id)?.outcome === 'completed');
+    assert.ok(await eventually(areOver));
+  },
+);
+
+When('a job is handed in at the owner and completes', async function (this: CellSteps) {
+  await handInAtOwner(this, 1);
+  const isOver = (): boolean => cellOf(this).writtenProgress(jobOf(this))?.outcome === 'completed';
+  assert.ok(await eventually(isOver));
+});
+
+When("an entry that doesn't own the cell is gone", async function (this: CellSteps) {
+  const { entries } = cellOf(this);
+  const [gone] = entries.splice(entries.indexOf(otherEntry(this)), 1);
+  await gone?.app.stop();
+});
+
+When('every entry has told of it, and the store is away', async function (this: CellSteps) {
+  const { entries } = cellOf(this);
+  await Promise.all(entries.map((entry) => stateAt(entry, this)));
+  entries.forEach(({ store }) => Object.assign(store, { fault: 'refuse' }));
+});
+
+Then('no other entry has asked the store about a job', function (this: CellSteps) {
+  entriesButOwner(this).forEach(({ id, store }) => {
+    const calls = store.calls.filter(({ table }) => table === 'jobs');
+    assert.deepEqual(calls, [], id);
+  });
+});
+
+Then(
+  /^each entry(?: that is left)? keeps links to the owner and to 2 others soon after$/,
+  { timeout: 15_000 },
+  async function (this: CellSteps) {
+    assert.ok(await areLinked(this));
+  },
+);
+
+Then(
+  "no more than 3 entries read the owner's row more than twice a second soon after",
+  { timeout: 15_000 },
+  async function (this: CellSteps) {
+    assert.ok(await areLinked(this));
+    await pause(1500);
+    const others = entriesButOwner(this);
+    const counts = (): number[] =>
+      others.map(
+        ({ store }) => store.calls.filter(({ table }) => table === OWNER_KEY.table).length,
+      );
+    const before = counts();
+    await pause(2000);
+    const often = counts().filter((count, index) => count - (before[index] ?? 0) > 4);
+    assert.ok(often.length <= 3, `${often.length} entries look out`);
+  },
+);
+
+Then('one of the last two owns the cell soon after', async function (this: CellSteps) {
+  const strong = cellOf(this).entries.slice(-2);
+  const isTaken = (): boolean => strong.includes(cellOf(this).owner() as Entry);
+  assert.ok(await eventually(isTaken, 3000));
+});
+
+Then(/^every entry says that it is (completed|running)$/, async function (this: CellSteps, state) {
+  const states = await Promise.all(cellOf(this).entries.map((entry) => stateAt(entry, this)));
+  assert.deepEqual(new Set(states), new Set([state]));
+});
+
+Then('every entry says that {int} jobs wait', async function (this: CellSteps, count: number) {
+  const counts = await Promise.all(cellOf(this).entries.map(waitingAt));
+  assert.deepEqual(new Set(counts), new Set([count]));
+});
+
+Then(
+  'every entry that is left says at once that {int} jobs wait',
+  async function (this: CellSteps, count: number) {
+    const left = cellOf(this).entries.filter(({ store }) => store.fault === 'none');
+    const startedAt = performance.now();
+    const counts = await Promise.all(left.map(waitingAt));
+    assert.deepEqual(new Set(counts), new Set([count]));
+    assert.ok(performance.now() - startedAt < 1000);
+  },
+);
--- a/packages/cell/src/entry/entry-row.ts
+++ b/packages/cell/src/entry/entry-row.ts
@@ -8,11 +8,14 @@
 /** Keys of entries begin so. */
 export const ENTRY_PREFIX = 'entry/';
 
-/** One entry: its latest life and where others reach it. */
-export const entryRowSchema = z.strictObject({
+/** One entry: its latest life, where others reach it, and what it can carry. */
+export const entryRowSchema = z.object({
   id: z.string(),
   incarnation: incarnationSchema,
   address: addressSchema,
+  failureDomain: z.string().default(''),
+  /** Cores that it may use. */
+  processorShare: z.number().default(0),
 });
 export type EntryRow = z.infer<typeof entryRowSchema>;
 
--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -2,7 +2,7 @@
 import type { ForwardedCall, ForwardedResult, ProcessContext } from '@zincspan/core';
 import type * as z from 'zod';
 import type { ConfigWatch } from '../config/config-watch.js';
-import { jobState, type JobView } from '../job/job-view.js';
+import { jobState } from '../job/job-view.js';
 import { graphFault, jobRequestSchema, type JobRequest } from '../job/submission.js';
 import type { Row } from '../store/row-store.js';
 import type { WatchedStore } from '../store/watched-store.js';
@@ -18,6 +18,7 @@
   type WaitingResult,
 } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
+import type { FindResult, JobLookup } from './job-lookup.js';
 import { isOutOfReach, settleCall } from './settled-call.js';
 
 /** Kept back from a caller's time for the answer's way, in ms. */
@@ -32,9 +33,6 @@
  */
 export const STORE_AWAY_MS = 1200;
 
-/** States that may still change are asked of another entry after this time without the store, in ms: two reads. */
-const OLD_STATE_MS = 900;
-
 /** Told to callers of a queue that needs advice where there is no advisor, in ms: only other settings help. */
 const ADVICE_RETRY_MS = 60_000;
 
@@ -53,7 +51,9 @@
   store: WatchedStore;
   config: ConfigWatch;
   gate: CallerGate;
-  view: JobView;
+  jobs: JobLookup;
+  /** How many jobs of a queue wait; undefined if nobody could tell in time. */
+  countWaiting: (queue: string, options: { timeoutMs: number }) => Promise<number | undefined>;
   /** A placement advisor is known. */
   canAskAdvice: boolean;
   forward: Forward;
@@ -108,8 +108,7 @@
     { budgetMs = DEFAULT_BUDGET_MS, isForwarded = false }: CallOptions = {},
   ): Promise<StateResult> {
     const until = this.#now() + budgetMs - ANSWER_RESERVE_MS;
-    const known = this.#tryState(call, until);
-    const own = known.then((result) => this.#unlessOld(result));
+    const own = this.#tryState(call, until);
     if (isForwarded) return own;
     let isPassedOn = false;
     const settled = await settleCall({
@@ -119,8 +118,8 @@
         return this.#forward(stateResultSchema, { call: 'state', ...call, until });
       },
     });
-    // Where nobody knows better, what is known here is told.
-    const result = isOutOfReach(settled) ? await known : settled;
+    // Where nobody knows better, what was known here last is told.
+    const result = isOutOfReach(settled) ? await this.#lastKnown(call, settled) : settled;
     return isPassedOn ? this.#log('state', call, result) : result;
   }
 
@@ -143,7 +142,10 @@
   async waiting(call: CallerCall): Promise<WaitingResult> {
     const admitted = await this.#options.gate.admit(call);
     if (admitted.outcome !== 'admitted') return admitted;
-    return { outcome: 'waiting', count: this.#options.view.waiting(admitted.queue.name) };
+    const timeoutMs = DEFAULT_BUDGET_MS - ANSWER_RESERVE_MS;
+    const count = await this.#options.countWaiting(admitted.queue.name, { timeoutMs });
+    if (count === undefined) return storeAway('a read failed', this.#options.config.ageMs);
+    return { outcome: 'waiting', count };
   }
 
   /** Serves a call that another entry passed on. */
@@ -167,14 +169,14 @@
   }
 
   async #trySubmit(call: CallerCall, decode: DecodeJob, until: number): Promise<SubmitResult> {
-    const { gate, view, config, store, canAskAdvice } = this.#options;
+    const { gate, jobs, config, store, canAskAdvice } = this.#options;
     const admitted = await gate.admit(call);
     if (admitted.outcome !== 'admitted') return admitted;
     const { rest: id } = admitted;
     if (!ID_PATTERN.test(id)) {
       return badInput(`"${id}" is no job id: expected 16 hexadecimal digits.`);
     }
-    if (view.get(id) !== undefined) return { outcome: 'accepted', again: true };
+    if (jobs.known(id) !== undefined) return { outcome: 'accepted', again: true };
     const decoded = decode();
     if ('fault' in decoded) return badInput(decoded.fault);
     const fault = graphFault(decoded.job.steps);
@@ -196,12 +198,12 @@
     return { outcome: 'state', state: jobState(job) };
   }
 
-  /** An entry that is cut from the store would show a job as running long after it has ended. */
-  #unlessOld(result: StateResult): StateResult {
-    const { ageMs } = this.#options.config;
-    const mayChange =
-      result.outcome === 'state' && (result.state === 'queued' || result.state === 'running');
-    return mayChange && ageMs > OLD_STATE_MS ? storeAway('states may be old', ageMs) : result;
+  /** The state that was last read or written here, or else `refusal`. */
+  async #lastKnown(call: CallerCall, refusal: StateResult): Promise<StateResult> {
+    const admitted = await this.#options.gate.admit(call);
+    if (admitted.outcome !== 'admitted') return refusal;
+    const job = ownedBy(admitted, this.#options.jobs.known(admitted.rest) ?? 'absent');
+    return typeof job === 'string' ? refusal : { outcome: 'state', state: jobState(job) };
   }
 
   async #tryCancel(call: CallerCall, until: number): Promise<CancelResult> {
@@ -215,12 +217,11 @@
   }
 
   /** The job, unless it is another account's. */
-  async #find({ rest: id, account }: Admitted, until: number): ReturnType<JobView['find']> {
+  async #find(admitted: Admitted, until: number): Promise<FindResult> {
+    const { rest: id } = admitted;
     if (!ID_PATTERN.test(id)) return 'absent';
     const timeoutMs = Math.max(1, until - this.#now());
-    const job = await this.#options.view.find(id, { timeoutMs });
-    if (typeof job === 'string') return job;
-    return job.submission.account === (account?.name ?? '') ? job : 'absent';
+    return ownedBy(admitted, await this.#options.jobs.find(id, { timeoutMs }));
   }
 
   /** Other entries' answers. One that doesn't come, or can't be read, may have been carried out all the same. */
@@ -262,6 +263,12 @@
   }
 }
 
+/** Another account's job is none. */
+function ownedBy({ account }: Admitted, job: FindResult): FindResult {
+  if (typeof job === 'string') return job;
+  return job.submission.account === (account?.name ?? '') ? job : 'absent';
+}
+
 /** Its tasks would need tickets of a placement advisor, and the settings name none. */
 function adviceMissing(queue: string): CallRefusal {
   return {
--- a/packages/cell/src/entry/peer-entries.ts
+++ b/packages/cell/src/entry/peer-entries.ts
@@ -1,8 +1,8 @@
-/** The other entries: found by their rows, reached over links that are kept open. */
+/** The other entries: found by their rows, and reached over links to the owner and to a few of them. */
 import type { ForwardedCall, ForwardedResult, ProcessContext } from '@zincspan/core';
-import { Dialer } from '@zincspan/link';
+import { Dialer, type Link } from '@zincspan/link';
 import { LINK_HEARTBEAT } from '../guard/owner-link.js';
-import { CELL_TABLE } from '../owner/owner-row.js';
+import { CELL_TABLE, type Holder } from '../owner/owner-row.js';
 import type { Row, RowStore } from '../store/row-store.js';
 import {
   ENTRY_PREFIX,
@@ -11,10 +11,27 @@
   unpackEntryRow,
   type EntryRow,
 } from './entry-row.js';
+import { neighboursOf } from './neighbours.js';
+import { successorsAnnounced, successorsTold } from './owner-status.js';
 
-/** Pause between looks for new entries, in ms: a new one takes part within that time. */
+/**
+ * Links beside the owner's: where a call is passed on when the store turns this entry away. Two, in other failure domains: the
+ * owner may be turned away as well.
+ */
+const NEIGHBOURS = 2;
+
+/** Pause between looks for other entries while links are missing, in ms: a new one takes part within that time. */
 const LOOK_EVERY_MS = 2000;
 
+/** And while none is, in ms. */
+const SETTLED_LOOK_MS = 10_000;
+
+/** A neighbour without a link for this long gives way to another, in ms: a process that is started anew is back sooner. */
+const GIVE_UP_AFTER_MS = 3000;
+
+/** And isn't tried again for this long, in ms. */
+const PASSED_OVER_MS = 30_000;
+
 /** Pause before an own row that couldn't be written is tried again, in ms. */
 const RETRY_MS = 300;
 
@@ -31,15 +48,32 @@
   linkKey: string;
 }
 
-/** All other entries of the cell. */
+interface Peer {
+  address: string;
+  dialer: Dialer;
+  /** When it was last seen without a link having had one, or first dialled, on the monotonic clock. */
+  missingSince: number;
+}
+
+/** Other entries of the cell. */
 export class PeerEntries {
   readonly #options: PeerEntriesOptions;
 
-  readonly #dialers = new Map<string, { address: string; dialer: Dialer }>();
+  readonly #peers = new Map<string, Peer>();
 
   /** Versions of rows that couldn't be read: each is told of once. */
   readonly #unreadable = new Map<string, number>();
 
+  /** Entries that couldn't be reached, and until when they aren't tried. */
+  readonly #passedOver = new Map<string, number>();
+
+  #rows: EntryRow[] = [];
+
+  #owner: Holder | undefined;
+
+  /** As the last owner told that there was a link to. */
+  #successors: string[] | undefined;
+
   #timer: NodeJS.Timeout | undefined;
 
   #registered = false;
@@ -50,6 +84,25 @@
     this.#options = options;
   }
 
+  /** Live links to other entries. */
+  get links(): Link[] {
+    return [...this.#peers.values()].flatMap(({ dialer }) => dialer.link ?? []);
+  }
+
+  /** The link to the cell's owner; undefined while there is none, or if this entry is the owner. */
+  get ownerLink(): Link | undefined {
+    return this.#owner && this.#peers.get(this.#owner.id)?.dialer.link;
+  }
+
+  /** How many entries take the cell before this one when its owner is lost; undefined if it is none of those. */
+  rank(): number | undefined {
+    const { self } = this.#options;
+    const { ownerLink } = this;
+    this.#successors = (ownerLink && successorsTold(ownerLink)) ?? this.#successors;
+    const rank = (this.#successors ?? successorsAnnounced(self, this.#rows)).indexOf(self.id);
+    return rank < 0 ? undefined : rank;
+  }
+
   start(): void {
     void this.#tick();
   }
@@ -57,28 +110,34 @@
   stop(): void {
     this.#stopped = true;
     clearTimeout(this.#timer);
-    this.#dialers.forEach(({ dialer }) => dialer.close());
+    this.#peers.forEach(({ dialer }) => dialer.close());
+  }
+
+  /** Keeps a link to this entry as long as it owns the cell. */
+  followOwner(holder: Holder | undefined): void {
+    const owner = holder?.id === this.#options.self.id ? undefined : holder;
+    if (this.#stopped || owner?.incarnation === this.#owner?.incarnation) return;
+    this.#owner = owner;
+    this.#settle();
   }
 
   /** Has other entries serve a call: an answer of each that is asked. Rejects where the link fails meanwhile. */
   forward(call: ForwardedCall): Promise<ForwardedResult>[] {
-    const live = [...this.#dialers.values()].flatMap(({ dialer }) => dialer.link ?? []);
+    const live = this.links;
     const first = Math.floor(Math.random() * live.length);
     const asked = [...live.slice(first), ...live.slice(0, first)].slice(0, ASKED_AT_ONCE);
     this.#options.ctx.metrics.count('call.forwarded', asked.length);
     return asked.map((link) => link.call('caller.forward', call, { timeoutMs: call.budgetMs }));
   }
 
-  /** Tells an entry of a row that was written here; without a link, or if it fails, the store's feed does. */
-  tell(id: string, { key, value, version }: Row): void {
+  /** Tells the owner of a row that was written here; without a link, or if it fails, the store's feed does. */
+  tellOwner({ key, value, version }: Row): void {
     const { ctx } = this.#options;
-    const link = this.#dialers.get(id)?.dialer.link;
-    if (link === undefined) return;
-    link
-      .call('job.news', { key, value, version }, { timeoutMs: CALL_TIMEOUT_MS })
+    this.ownerLink
+      ?.call('job.news', { key, value, version }, { timeoutMs: CALL_TIMEOUT_MS })
       .catch((err: unknown) => {
         ctx.metrics.count('peers.tell-failed');
-        ctx.log.info({ peer: id, key, err: String(err) }, 'telling an entry of a row failed');
+        ctx.log.info({ key, err: String(err) }, 'telling the owner of a row failed');
       });
   }
 
@@ -91,10 +150,14 @@
       this.#options.ctx.log.error({ err }, 'looking for other entries failed');
     }
     if (this.#stopped) return;
-    const pauseMs = this.#registered ? LOOK_EVERY_MS : RETRY_MS;
     this.#timer = setTimeout(() => {
       void this.#tick();
-    }, pauseMs);
+    }, this.#pauseMs());
+  }
+
+  #pauseMs(): number {
+    if (!this.#registered) return RETRY_MS;
+    return this.links.length > NEIGHBOURS ? SETTLED_LOOK_MS : LOOK_EVERY_MS;
   }
 
   async #register(): Promise<void> {
@@ -107,16 +170,14 @@
   }
 
   async #look(): Promise<void> {
-    const { store, self } = this.#options;
-    const result = await store.read(
+    const result = await this.#options.store.read(
       { table: CELL_TABLE, part: '', from: ENTRY_PREFIX, to: `${ENTRY_PREFIX}\uffff` },
       { timeoutMs: CALL_TIMEOUT_MS },
     );
     if (result.outcome === 'failed' || this.#stopped) return;
-    result.rows
-      .flatMap((row) => this.#decode(row) ?? [])
-      .filter(({ id }) => id !== self.id)
-      .forEach((row) => this.#follow(row));
+    this.#rows = result.rows.flatMap((row) => this.#decode(row) ?? []);
+    this.#giveUpMissing();
+    this.#settle();
   }
 
   /** Undefined for a row of another writer that can't be read: it names no entry, and the others hold. */
@@ -134,11 +195,41 @@
     }
   }
 
-  #follow({ id, address }: EntryRow): void {
-    const known = this.#dialers.get(id);
-    if (known?.address === address) return;
-    known?.dialer.close();
-    const { ctx, linkKey } = this.#options;
+  #giveUpMissing(): void {
+    const now = this.#now();
+    this.#peers.forEach((peer, id) => {
+      if (peer.dialer.link !== undefined) Object.assign(peer, { missingSince: now });
+      if (now - peer.missingSince > GIVE_UP_AFTER_MS) {
+        this.#passedOver.set(id, now + PASSED_OVER_MS);
+      }
+    });
+  }
+
+  /** Dials whom it should be linked to, and closes links to others. */
+  #settle(): void {
+    const wanted = this.#wanted();
+    this.#peers.forEach(({ address, dialer }, id) => {
+      if (wanted.get(id) === address) return;
+      dialer.close();
+      this.#peers.delete(id);
+    });
+    wanted.forEach((address, id) => {
+      if (!this.#peers.has(id)) this.#dial(id, address);
+    });
+  }
+
+  /** Addresses by id. The owner is dialled however long it can't be reached. */
+  #wanted(): Map<string, string> {
+    const now = this.#now();
+    const neighbours = neighboursOf(this.#options.self, this.#rows)
+      .filter(({ id }) => id !== this.#owner?.id && (this.#passedOver.get(id) ?? 0) <= now)
+      .slice(0, NEIGHBOURS);
+    const all = this.#owner === undefined ? neighbours : [...neighbours, this.#owner];
+    return new Map(all.map(({ id, address }) => [id, address]));
+  }
+
+  #dial(id: string, address: string): void {
+    const { ctx, linkKey, self } = this.#options;
     const dialer = new Dialer({
       ctx,
       keys: [linkKey],
@@ -146,9 +237,14 @@
       heartbeat: LINK_HEARTBEAT,
       address,
       expectId: id,
+      status: () => ({ processorShare: self.processorShare }),
     });
-    this.#dialers.set(id, { address, dialer });
-    ctx.log.info({ peer: id, address }, 'entry found');
+    this.#peers.set(id, { address, dialer, missingSince: this.#now() });
+    ctx.log.info({ peer: id, address }, 'entry dialled');
     dialer.start();
   }
+
+  #now(): number {
+    return this.#options.ctx.clock.now();
+  }
 }
--- a/packages/cell/src/job/job-view.ts
+++ b/packages/cell/src/job/job-view.ts
@@ -1,14 +1,7 @@
-/** What an entry knows of all jobs, from the feed of their rows. */
+/** Jobs as their rows say, put together from rows in any order. */
 import type { ProcessContext } from '@zincspan/core';
-import type { FeedRow, Row, RowStore } from '../store/row-store.js';
-import { TableFollower } from '../store/table-follower.js';
-import {
-  JOB_TABLE,
-  jobRowKey,
-  parseJobRowKey,
-  unpackProgress,
-  unpackSubmission,
-} from './job-rows.js';
+import type { FeedRow, Row } from '../store/row-store.js';
+import { parseJobRowKey, unpackProgress, unpackSubmission } from './job-rows.js';
 import { JobProgress, type JobState } from './progress.js';
 import type { Submission } from './submission.js';
 
@@ -26,10 +19,7 @@
 /** Told of each change, after it was applied. */
 export type JobListener = (job: KnownJob) => void;
 
-/** A look-up that the store didn't answer in time. */
-export type FindResult = KnownJob | 'absent' | 'unknown';
-
-/** Follows the table of jobs. */
+/** Jobs whose rows were seen. */
 export class JobView {
   readonly #jobs = new Map<string, KnownJob>();
 
@@ -40,37 +30,8 @@
 
   readonly #ctx: ProcessContext;
 
-  readonly #store: RowStore;
-
-  readonly #follower: TableFollower;
-
-  constructor({ ctx, store }: { ctx: ProcessContext; store: RowStore }) {
+  constructor({ ctx }: { ctx: ProcessContext }) {
     this.#ctx = ctx;
-    this.#store = store;
-    this.#follower = new TableFollower({
-      ctx,
-      store,
-      table: JOB_TABLE,
-      onRows: (rows) => rows.forEach((row) => this.apply(row)),
-    });
-  }
-
-  /** True once the whole table was read. */
-  get loaded(): boolean {
-    return this.#follower.loaded;
-  }
-
-  /** Time since the feed last answered, in ms. */
-  get ageMs(): number {
-    return this.#follower.ageMs;
-  }
-
-  start(): void {
-    this.#follower.start();
-  }
-
-  stop(): void {
-    this.#follower.stop();
   }
 
   subscribe(listener: JobListener): void {
@@ -85,18 +46,10 @@
     return this.#jobs.get(id);
   }
 
-  /** Asks the store about a job that the feed hasn't told of. */
-  async find(id: string, { timeoutMs }: { timeoutMs: number }): Promise<FindResult> {
-    const known = this.#jobs.get(id);
-    if (known !== undefined) return known;
-    const { table, part } = jobRowKey(id, 'submission');
-    const result = await this.#store.read(
-      { table, part, from: `${id}/`, to: `${id}0` },
-      { timeoutMs },
-    );
-    if (result.outcome === 'failed') return 'unknown';
-    result.rows.forEach((row) => this.apply({ ...row, deleted: false }));
-    return this.#jobs.get(id) ?? 'absent';
+  /** Drops what is known of a job. */
+  forget(id: string): void {
+    this.#jobs.delete(id);
+    this.#early.delete(id);
   }
 
   /** Jobs of a queue that were accepted and of which no task has started. */
@@ -108,14 +61,14 @@
     return count;
   }
 
-  /** Takes a row, unless a newer one of it is known. */
-  apply(row: FeedRow): void {
+  /** Takes a row, unless a newer one of it is known. Answers whose it is; undefined if it is no job's. */
+  apply(row: FeedRow): string | undefined {
     const name = parseJobRowKey(row.key);
-    if (name === undefined) return;
+    if (name === undefined) return undefined;
     const { id, kind } = name;
     if (row.deleted) {
-      if (kind === 'submission') this.#jobs.delete(id);
-      return;
+      if (kind === 'submission') this.forget(id);
+      return id;
     }
     try {
       if (kind === 'submission') this.#applySubmission(id, row);
@@ -124,6 +77,7 @@
       this.#ctx.metrics.count('job.row-unreadable');
       this.#ctx.log.error({ err, key: row.key, version: row.version }, 'job row unreadable');
     }
+    return id;
   }
 
   #applySubmission(id: string, row: Row): void {
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -9,12 +9,11 @@
 } from '@zincspan/core';
 import { AdviceDesk } from '../advice/advice-desk.js';
 import type { Advisor } from '../advice/advisor.js';
-import { pause } from '../clock/pause.js';
 import type { CellConfig } from '../config/cell-config.js';
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type KnownJob } from '../job/job-view.js';
-import type { RowStore } from '../store/row-store.js';
-import { readTable } from '../store/table-follower.js';
+import type { Row, RowStore } from '../store/row-store.js';
+import { TableFollower } from '../store/table-follower.js';
 import { ordersFor, takeUpContact } from './contact-handler.js';
 import { EndedSweeper } from './ended-sweeper.js';
 import { leaseLengthMs } from './lease-length.js';
@@ -27,11 +26,6 @@
 /** Pause between passes when nothing happens, in ms: time alone changes what may be placed. */
 const PASS_EVERY_MS = 200;
 
-/** A page of the table may take this long when an owner starts, in ms. */
-const LOAD_TIMEOUT_MS = 2500;
-
-const LOAD_PAUSE_MS = 100;
-
 /**
  * An owner that the store hasn't confirmed for this long gives no authority any more, in ms: longer than the outages
  * that tasks are to outlive, since a rival needs the store too. A new owner waits as long for workers that it can't
@@ -52,7 +46,6 @@
 export interface CellOwnerOptions {
   ctx: ProcessContext;
   store: RowStore;
-  view: JobView;
   /** Undefined where no queue needs it. */
   advisor: Advisor | undefined;
   term: number;
@@ -74,6 +67,12 @@
 export class CellOwner {
   readonly #options: CellOwnerOptions;
 
+  /** All jobs of the cell. */
+  readonly #view: JobView;
+
+  /** Started with the term: what it reads first, no earlier owner can change any more. */
+  readonly #follower: TableFollower;
+
   readonly #scheduler: Scheduler;
 
   readonly #writer: ProgressWriter;
@@ -97,8 +96,17 @@
 
   constructor(options: CellOwnerOptions) {
     this.#options = options;
-    const { ctx, store, view, ownerVersion, leaseMs, reclaim, config, keepEndedMs, advisor } =
-      options;
+    const { ctx, store, ownerVersion, leaseMs, reclaim, config, keepEndedMs, advisor } = options;
+    const view = new JobView({ ctx });
+    view.subscribe((known) => this.#noteJob(known));
+    this.#view = view;
+    this.#follower = new TableFollower({
+      ctx,
+      store,
+      table: JOB_TABLE,
+      onRows: (rows) => rows.forEach((row) => view.apply(row)),
+      onLoaded: (rows) => this.#open(rows),
+    });
     this.#scheduler = new Scheduler({
       ctx,
       leaseMs,
@@ -145,19 +153,29 @@
   }
 
   start(): void {
-    void this.#load();
+    this.#follower.start();
     this.#sweeper.start();
   }
 
   stop(): void {
     this.#stopped = true;
+    this.#follower.stop();
     this.#sweeper.stop();
     this.#writer.stop();
     clearTimeout(this.#passTimer);
   }
 
-  /** A job's rows were seen to have changed. */
-  noteJob(known: KnownJob): void {
+  /** A row that an entry has written: the feed may tell of it a second later. */
+  noteWritten(row: Row): void {
+    this.#view.apply({ ...row, deleted: false });
+  }
+
+  /** How many jobs of a queue wait; undefined before the books are read. */
+  waiting(queue: string): number | undefined {
+    return this.#loaded && !this.#stopped ? this.#view.waiting(queue) : undefined;
+  }
+
+  #noteJob(known: KnownJob): void {
     if (!this.#loaded || this.#stopped) return;
     const own = this.#book.jobs.get(known.id);
     if (own !== undefined) {
@@ -191,24 +209,13 @@
     return this.#book.now() - this.#options.confirmedAt() < UNCONFIRMED_MS;
   }
 
-  /** Reads all jobs anew: only now that the term is durable can no earlier owner change them any more. */
-  async #load(): Promise<void> {
-    const { ctx, store, view, term } = this.#options;
-    while (!this.#stopped) {
-      const read = await readTable(store, JOB_TABLE, { timeoutMs: LOAD_TIMEOUT_MS });
-      if (read !== undefined) {
-        const fresh = new JobView({ ctx, store });
-        read.rows.forEach((row) => fresh.apply(row));
-        [...fresh.all()].forEach((known) => this.#scheduler.add(known));
-        this.#loaded = true;
-        // What the feed told while the table was being read.
-        [...view.all()].forEach((known) => this.noteJob(known));
-        ctx.log.info({ term, jobs: this.#book.jobs.size, rows: read.rows.length }, 'owner at work');
-        this.#pass();
-        return;
-      }
-      await pause(LOAD_PAUSE_MS);
-    }
+  #open(rows: number): void {
+    if (this.#stopped) return;
+    const { ctx, term } = this.#options;
+    [...this.#view.all()].forEach((known) => this.#scheduler.add(known));
+    this.#loaded = true;
+    ctx.log.info({ term, jobs: this.#book.jobs.size, rows }, 'owner at work');
+    this.#pass();
   }
 
   #wantPass(): void {
--- a/packages/cell/src/owner/ended-sweeper.ts
+++ b/packages/cell/src/owner/ended-sweeper.ts
@@ -1,4 +1,4 @@
-/** Removes the rows of jobs that ended long ago: without it the table, and every entry's view of it, would only grow. */
+/** Removes the rows of jobs that ended long ago: without it the table, and the owner's view of it, would only grow. */
 import type { ProcessContext } from '@zincspan/core';
 import { jobRowKey, type JobRowKind } from '../job/job-rows.js';
 import type { JobView, KnownJob } from '../job/job-view.js';
--- a/packages/cell/src/owner/ownership.ts
+++ b/packages/cell/src/owner/ownership.ts
@@ -14,9 +14,18 @@
   type OwnerRow,
 } from './owner-row.js';
 
-/** Pause between looks at the rows, and between heartbeats, in ms. */
+/** Pause between heartbeats, and between looks at the rows of those that take the cell when its owner is lost, in ms. */
 const TICK_MS = 200;
 
+/**
+ * Pause between looks of the others while a link to the owner tells that it lives, in ms: they learn of a new owner within
+ * that time, and take the cell only if none of those that should is there.
+ */
+const LINKED_TICK_MS = 1000;
+
+/** Each of them gives the one before it this much longer to take a lost or vacant cell, in ms: a look and a write. */
+const GIVE_WAY_MS = 250;
+
 /**
  * A heartbeat that hasn't changed for this long, over reads that all succeeded, is a dead owner's, in ms: three of its
  * ticks. Short, as an urgent job of 2.5 s has 1.5 s to spare for everything; taking over from an owner that lives is safe.
@@ -26,6 +35,12 @@
 /** And this many answers of the store, as long as the last one took: a heartbeat of a slow store comes later. */
 const TAKEOVER_ANSWERS = 4;
 
+/**
+ * Entries that look for the owner's heartbeat at its own pace, so that it is missed at once: with all of 35 doing so, they
+ * made 175 reads of the store a second. Three, since two may be lost with the owner's failure domain.
+ */
+export const SUCCESSORS = 3;
+
 /** One call to the store may take this long, in ms: several times a slow store's answer. */
 const CALL_TIMEOUT_MS = 1200;
 
@@ -33,6 +48,20 @@
 export interface OwnershipEvents {
   onGained: (term: number, ownerVersion: number) => void;
   onLost: (reason: string) => void;
+  /** Who owns the cell was seen; undefined if nobody does. */
+  onHolder: (holder: Holder | undefined) => void;
+}
+
+/** What ownership is looked after by. */
+export interface OwnershipOptions {
+  ctx: ProcessContext;
+  store: RowStore;
+  self: Holder;
+  events: OwnershipEvents;
+  /** How many entries take the cell before this one; undefined if it isn't one of those that look out for its loss. */
+  rank: () => number | undefined;
+  /** Whether there is a link to the owner. */
+  isLinked: () => boolean;
 }
 
 interface Held {
@@ -45,19 +74,14 @@
 
 /** Takes the cell when nobody lives who owns it, and keeps it. */
 export class Ownership {
-  readonly #ctx: ProcessContext;
-
-  readonly #store: RowStore;
-
-  readonly #self: Holder;
-
-  readonly #events: OwnershipEvents;
+  readonly #options: OwnershipOptions;
 
   #held: Held | undefined;
 
   #beats = 0;
 
-  #holderId: string | undefined;
+  /** Since when the cell was seen to be nobody's, on the monotonic clock. */
+  #vacantSince: number | undefined;
 
   /** The owner's heartbeat as last seen, and since when it hasn't changed. */
   #seen: { beatVersion: number; ownerVersion: number; since: number } | undefined;
@@ -66,32 +90,14 @@
 
   #stopping = false;
 
-  constructor({
-    ctx,
-    store,
-    self,
-    events,
-  }: {
-    ctx: ProcessContext;
-    store: RowStore;
-    self: Holder;
-    events: OwnershipEvents;
-  }) {
-    this.#ctx = ctx;
-    this.#store = store;
-    this.#self = self;
-    this.#events = events;
+  constructor(options: OwnershipOptions) {
+    this.#options = options;
   }
 
   get held(): Readonly<Held> | undefined {
     return this.#held;
   }
 
-  /** Who owned the cell at the last look; undefined if nobody did. */
-  get holderId(): string | undefined {
-    return this.#holderId;
-  }
-
   start(): void {
     void this.#tick();
   }
@@ -103,24 +109,27 @@
     const held = this.#held;
     if (held === undefined) return;
     this.lose('planned stop');
-    const result = await this.#store.transact(
+    const result = await this.#options.store.transact(
       {
         expected: [{ ...OWNER_KEY, version: held.version }],
         set: [{ ...OWNER_KEY, value: packOwner({ term: held.term }) }],
       },
       { timeoutMs: CALL_TIMEOUT_MS },
     );
-    this.#ctx.log.info({ term: held.term, outcome: result.outcome }, 'ownership handed over');
+    this.#options.ctx.log.info(
+      { term: held.term, outcome: result.outcome },
+      'ownership handed over',
+    );
   }
 
   /** The owner's row was seen changed by others. */
   lose(reason: string): void {
     if (this.#held === undefined) return;
-    this.#ctx.metrics.count('owner.lost');
-    this.#ctx.log.warn({ term: this.#held.term, reason }, 'ownership lost');
+    this.#options.ctx.metrics.count('owner.lost');
+    this.#options.ctx.log.warn({ term: this.#held.term, reason }, 'ownership lost');
     this.#held = undefined;
     this.#seen = undefined;
-    this.#events.onLost(reason);
+    this.#options.events.onLost(reason);
   }
 
   /** A write that named the owner's row succeeded; it was sent at `sentAt`. */
@@ -136,13 +145,19 @@
       if (this.#held === undefined) await this.#look();
       else this.#sendBeat(this.#held);
     } catch (err) {
-      this.#ctx.metrics.count('owner.tick-failed');
-      this.#ctx.log.error({ err }, 'looking after the ownership failed');
+      this.#options.ctx.metrics.count('owner.tick-failed');
+      this.#options.ctx.log.error({ err }, 'looking after the ownership failed');
     }
     if (this.#stopping) return;
     this.#timer = setTimeout(() => {
       void this.#tick();
-    }, TICK_MS);
+    }, this.#tickMs());
+  }
+
+  #tickMs(): number {
+    const { rank, isLinked } = this.#options;
+    if (this.#held !== undefined || rank() !== undefined || !isLinked()) return TICK_MS;
+    return LINKED_TICK_MS;
   }
 
   /**
@@ -151,15 +166,15 @@
    */
   #sendBeat(held: Held): void {
     this.#beat(held).catch((err: unknown) => {
-      this.#ctx.metrics.count('owner.beat-failed');
-      this.#ctx.log.error({ err }, 'a heartbeat of the owner failed');
+      this.#options.ctx.metrics.count('owner.beat-failed');
+      this.#options.ctx.log.error({ err }, 'a heartbeat of the owner failed');
     });
   }
 
   async #beat(held: Held): Promise<void> {
-    const sentAt = this.#ctx.clock.now();
+    const sentAt = this.#options.ctx.clock.now();
     this.#beats += 1;
-    const result = await this.#store.transact(
+    const result = await this.#options.store.transact(
       {
         expected: [{ ...OWNER_KEY, version: held.version }],
         set: [{ ...OWNER_BEAT_KEY, value: Buffer.from(`${held.term}:${this.#beats}`) }],
@@ -169,24 +184,25 @@
     if (this.#held !== held) return;
     if (result.outcome === 'done') this.confirm(sentAt);
     else if (result.outcome === 'conflict') this.lose('another entry took it');
-    else this.#ctx.metrics.count('owner.beat-failed');
+    else this.#options.ctx.metrics.count('owner.beat-failed');
   }
 
   async #look(): Promise<void> {
-    const now = this.#ctx.clock.now();
-    const result = await this.#store.read(
+    const now = this.#options.ctx.clock.now();
+    const result = await this.#options.store.read(
       { table: CELL_TABLE, part: '', from: OWNER_KEY.key, to: `${OWNER_BEAT_KEY.key}\u0000` },
       { timeoutMs: CALL_TIMEOUT_MS },
     );
     if (result.outcome === 'failed') {
       // Nothing was seen meanwhile: an owner that couldn't write either mustn't be taken for dead.
       this.#seen = undefined;
+      this.#vacantSince = undefined;
       return;
     }
     const ownerRow = result.rows.find(({ key }) => key === OWNER_KEY.key);
-    this.#holderId = ownerRow && unpackOwner(ownerRow.value).holder?.id;
+    this.#options.events.onHolder(ownerRow && unpackOwner(ownerRow.value).holder);
     const beatVersion = result.rows.find(({ key }) => key === OWNER_BEAT_KEY.key)?.version ?? 0;
-    const answerMs = this.#ctx.clock.now() - now;
+    const answerMs = this.#options.ctx.clock.now() - now;
     if (this.#mayTake({ ownerRow, beatVersion, now, answerMs })) await this.#take(ownerRow);
   }
 
@@ -202,23 +218,28 @@
     now: number;
     answerMs: number;
   }): boolean {
-    if (ownerRow === undefined) return true;
-    const { holder } = unpackOwner(ownerRow.value);
+    const holder = ownerRow && unpackOwner(ownerRow.value).holder;
+    const giveWayMs = GIVE_WAY_MS * (this.#options.rank() ?? SUCCESSORS);
+    if (ownerRow === undefined || holder === undefined) {
+      this.#vacantSince ??= now;
+      return now - this.#vacantSince >= giveWayMs;
+    }
+    this.#vacantSince = undefined;
     // A holder on this VM is an earlier life of this process.
-    if (holder === undefined || holder.id === this.#self.id) return true;
+    if (holder.id === this.#options.self.id) return true;
     const seen = this.#seen;
     if (seen?.beatVersion !== beatVersion || seen.ownerVersion !== ownerRow.version) {
       this.#seen = { beatVersion, ownerVersion: ownerRow.version, since: now };
       return false;
     }
-    return now - seen.since >= TAKEOVER_AFTER_MS + TAKEOVER_ANSWERS * answerMs;
+    return now - seen.since >= TAKEOVER_AFTER_MS + TAKEOVER_ANSWERS * answerMs + giveWayMs;
   }
 
   async #take(ownerRow: Row | undefined): Promise<void> {
-    const sentAt = this.#ctx.clock.now();
+    const sentAt = this.#options.ctx.clock.now();
     const previous = ownerRow === undefined ? undefined : unpackOwner(ownerRow.value);
-    const row: OwnerRow = { term: (previous?.term ?? 0) + 1, holder: this.#self };
-    const result = await this.#store.transact(
+    const row: OwnerRow = { term: (previous?.term ?? 0) + 1, holder: this.#options.self };
+    const result = await this.#options.store.transact(
       {
         expected: [{ ...OWNER_KEY, version: ownerRow?.version ?? 0 }],
         set: [{ ...OWNER_KEY, value: packOwner(row) }],
@@ -227,17 +248,17 @@
     );
     if (result.outcome !== 'done' || this.#stopping) {
       // If it was done all the same, the next look finds this process as holder and takes the next term.
-      this.#ctx.metrics.count(`owner.take-${result.outcome}`);
+      this.#options.ctx.metrics.count(`owner.take-${result.outcome}`);
       return;
     }
     this.#held = { term: row.term, version: result.version, confirmedAt: sentAt };
-    this.#holderId = this.#self.id;
-    this.#ctx.metrics.count('owner.taken');
-    this.#ctx.log.info(
+    this.#options.events.onHolder(this.#options.self);
+    this.#options.ctx.metrics.count('owner.taken');
+    this.#options.ctx.log.info(
       { term: row.term, from: previous?.holder?.id, beatUnchangedMs: this.#unchangedMs(sentAt) },
       'ownership taken',
     );
-    this.#events.onGained(row.term, result.version);
+    this.#options.events.onGained(row.term, result.version);
   }
 
   #unchangedMs(now: number): number | undefined {
--- a/packages/cell/src/store/table-follower.ts
+++ b/packages/cell/src/store/table-follower.ts
@@ -18,12 +18,20 @@
 /** Pause after a failed call, in ms. */
 const RETRY_PAUSE_MS = 150;
 
+/**
+ * Pause before the feed is asked again, in ms: a busy cell changes dozens of rows a second, which come together so. What is
+ * urgent is told over links.
+ */
+const FEED_PAUSE_MS = 100;
+
 /** Told the rows of each page and of each change, in order of their versions within one row. */
 export interface TableFollowerOptions {
   ctx: ProcessContext;
   store: RowStore;
   table: string;
   onRows: (rows: FeedRow[]) => void;
+  /** The whole table was read for the first time. */
+  onLoaded: (rows: number) => void;
 }
 
 /** Follows one table (its empty part is read at first; the feed tells of all parts). */
@@ -34,22 +42,12 @@
 
   #after = 0;
 
-  #answeredAt = -Infinity;
-
   #stopped = false;
 
   constructor(options: TableFollowerOptions) {
     this.#options = options;
   }
 
-  get loaded(): boolean {
-    return this.#loaded;
-  }
-
-  get ageMs(): number {
-    return this.#options.ctx.clock.now() - this.#answeredAt;
-  }
-
   start(): void {
     void this.#run();
   }
@@ -69,13 +67,14 @@
   async #load(): Promise<boolean> {
     const { store, table } = this.#options;
     const read = await readTable(store, table, { timeoutMs: READ_TIMEOUT_MS });
+    if (this.#stopped) return false;
     if (read === undefined) {
       await pause(RETRY_PAUSE_MS);
       return false;
     }
     this.#options.onRows(read.rows);
     this.#after = read.version;
-    this.#answeredAt = this.#options.ctx.clock.now();
+    if (!this.#loaded) this.#options.onLoaded(read.rows.length);
     this.#loaded = true;
     return true;
   }
@@ -97,9 +96,10 @@
       await pause(RETRY_PAUSE_MS);
       return true;
     }
-    this.#answeredAt = ctx.clock.now();
+    if (this.#stopped) return false;
     this.#after = Math.max(this.#after, result.version);
     if (result.rows.length > 0) this.#options.onRows(result.rows);
+    await pause(FEED_PAUSE_MS);
     return true;
   }
 }
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -141,7 +141,7 @@
     this.tables.transact({ expected: [], set: [{ ...CONFIG_KEY, value }], remove: [] });
   }
 
-  async addEntry(): Promise<EntryVm> {
+  async addEntry({ processorShare = 1 } = {}): Promise<EntryVm> {
     const id = `entry-${this.#nextEntry()}`;
     const store = new MemoryRowStore(this.tables);
     const ctx = quietContext({ id, role: 'entry' });
@@ -155,6 +155,7 @@
       advisor: this.advisor && memoryAdvisor(this.advisor),
       linkAddress: `127.0.0.1:${await freePort()}`,
       linkKey: LINK_KEY,
+      processorShare,
       leaseMs: TEST_LEASE_MS,
       reclaim: { reclaimMs: 2700, stopMs: 200 },
       keepEndedMs: this.keepEndedMs,
--- a/packages/cell/src/testing/memory-row-store.support.ts
+++ b/packages/cell/src/testing/memory-row-store.support.ts
@@ -24,6 +24,9 @@
   /** Feeds fail although everything else is answered. */
   feedStandsStill = false;
 
+  /** Calls so far: what they were, and on which table. */
+  readonly calls: { kind: 'read' | 'feed' | 'transact'; table: string }[] = [];
+
   /** Told of each transaction that was done, before its answer. */
   onDone: (tx: Transaction) => void = () => undefined;
 
@@ -34,6 +37,7 @@
   }
 
   async transact(tx: Transaction, { timeoutMs }: { timeoutMs: number }): Promise<TransactResult> {
+    this.calls.push({ kind: 'transact', table: tx.set[0]?.table ?? '' });
     if (this.fault === 'refuse') return { outcome: 'refused', detail: 'told to refuse' };
     if (this.fault === 'silent') {
       return silence(timeoutMs, { outcome: 'unknown', detail: 'silent' });
@@ -49,6 +53,7 @@
     range: { table: string; part: string; from?: string; to?: string },
     { timeoutMs }: { timeoutMs: number },
   ): Promise<ReadResult> {
+    this.calls.push({ kind: 'read', table: range.table });
     if (this.fault === 'silent') return silence(timeoutMs, { outcome: 'failed', detail: 'silent' });
     if (this.fault === 'refuse') return { outcome: 'failed', detail: 'told to refuse' };
     await pause(ANSWER_MS);
@@ -60,6 +65,7 @@
     { table, after, waitMs }: { table: string; after: number; waitMs: number },
     { timeoutMs }: { timeoutMs: number },
   ): Promise<FeedResult> {
+    this.calls.push({ kind: 'feed', table });
     if (this.fault === 'silent') return silence(timeoutMs, { outcome: 'failed', detail: 'silent' });
     if (this.fault === 'refuse') return { outcome: 'failed', detail: 'told to refuse' };
     if (this.feedStandsStill) {
--- a/packages/core/src/message/message.ts
+++ b/packages/core/src/message/message.ts
@@ -285,6 +285,11 @@
   // Entry to entry, of one cell.
   'caller.forward': { req: forwardedCallSchema, res: forwardedResultSchema },
   'job.news': { req: jobNewsSchema, res: none },
+  /** How many jobs of a queue wait. Refused with `not-owner` by any other entry than the cell's owner. */
+  'cell.waiting': {
+    req: z.strictObject({ queue: z.string() }),
+    res: z.strictObject({ count: z.int().min(0) }),
+  },
   // Any to any.
   'bundle.fetch': {
     req: z.strictObject({ have: z.int().min(0) }),
