Load only what a role needs, and no optional extras of libraries that happen to be installed

Cause: one bundle served both roles, so that a guard loaded hapi, and bunyan found `mv` with `rimraf` and `glob` in node_modules.

Change: the role's module is imported once the settings are read, the bundle is split, and a bundle's `require` gives Node's own modules only.

--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,9 +1,7 @@
-/** Bundles the platform's program into target/: one file, so that a process starts within a fraction of a second. */
+/** Bundles the platform's program into target/: a few files, so that a process starts within a fraction of a second. */
 import { rmSync } from 'node:fs';
 import { build } from 'esbuild';
-import { BUNDLE_OPTIONS } from './bundle-options.mjs';
+import { PLATFORM_BUNDLE } from './bundle-options.mjs';
 
-const OUTPUT = 'target/zincspan.mjs';
-
-rmSync('target', { recursive: true, force: true });
-await build({ ...BUNDLE_OPTIONS, entryPoints: ['platform/dist/main.js'], outfile: OUTPUT });
+rmSync(PLATFORM_BUNDLE.outdir, { recursive: true, force: true });
+await build(PLATFORM_BUNDLE);
