Make contact once a second where nothing is new, wait longer for a runner's news, and replace an owner at once after its start

Cause: 160 guards made 320 contacts a second, looked at their runners 2.5 times a second and looked after their links four times.

Ruled out: the looks of guards in doubt (a guard found the new owner 50 to 80 ms after it had the cell).

Change: contacts come each second, each 0.5 s where runs are paced, four within a lease; links beat each 0.8 s; a look waits 0.7 s, and not at all while a run's refusal depends on it; the first answer to a stop counts; an owner that knows no successor says nothing of them. The configuration is read five times within the time that a change may take, 0.6 s apart at most.

--- a/packages/cell/src/config/config-watch.ts
+++ b/packages/cell/src/config/config-watch.ts
@@ -5,11 +5,11 @@
 import type { Row, RowKey, RowStore } from '../store/row-store.js';
 import type { CellConfig } from './cell-config.js';
 
-/**
- * Pause between reads, in ms. A change has to be in force within 2 s; a read costs a machine little, and this leaves
- * room for four that fail.
- */
-const READ_EVERY_MS = 400;
+/** Reads within the time in which a change has to be in force: four of them may fail. */
+const READS_PER_CHANGE = 5;
+
+/** Longest pause between reads, in ms: what an entry says of itself (ready or not) rests on them, too. */
+const LONGEST_PAUSE_MS = 600;
 
 /** A read that takes longer than this is given up, in ms: an idle connection may have gone silent for good. */
 const READ_TIMEOUT_MS = 1200;
@@ -35,6 +35,8 @@
 
   readonly #source: ConfigSource;
 
+  readonly #pauseMs: number;
+
   #known: KnownConfig | undefined;
 
   /** Version of the last row that couldn't be read: it is told of once. */
@@ -53,14 +55,18 @@
     ctx,
     store,
     source,
+    applyMs,
   }: {
     ctx: ProcessContext;
     store: RowStore;
     source: ConfigSource;
+    /** A change has to be in force within this time, in ms. */
+    applyMs: number;
   }) {
     this.#ctx = ctx;
     this.#store = store;
     this.#source = source;
+    this.#pauseMs = Math.min(LONGEST_PAUSE_MS, applyMs / READS_PER_CHANGE);
   }
 
   /** What is in force; undefined until a first read succeeded. */
@@ -117,7 +123,7 @@
     await this.refresh();
     this.#timer = setTimeout(() => {
       void this.#loop();
-    }, READ_EVERY_MS);
+    }, this.#pauseMs);
   }
 
   async #read(): Promise<void> {
--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -42,6 +42,8 @@
   keepEndedMs: number;
   /** A key that was taken away must not work any more after this long, in ms. */
   revokeMs: number;
+  /** A change of the configuration has to be in force within this time, in ms. */
+  configApplyMs: number;
 }
 
 /** One entry. */
@@ -70,8 +72,8 @@
     const { ctx } = options;
     const store = new WatchedStore({ store: options.store, clock: ctx.clock });
     this.#options = { ...options, store };
-    const { configSource, linkAddress, linkKey, processorShare, revokeMs } = options;
-    this.#config = new ConfigWatch({ ctx, store, source: configSource });
+    const { configSource, linkAddress, linkKey, processorShare, revokeMs, configApplyMs } = options;
+    this.#config = new ConfigWatch({ ctx, store, source: configSource, applyMs: configApplyMs });
     this.#jobs = new JobLookup({ ctx, store });
     this.#gate = new CallerGate({ config: this.#config, staleAfterMs: STALE_SHARE * revokeMs });
     const waiting = new WaitingCount({
--- a/packages/cell/src/entry/entry-load.feature
+++ b/packages/cell/src/entry/entry-load.feature
@@ -44,3 +44,8 @@
     When 4 jobs are handed in at the owner
     And the owner is lost
     Then every entry that is left says at once that 4 jobs wait
+
+  Scenario: an owner that is lost soon after the start is replaced at once
+    Given a cell of 2 entries and 1 workers
+    When the owner is lost
+    Then the other entry owns the cell within 1.3 s
--- a/packages/cell/src/entry/entry-load.steps.ts
+++ b/packages/cell/src/entry/entry-load.steps.ts
@@ -159,3 +159,8 @@
     assert.ok(performance.now() - startedAt < 1000);
   },
 );
+
+Then(/^the other entry owns the cell within 1.3 s$/, async function (this: CellSteps) {
+  const lost = ownerOf(this);
+  assert.ok(await eventually(() => cellOf(this).owner() !== lost, 1300));
+});
--- a/packages/cell/src/entry/owner-status.ts
+++ b/packages/cell/src/entry/owner-status.ts
@@ -6,7 +6,8 @@
 
 const entryStatusSchema = z.object({ processorShare: z.number() });
 
-const ownerStatusSchema = z.object({ successors: z.array(z.string()) });
+/** Without any, as before the first entry has told of itself, it is as if nothing was said. */
+const ownerStatusSchema = z.object({ successors: z.array(z.string()).min(1) });
 
 /** The entries linked to the owner that would be the best owners, by what they tell of themselves. */
 export function successorsAmong(links: readonly Link[]): string[] {
--- a/packages/cell/src/guard/guard-app.ts
+++ b/packages/cell/src/guard/guard-app.ts
@@ -1,12 +1,27 @@
 /** The guard: its runner on one side, the cell's owner on the other. */
-import { ProblemError, type CellContact, type Handlers, type ProcessContext } from '@zincspan/core';
+import {
+  ProblemError,
+  type CellContact,
+  type CellOrders,
+  type Handlers,
+  type ProcessContext,
+} from '@zincspan/core';
 import type { RowStore } from '../store/row-store.js';
 import { OwnerLink } from './owner-link.js';
 import { RunnerKeeper } from './runner-keeper.js';
 import type { RunnerPort, RunnerReport } from './runner-port.js';
 
-/** Pause between contacts when there is nothing new, in ms: several fit into a lease, and into a missed one. */
-const CONTACT_EVERY_MS = 500;
+/**
+ * Pause between contacts when there is nothing new, in ms: progress is seen by them, and standing still is noticed after two.
+ * Each wakes the guard and the owner, and 160 guards at twice a second were 320 messages each way.
+ */
+const CONTACT_EVERY_MS = 1000;
+
+/** And while runs are paced here, as what they disturb changes within seconds, or until the owner gives authority. */
+const PACED_CONTACT_MS = 500;
+
+/** Contacts within a lease: two may be lost. */
+const CONTACTS_PER_LEASE = 4;
 
 /** A contact may take this long, in ms. */
 const CONTACT_TIMEOUT_MS = 1200;
@@ -35,6 +50,8 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #pauseMs = PACED_CONTACT_MS;
+
   #inContact = false;
 
   #again = false;
@@ -110,6 +127,7 @@
         if (orders.unconfirmedMs > DOUBT_AFTER_MS) this.#owner.doubt();
         else this.#owner.trust();
         this.#keeper.apply(orders, { sentAt, told });
+        this.#pauseMs = pauseAfter(orders);
       } catch (err) {
         this.#noteFailure(err);
       } finally {
@@ -122,6 +140,7 @@
   }
 
   #noteFailure(err: unknown): void {
+    this.#pauseMs = PACED_CONTACT_MS;
     this.#ctx.metrics.count('contact.failed');
     this.#owner.doubt();
     if (err instanceof ProblemError && err.problem.kind === 'not-owner') this.#owner.lookNow();
@@ -130,6 +149,12 @@
 
   #schedule(): void {
     if (this.#stopped) return;
-    this.#timer = setTimeout(() => this.#contactNow(), CONTACT_EVERY_MS);
+    this.#timer = setTimeout(() => this.#contactNow(), this.#pauseMs);
   }
 }
+
+/** Until the next contact, in ms. */
+function pauseAfter({ leaseMs, paces }: CellOrders): number {
+  if (paces.length > 0 || leaseMs === 0) return PACED_CONTACT_MS;
+  return Math.min(CONTACT_EVERY_MS, leaseMs / CONTACTS_PER_LEASE);
+}
--- a/packages/cell/src/guard/guard-load.steps.ts
+++ b/packages/cell/src/guard/guard-load.steps.ts
@@ -18,3 +18,17 @@
   const hasBegun = (): boolean => cellOf(this).starts(jobOf(this)).length > 0;
   assert.ok(await eventually(hasBegun, 1200));
 });
+
+Then(
+  'the owner gets {int} to {int} contacts in the next 4 s',
+  { timeout: 10_000 },
+  async function (this: CellSteps, least: number, most: number) {
+    const count = (): number => ownerOf(this).metrics.counters.get('owner.contact') ?? 0;
+    // What the start brought is told by then.
+    await pause(1000);
+    const before = count();
+    await pause(4000);
+    const made = count() - before;
+    assert.ok(made >= least && made <= most, `${made} contacts`);
+  },
+);
--- a/packages/cell/src/guard/owner-link.ts
+++ b/packages/cell/src/guard/owner-link.ts
@@ -19,8 +19,8 @@
 
 const READ_TIMEOUT_MS = 1000;
 
-/** Heartbeats of links, in ms: three missed ones end a link. */
-export const LINK_HEARTBEAT = { everyMs: 500, silenceMs: 1600 };
+/** Heartbeats of links, in ms: two missed ones end a link. A link looks after itself twice in the time between them. */
+export const LINK_HEARTBEAT = { everyMs: 800, silenceMs: 2000 };
 
 /** A link whose address answers nothing is redialled soon, in ms: an owner that restarts is back within a second. */
 const REDIAL = { firstMs: 50, maxMs: 300 };
--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -8,8 +8,8 @@
 import { RunnerRecord } from './runner-record.js';
 import { pause } from '../clock/pause.js';
 
-/** How long a look waits for an end, in ms: also how often progress is seen and leases are renewed. */
-const LOOK_WAIT_MS = 400;
+/** How long a look waits for an end, in ms: also how often progress is seen and leases are renewed, within each contact. */
+const LOOK_WAIT_MS = 700;
 
 /** Beyond its wait a look may take this long, in ms. */
 const LOOK_SLACK_MS = 600;
@@ -178,7 +178,8 @@
     const { record } = life;
     const sentAt = this.#now();
     const endsWait = record.hasUnconfirmedEnds;
-    const waitMs = endsWait || !record.isListed ? 0 : LOOK_WAIT_MS;
+    const isUrgent = endsWait || record.awaitsListing || !record.isListed;
+    const waitMs = isUrgent ? 0 : LOOK_WAIT_MS;
     // A runner out of reach gets no more time: its last lease has to end.
     const deadlineMs = record.isReachable(sentAt) ? record.lease.deadline(sentAt) : undefined;
     const answer = await this.#port.look(
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -5,8 +5,8 @@
 import type { Listing, RunnerReport } from './runner-port.js';
 import { runKey } from '../job/task-name.js';
 
-/** A runner that hasn't answered for this long counts as out of reach, in ms: one look that failed, and one more. */
-const UNREACHABLE_AFTER_MS = 1300;
+/** A runner that hasn't answered for this long counts as out of reach, in ms: a look that failed took 1.3 s. */
+const UNREACHABLE_AFTER_MS = 1500;
 
 interface At {
   /** On the guard's monotonic clock. */
@@ -63,6 +63,12 @@
     return this.#listing.ends.some(({ number }) => number > this.#confirmedEnd);
   }
 
+  /** True if only a listing that is asked for now shows what became of a run that was stopped or refused. */
+  get awaitsListing(): boolean {
+    const isUnlisted = [...this.#refused.values()].some(({ at }) => at >= this.#listedAt);
+    return isUnlisted || this.#stopped.size > 0;
+  }
+
   isReachable(now: number): boolean {
     return !this.#left && now - this.#answeredAt < UNREACHABLE_AFTER_MS;
   }
@@ -93,8 +99,10 @@
     this.#refused.set(runKey(refused), refused);
   }
 
+  /** Barred from the first answer on: a stop that was repeated says nothing new. */
   noteStopped(run: RunName, now: number): void {
-    this.#stopped.set(runKey(run), { ...run, at: now });
+    const key = runKey(run);
+    if (!this.#stopped.has(key)) this.#stopped.set(key, { ...run, at: now });
   }
 
   /** The owner took up what it was told. */
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -202,6 +202,7 @@
     if (!this.#loaded || this.#stopped) throw notOwner();
     const { term } = this.#options;
     const vm = peer.process.id;
+    this.#options.ctx.metrics.count('owner.contact');
     this.#guards.set(vm, peer);
     const worker = this.#book.fleet.get(vm);
     if (takeUpContact(this.#book, worker, req)) this.#wantPass();
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -4,8 +4,8 @@
 import { Worker, type Assignment } from '../worker/worker.js';
 import { Room } from '../placing/room.js';
 
-/** Nothing is placed on a worker that was out of contact for longer, in ms: three missed contacts. */
-const PLACE_WITHIN_MS = 1600;
+/** Nothing is placed on a worker that was out of contact for longer, in ms: two missed contacts. */
+const PLACE_WITHIN_MS = 2200;
 
 /** Workers by VM. */
 export class Fleet {
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -160,6 +160,7 @@
       reclaim: { reclaimMs: 2700, stopMs: 200 },
       keepEndedMs: this.keepEndedMs,
       revokeMs: 5000,
+      configApplyMs: 2000,
     });
     await app.start();
     const entry = { id, app, store, metrics: ctx.metrics };
