Let the strongest of the entries that start together own the cell

Ruled out: counting all entries of which no rank is known behind the others without more (what was tried first: the second best had waited long enough, too, by the time ranks were known).

Change: a vacant cell is taken 0.6 s after an entry's start at the earliest, and entries look for each other each 0.3 s while nobody owns the cell.

--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -119,6 +119,7 @@
         onHolder: (holder) => this.#peers.followOwner(holder),
       },
       rank: () => this.#peers.rank(),
+      isSettled: () => this.#peers.isSettled,
       isLinked: () => this.#peers.ownerLink !== undefined,
     });
   }
--- a/packages/cell/src/entry/entry-load.feature
+++ b/packages/cell/src/entry/entry-load.feature
@@ -49,3 +49,7 @@
     Given a cell of 2 entries and 1 workers
     When the owner is lost
     Then the other entry owns the cell within 1.3 s
+
+  Scenario: of entries that start together the strongest owns the cell
+    Given a cell that starts with 4 entries, the last of which has more of a processor
+    Then the last of them owns the cell
--- a/packages/cell/src/entry/entry-load.steps.ts
+++ b/packages/cell/src/entry/entry-load.steps.ts
@@ -164,3 +164,19 @@
   const lost = ownerOf(this);
   assert.ok(await eventually(() => cellOf(this).owner() !== lost, 1300));
 });
+
+Given(
+  'a cell that starts with 4 entries, the last of which has more of a processor',
+  async function (this: CellSteps) {
+    const cell = new CellWorld();
+    this.cell = cell;
+    this.jobs = [];
+    cell.configure();
+    for (const processorShare of [1, 1, 1, 2]) await cell.addEntry({ processorShare });
+    assert.ok(await eventually(() => cell.owner() !== undefined));
+  },
+);
+
+Then('the last of them owns the cell', function (this: CellSteps) {
+  assert.equal(ownerOf(this), cellOf(this).entries.at(-1));
+});
--- a/packages/cell/src/entry/peer-entries.ts
+++ b/packages/cell/src/entry/peer-entries.ts
@@ -32,9 +32,15 @@
 /** And isn't tried again for this long, in ms. */
 const PASSED_OVER_MS = 30_000;
 
-/** Pause before an own row that couldn't be written is tried again, in ms. */
+/** Pause before an own row that couldn't be written is tried again, and between looks while no owner is known, in ms. */
 const RETRY_MS = 300;
 
+/**
+ * Entries that start together announce themselves within this time, in ms; before, none of them is the best of all. Otherwise
+ * the first to look would own the cell, and may be the weakest.
+ */
+const ANNOUNCED_WITHIN_MS = 600;
+
 const CALL_TIMEOUT_MS = 1200;
 
 /** A call is passed on to this many entries at once: the store may turn one of them away as well. */
@@ -69,6 +75,11 @@
 
   #rows: EntryRow[] = [];
 
+  #startedAt = Infinity;
+
+  /** False until somebody is known to own the cell, if only this entry. */
+  #hasOwner = false;
+
   #owner: Holder | undefined;
 
   /** As the last owner told that there was a link to. */
@@ -94,6 +105,11 @@
     return this.#owner && this.#peers.get(this.#owner.id)?.dialer.link;
   }
 
+  /** False until the others have had time to announce themselves: who is best isn't known before. */
+  get isSettled(): boolean {
+    return this.#now() - this.#startedAt >= ANNOUNCED_WITHIN_MS;
+  }
+
   /** How many entries take the cell before this one when its owner is lost; undefined if it is none of those. */
   rank(): number | undefined {
     const { self } = this.#options;
@@ -104,6 +120,7 @@
   }
 
   start(): void {
+    this.#startedAt = this.#now();
     void this.#tick();
   }
 
@@ -115,6 +132,7 @@
 
   /** Keeps a link to this entry as long as it owns the cell. */
   followOwner(holder: Holder | undefined): void {
+    this.#hasOwner = holder !== undefined;
     const owner = holder?.id === this.#options.self.id ? undefined : holder;
     if (this.#stopped || owner?.incarnation === this.#owner?.incarnation) return;
     this.#owner = owner;
@@ -156,7 +174,7 @@
   }
 
   #pauseMs(): number {
-    if (!this.#registered) return RETRY_MS;
+    if (!this.#registered || !this.#hasOwner) return RETRY_MS;
     return this.links.length > NEIGHBOURS ? SETTLED_LOOK_MS : LOOK_EVERY_MS;
   }
 
--- a/packages/cell/src/owner/ownership.ts
+++ b/packages/cell/src/owner/ownership.ts
@@ -60,6 +60,8 @@
   events: OwnershipEvents;
   /** How many entries take the cell before this one; undefined if it isn't one of those that look out for its loss. */
   rank: () => number | undefined;
+  /** Whether this entry has been there long enough to know who else is. */
+  isSettled: () => boolean;
   /** Whether there is a link to the owner. */
   isLinked: () => boolean;
 }
@@ -221,6 +223,7 @@
     const holder = ownerRow && unpackOwner(ownerRow.value).holder;
     const giveWayMs = GIVE_WAY_MS * (this.#options.rank() ?? SUCCESSORS);
     if (ownerRow === undefined || holder === undefined) {
+      if (!this.#options.isSettled()) return false;
       this.#vacantSince ??= now;
       return now - this.#vacantSince >= giveWayMs;
     }
