Tell of a rank that changes and of entries that are passed over, and pass none over sooner than 3 s

Cause: with links complete an entry looks every 10 s, so that a neighbour lost just before a look counted as missing since the look before. Found on reading.

--- a/packages/cell/src/entry/peer-entries.ts
+++ b/packages/cell/src/entry/peer-entries.ts
@@ -57,8 +57,8 @@
 interface Peer {
   address: string;
   dialer: Dialer;
-  /** When it was last seen without a link having had one, or first dialled, on the monotonic clock. */
-  missingSince: number;
+  /** When it was first seen without a link, on the monotonic clock; undefined while it has one. */
+  missingSince: number | undefined;
 }
 
 /** Other entries of the cell. */
@@ -85,6 +85,8 @@
   /** As the last owner told that there was a link to. */
   #successors: string[] | undefined;
 
+  #rank: number | undefined;
+
   #timer: NodeJS.Timeout | undefined;
 
   #registered = false;
@@ -115,8 +117,15 @@
     const { self } = this.#options;
     const { ownerLink } = this;
     this.#successors = (ownerLink && successorsTold(ownerLink)) ?? this.#successors;
-    const rank = (this.#successors ?? successorsAnnounced(self, this.#rows)).indexOf(self.id);
-    return rank < 0 ? undefined : rank;
+    const successors = this.#successors ?? successorsAnnounced(self, this.#rows);
+    const index = successors.indexOf(self.id);
+    const rank = index < 0 ? undefined : index;
+    if (rank !== this.#rank) {
+      const toldBy = this.#successors && this.#owner?.id;
+      this.#options.ctx.log.info({ rank, successors, toldBy }, 'rank among successors changed');
+    }
+    this.#rank = rank;
+    return rank;
   }
 
   start(): void {
@@ -216,10 +225,14 @@
   #giveUpMissing(): void {
     const now = this.#now();
     this.#peers.forEach((peer, id) => {
-      if (peer.dialer.link !== undefined) Object.assign(peer, { missingSince: now });
-      if (now - peer.missingSince > GIVE_UP_AFTER_MS) {
-        this.#passedOver.set(id, now + PASSED_OVER_MS);
-      }
+      const missingSince = peer.dialer.link === undefined ? (peer.missingSince ?? now) : undefined;
+      Object.assign(peer, { missingSince });
+      const missingMs = now - (missingSince ?? now);
+      if (id === this.#owner?.id || missingMs <= GIVE_UP_AFTER_MS) return;
+      this.#passedOver.set(id, now + PASSED_OVER_MS);
+      const { ctx } = this.#options;
+      ctx.metrics.count('peers.passed-over');
+      ctx.log.info({ peer: id, missingMs }, 'entry passed over');
     });
   }
 
@@ -257,7 +270,7 @@
       expectId: id,
       status: () => ({ processorShare: self.processorShare }),
     });
-    this.#peers.set(id, { address, dialer, missingSince: this.#now() });
+    this.#peers.set(id, { address, dialer, missingSince: undefined });
     ctx.log.info({ peer: id, address }, 'entry dialled');
     dialer.start();
   }
