--- a/packages/cell/src/store/table-follower.ts
+++ b/packages/cell/src/store/table-follower.ts
@@ -4,8 +4,8 @@
 import { pause } from '../clock/pause.js';
 
 /**
- * How long a feed call waits for a change, in ms. Short, as a connection may go silent without an error, and jobs are
- * shown as they were meanwhile; a call costs the platform less than a hundredth of what a late urgent job does.
+ * How long a feed call waits for a change, in ms. Short, as a connection may go silent without an error, and a job whose entry
+ * has no link to the owner waits meanwhile; a call costs the platform less than a hundredth of what a late urgent job does.
  */
 const FEED_WAIT_MS = 800;
 
