Say when a runner stops answering, what ran there and for how long

Cause: between a runner's crash and its next life no process wrote a line, so that logs couldn't tell which of its runs had just been started, nor tell a task that crashes its runner from one that stood beside.

Change: the guard keeps since when each run has been on its runner; at the first call without an answer it logs the runs there with their ages, and again, with how long it was silent, once another life is there. The owner says of a run that it gives up how long ago it was assigned and listed, and how far it had come. Counters runner.silent and runner.replaced. No decision changes.

--- /dev/null
+++ b/packages/cell/src/guard/aboard.ts
@@ -0,0 +1,69 @@
+/**
+ * Which runs were on a runner when it stopped answering, and how long each had been there. When the runner comes back as
+ * another life, nothing else is left that could tell which of them took it down.
+ */
+import type { RunName } from '@zincspan/core';
+import { runKey } from '../job/task-name.js';
+
+/** A run and how long it had been on its runner, in ms. */
+export interface AboardRun extends RunName {
+  ranMs: number;
+}
+
+/** The moment from which a runner gave no answer any more. */
+export interface Silence {
+  /** On the guard's monotonic clock, in ms. */
+  at: number;
+  runs: AboardRun[];
+}
+
+/** A run and since when it has been on the runner, on the guard's monotonic clock, in ms. */
+export interface SentRun extends RunName {
+  at: number;
+}
+
+/** Of one life of a runner. */
+export class Aboard {
+  readonly #since = new Map<string, SentRun>();
+
+  #silence: Silence | undefined;
+
+  /** Undefined while the runner answers. */
+  get silence(): Silence | undefined {
+    return this.#silence;
+  }
+
+  noteStarted({ task, run }: RunName, at: number): void {
+    this.#since.set(runKey({ task, run }), { task, run, at });
+  }
+
+  /** All that was on the runner at `at`; what wasn't known before counts from then. */
+  noteRunning(running: readonly RunName[], at: number): void {
+    const keys = new Set(running.map(runKey));
+    [...this.#since.keys()]
+      .filter((key) => !keys.has(key))
+      .forEach((key) => this.#since.delete(key));
+    running
+      .filter((run) => !this.#since.has(runKey(run)))
+      .forEach((run) => this.noteStarted(run, at));
+  }
+
+  noteAnswer(): void {
+    this.#silence = undefined;
+  }
+
+  /**
+   * A call got no answer. The first one in a row fixes what was there, with the starts that were on their way (`sent`): what
+   * is sent later never arrives. True if it is the first.
+   */
+  noteNoAnswer(at: number, sent: readonly SentRun[]): boolean {
+    if (this.#silence !== undefined) return false;
+    const runs = [...this.#since.values(), ...sent].map((run) => ({
+      task: run.task,
+      run: run.run,
+      ranMs: Math.max(0, Math.round(at - run.at)),
+    }));
+    this.#silence = { at, runs };
+    return true;
+  }
+}
--- a/packages/cell/src/guard/run-orders.ts
+++ b/packages/cell/src/guard/run-orders.ts
@@ -1,5 +1,6 @@
 /** Orders on their way to the runner: each is repeated until it is answered or surely barred. */
 import type { PaceOrder, ProcessContext, RunName, StartOrder, StartRefusal } from '@zincspan/core';
+import type { SentRun } from './aboard.js';
 import type { RunnerAnswer, RunnerLife, RunnerPort, RunnerRefusal } from './runner-port.js';
 import { pause } from '../clock/pause.js';
 import { runKey } from '../job/task-name.js';
@@ -55,7 +56,7 @@
 
   readonly #events: RunOrderEvents;
 
-  readonly #starting = new Map<string, RunName>();
+  readonly #starting = new Map<string, SentRun>();
 
   readonly #stopped = new Map<string, number>();
 
@@ -79,15 +80,20 @@
     this.#events = events;
   }
 
+  /** Starts that aren't answered yet, and when each was first sent. */
+  sent(): SentRun[] {
+    return [...this.#starting.values()];
+  }
+
   /** Starts that aren't answered yet. */
   inProgress(): RunName[] {
-    return [...this.#starting.values()];
+    return this.sent().map(({ task, run }) => ({ task, run }));
   }
 
   start(order: StartOrder, target: OrderContext): void {
     const key = runKey(order);
     if (this.#starting.has(key)) return;
-    this.#starting.set(key, { task: order.task, run: order.run });
+    this.#starting.set(key, { task: order.task, run: order.run, at: this.#now() });
     void this.#start(order, target)
       .catch((err: unknown) => {
         this.#ctx.metrics.count('order.failed');
--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -17,6 +17,9 @@
 /** Pause after a look that failed, or while ends wait for the owner, in ms. */
 const LOOK_PAUSE_MS = 80;
 
+/** Runs named in a log line: a runner has tens of them. */
+const MOST_RUNS_LOGGED = 8;
+
 /** Says nothing about a runner. */
 const SILENT_CONTACT: CellContact = { running: [], ends: [], inProgress: [], refused: [] };
 
@@ -139,6 +142,7 @@
 
   #adopt(report: RunnerReport): void {
     const earlier = this.#life?.record.report.id;
+    this.#noteReplaced();
     const record = new RunnerRecord({ report, now: this.#now() });
     const orders = new RunOrders({
       ctx: this.#ctx,
@@ -200,10 +204,34 @@
     }
     this.#ctx.metrics.count(`runner.look-${answer.outcome}`);
     if (answer.outcome === 'refused') record.noteAnswer(this.#now());
+    else this.#noteSilence(life);
     if (answer.outcome === 'wrong-life') this.#onNews();
     await pause(LOOK_PAUSE_MS);
   }
 
+  #noteSilence({ record, orders }: Life): void {
+    if (!record.noteNoAnswer(this.#now(), orders.sent())) return;
+    this.#ctx.metrics.count('runner.silent');
+    const { id } = record.report;
+    this.#ctx.log.warn({ runner: id, ...describeRuns(record) }, "runner doesn't answer");
+  }
+
+  /** Another life of the runner is there although the one before never said that it leaves. */
+  #noteReplaced(): void {
+    const record = this.#life?.record;
+    if (record === undefined || record.report.draining) return;
+    this.#ctx.metrics.count('runner.replaced');
+    const { silence } = record;
+    this.#ctx.log.warn(
+      {
+        runner: record.report.id,
+        ...(silence === undefined ? {} : { silentMs: Math.round(this.#now() - silence.at) }),
+        ...describeRuns(record),
+      },
+      'runner crashed',
+    );
+  }
+
   #target({ record }: Life): OrderContext {
     const term = this.#term;
     return {
@@ -218,3 +246,13 @@
     return this.#ctx.clock.now();
   }
 }
+
+/** Runs that were there when the runner fell silent, for a log line: the youngest, as one of them may have been its end. */
+function describeRuns({ silence }: RunnerRecord): { runs: number; youngest: string } {
+  const runs = [...(silence?.runs ?? [])].sort((a, b) => a.ranMs - b.ranMs);
+  const youngest = runs
+    .slice(0, MOST_RUNS_LOGGED)
+    .map(({ task, run, ranMs }) => `${task}#${run}:${ranMs}ms`)
+    .join(' ');
+  return { runs: runs.length, youngest };
+}
--- a/packages/cell/src/guard/runner-record.feature
+++ b/packages/cell/src/guard/runner-record.feature
@@ -16,3 +16,16 @@
     And it was answered again at 300
     When a listing that was asked for at 200 shows nothing of it
     Then the run is told as refused
+
+  Scenario: a runner that stops answering: what ran there, and for how long
+    Given a runner that lists a run at 100
+    And another run started there at 900
+    And a start was sent at 1000 and isn't answered
+    When a call gets no answer at 1010, and again at 2000
+    Then 3 runs were there, of 910, 110 and 10 ms
+
+  Scenario: a runner that answers again hasn't stopped
+    Given a runner that lists a run at 100
+    When a call gets no answer at 1010, and again at 2000
+    And a listing that was asked for at 2100 shows nothing of it
+    Then it isn't silent
--- a/packages/cell/src/guard/runner-record.steps.ts
+++ b/packages/cell/src/guard/runner-record.steps.ts
@@ -1,13 +1,18 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import type { SentRun } from './aboard.js';
 import { RunnerRecord } from './runner-record.js';
 
 interface RecordSteps {
   record: RunnerRecord;
+  sent?: SentRun[];
 }
 
 const RUN = { task: '0000000000000001.0.0.0', run: 1 };
 
+const OTHER_TASK = '0000000000000002.0.0.0';
+const SENT_TASK = '0000000000000003.0.0.0';
+
 /** When the contact is made, in ms. */
 const TOLD_AT = 400;
 
@@ -15,25 +20,65 @@
   return record.contact(TOLD_AT, []).refused.some(({ task }) => task === RUN.task);
 }
 
+function newRecord(): RunnerRecord {
+  const report = {
+    id: 'life-1',
+    address: '127.0.0.1:1',
+    service: 'render',
+    failureDomain: 'hall',
+    labels: [],
+    capacity: { milliCores: 1, memoryMb: 1, accelerators: 1 },
+    draining: false,
+    sequence: 1,
+  };
+  return new RunnerRecord({ report, now: 0 });
+}
+
 Given(
   'a runner whose stop of a run was answered at {int}',
   function (this: RecordSteps, at: number) {
-    const report = {
-      id: 'life-1',
-      address: '127.0.0.1:1',
-      service: 'render',
-      failureDomain: 'hall',
-      labels: [],
-      capacity: { milliCores: 1, memoryMb: 1, accelerators: 1 },
-      draining: false,
-      sequence: 1,
-    };
-    this.record = new RunnerRecord({ report, now: 0 });
+    this.record = newRecord();
     this.record.noteListing({ clockMs: 0, running: [], ends: [] }, { sentAt: 10, now: 20 });
     this.record.noteStopped(RUN, at);
   },
 );
 
+Given('a runner that lists a run at {int}', function (this: RecordSteps, at: number) {
+  this.record = newRecord();
+  const running = [{ ...RUN, checkpoint: '', percent: 3 }];
+  this.record.noteListing({ clockMs: 0, running, ends: [] }, { sentAt: at, now: at + 10 });
+});
+
+Given('another run started there at {int}', function (this: RecordSteps, at: number) {
+  this.record.noteStarted({ ...RUN, task: OTHER_TASK }, at);
+});
+
+Given("a start was sent at {int} and isn't answered", function (this: RecordSteps, at: number) {
+  this.sent = [{ task: SENT_TASK, run: 2, at }];
+});
+
+When(
+  'a call gets no answer at {int}, and again at {int}',
+  function (this: RecordSteps, first: number, second: number) {
+    const sent = this.sent ?? [];
+    assert.ok(this.record.noteNoAnswer(first, sent));
+    assert.equal(this.record.noteNoAnswer(second, sent), false);
+  },
+);
+
+Then(
+  '{int} runs were there, of {int}, {int} and {int} ms',
+  function (this: RecordSteps, count: number, first: number, second: number, third: number) {
+    const ages = this.record.silence?.runs.map(({ ranMs }) => ranMs) ?? [];
+    assert.equal(ages.length, count);
+    assert.deepEqual(ages, [first, second, third]);
+  },
+);
+
+Then("it isn't silent", function (this: RecordSteps) {
+  assert.equal(this.record.silence, undefined);
+});
+
 Given('it was answered again at {int}', function (this: RecordSteps, at: number) {
   this.record.noteStopped(RUN, at);
 });
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -1,5 +1,6 @@
 /** What a guard keeps of one life of its runner: the last listing, and what came to pass since it was asked for. */
 import type { CellContact, RunName, RunStatus } from '@zincspan/core';
+import { Aboard, type SentRun, type Silence } from './aboard.js';
 import type { Refused } from './run-orders.js';
 import { RunnerLease } from './runner-lease.js';
 import type { Listing, RunnerReport } from './runner-port.js';
@@ -35,6 +36,8 @@
   /** Stops that were answered and not yet seen in a listing. */
   readonly #stopped = new Map<string, RunName & At>();
 
+  readonly #aboard = new Aboard();
+
   #confirmedEnd = 0;
 
   /** It said that it ends. */
@@ -86,13 +89,25 @@
     this.#report = { ...this.#report, draining: true };
   }
 
+  /** Since when it hasn't answered, and what ran there then; undefined while it answers. */
+  get silence(): Silence | undefined {
+    return this.#aboard.silence;
+  }
+
   /** It answered, if only to refuse. */
   noteAnswer(now: number): void {
     this.#answeredAt = now;
+    this.#aboard.noteAnswer();
+  }
+
+  /** It gave no answer; `sent`: starts on their way. True if it is the first time since it answered. */
+  noteNoAnswer(now: number, sent: readonly SentRun[]): boolean {
+    return this.#aboard.noteNoAnswer(now, sent);
   }
 
   noteStarted(run: RunName, now: number): void {
     this.#started.set(runKey(run), { ...run, at: now });
+    this.#aboard.noteStarted(run, now);
   }
 
   noteRefused(refused: Refused): void {
@@ -121,8 +136,9 @@
     this.lease.noteClock(clockMs, now);
     this.#listing = { running, ends };
     this.#listedAt = sentAt;
-    this.#answeredAt = now;
+    this.noteAnswer(now);
     this.#dropSeen(sentAt);
+    this.#aboard.noteRunning(this.#running(), sentAt);
     const hasRefused = [...this.#refused.values()].some(({ at }) => at < sentAt);
     return isFirst || hasNewEnd || hasRefused;
   }
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -191,7 +191,13 @@
     worker.assignments.delete(assignment.name);
     const { jobId, ref, run, checkpoint } = assignment;
     this.#ctx.metrics.count('run.lost');
-    this.log('run given up', { task: assignment.name, run, vm: worker.vm, reason });
+    this.log('run given up', {
+      task: assignment.name,
+      run,
+      vm: worker.vm,
+      reason,
+      ...this.#describeTime(assignment),
+    });
     this.end(jobId, { ref, run, how: 'lost', checkpoint });
   }
 
@@ -313,6 +319,13 @@
     return this.assignmentsOf(jobId).filter((other) => other.run === run && isSameStep(other, ref));
   }
 
+  /** How long ago a run was assigned and first listed, in ms, and how far it had come. */
+  #describeTime({ assignedAt, runningAt, percent }: Assignment): object {
+    const assignedMs = Math.round(this.now() - assignedAt);
+    if (runningAt === undefined) return { assignedMs };
+    return { assignedMs, runningMs: Math.round(this.now() - runningAt), percent };
+  }
+
   #noteDuration(job: OwnedJob, { ref, runningAt, resumed }: Assignment): void {
     const step = job.submission.steps[ref.step];
     if (step === undefined || step.lasting || runningAt === undefined || resumed) return;
