Add scenarios of tasks that crash their runners, which fail: they are started without end

Symptom: callers see such a job as running for good, and others lose their runs with each crash. The emulated runner can now be crashed by a task: it is gone 10 ms after it has said yes to the start, cuts its connections, and comes back as another life.

On this code 4 of 5 scenarios fail (not given up within 15 s, alone, over a change of owner, as a member of a gang, and beside other jobs on the only worker); a task whose runner crashes once completes, as it should.

--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -22,7 +22,7 @@
 } from './cell-steps.support.js';
 
 Given(
-  'a cell of {int} entries and {int} workers',
+  'a cell of {int} entries and {int} worker(s)',
   async function (this: CellSteps, entries: number, workers: number) {
     const cell = new CellWorld();
     this.cell = cell;
--- /dev/null
+++ b/packages/cell/src/owner/crashing-tasks.steps.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { eventually, testStep } from '../testing/cell-world.support.js';
+import { cellOf, handIn, jobOf, ownerOf, type CellSteps } from './cell-steps.support.js';
+
+/** Every run of the task crashes its runner. */
+const ALWAYS = 99;
+
+/** Some crashes, each with the time until the runner is back, in ms. */
+const GIVEN_UP_WITHIN_MS = 15_000;
+
+function mostStartsOfATask(world: CellSteps, job: string): number {
+  const counts = new Map<string, number>();
+  cellOf(world)
+    .starts(job)
+    .forEach(({ task }) => counts.set(task, (counts.get(task) ?? 0) + 1));
+  return Math.max(0, ...counts.values());
+}
+
+When('a job whose runs all crash their runners is handed in', async function (this: CellSteps) {
+  await handIn(this, { spec: { crashRuns: ALWAYS } });
+});
+
+When('a job whose first run crashes its runner is handed in', async function (this: CellSteps) {
+  await handIn(this, { spec: { crashRuns: 1, workMs: 300 } });
+});
+
+When(
+  'a gang of {int} tasks, one of which crashes its runners, is handed in',
+  async function (this: CellSteps, tasks: number) {
+    const demand = { milliCores: 1000, memoryMb: 100, accelerators: 8 };
+    const steps = [testStep({ tasks, gang: true, demand })];
+    const spec = { crashRuns: ALWAYS, crashTasks: [1], gangs: { 0: tasks }, workMs: 300 };
+    await handIn(this, { steps, spec });
+  },
+);
+
+When('{int} jobs that take 2 s are handed in', async function (this: CellSteps, count: number) {
+  for (let each = 0; each < count; each++) await handIn(this, { spec: { workMs: 2000 } });
+  const running = () => cellOf(this).workers.flatMap(({ runner }) => runner.life?.running() ?? []);
+  assert.ok(await eventually(() => running().length === count));
+});
+
+When('after its second start nothing happens', async function (this: CellSteps) {
+  assert.ok(await eventually(() => mostStartsOfATask(this, jobOf(this)) >= 2));
+});
+
+When('after its second start the loss of the owner happens', async function (this: CellSteps) {
+  assert.ok(await eventually(() => mostStartsOfATask(this, jobOf(this)) >= 2));
+  const owner = ownerOf(this);
+  owner.store.fault = 'silent';
+  void owner.app.stop();
+});
+
+Then(
+  /^(?:it|the last of them) is given up$/,
+  { timeout: 20_000 },
+  async function (this: CellSteps) {
+    const job = this.jobs.at(-1);
+    assert.ok(job !== undefined);
+    const isFailed = async (): Promise<boolean> => (await cellOf(this).state(job)) === 'failed';
+    assert.ok(await eventually(isFailed, GIVEN_UP_WITHIN_MS));
+  },
+);
+
+Then('none of its tasks was started more than 5 times', function (this: CellSteps) {
+  assert.ok(mostStartsOfATask(this, jobOf(this)) <= 5);
+});
+
+Then('the others complete', { timeout: 20_000 }, async function (this: CellSteps) {
+  const others = this.jobs.slice(0, -1);
+  const states = (): Promise<string[]> => Promise.all(others.map((id) => cellOf(this).state(id)));
+  const areOver = async (): Promise<boolean> => !(await states()).includes('running');
+  assert.ok(await eventually(areOver, GIVEN_UP_WITHIN_MS));
+  assert.deepEqual(
+    await states(),
+    others.map(() => 'completed'),
+  );
+});
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -23,6 +23,9 @@
 const LINK_KEY = '0'.repeat(64);
 const HEARTBEAT_MS = 300;
 
+/** A runner that a task crashed is back as another life after this time, in ms. */
+const AWAY_MS = 300;
+
 /** An answer of the emulated advisor takes this long. */
 const ADVICE_MS = 20;
 
@@ -126,6 +129,8 @@
 
   #version = 0;
 
+  #stopped = false;
+
   /** The operator's next configuration. */
   configure(change: Partial<CellConfig> = {}): void {
     this.#version += 1;
@@ -212,6 +217,16 @@
     worker.lives.push(life);
   }
 
+  #crashRunner(id: string): void {
+    const worker = this.workers.find((each) => each.id === id);
+    worker?.runner.life?.crash();
+    if (worker === undefined || this.#stopped) return;
+    worker.runner.life = undefined;
+    setTimeout(() => {
+      if (!this.#stopped) this.replaceRunner(worker);
+    }, AWAY_MS);
+  }
+
   newJobId(): string {
     this.#ids += 1;
     return this.#ids.toString(16).padStart(16, '0');
@@ -260,6 +275,7 @@
   }
 
   async stop(): Promise<void> {
+    this.#stopped = true;
     this.workers.forEach(({ guard, beat, runner }) => {
       clearInterval(beat);
       guard.stop();
@@ -276,6 +292,7 @@
       slots: 8,
       board: this.board,
       takesTicket: (step, ticket) => this.advisor?.isValid(step, life, ticket) ?? true,
+      onCrash: () => this.#crashRunner(id),
     });
   }
 
--- a/packages/cell/src/testing/memory-runner.support.ts
+++ b/packages/cell/src/testing/memory-runner.support.ts
@@ -92,6 +92,7 @@
     timeoutMs: number,
   ): Promise<{ outcome: 'wrong-life' } | { outcome: 'no-answer'; detail: string }> {
     if (!this.dark && this.life !== undefined) return { outcome: 'wrong-life' };
+    if (!this.dark) return { outcome: 'no-answer', detail: 'connection refused' };
     await pause(timeoutMs);
     return { outcome: 'no-answer', detail: 'dark' };
   }
--- a/packages/stand-ins/src/fleet/runner-model.ts
+++ b/packages/stand-ins/src/fleet/runner-model.ts
@@ -88,8 +88,13 @@
   /** Whether a ticket lets a step run here; without one all may. */
   takesTicket?: (step: string, ticket: string | undefined) => boolean;
   observer?: RunnerObserver;
+  /** A task has crashed the runner: whoever hosts it ends this life. */
+  onCrash?: () => void;
 }
 
+/** From the start of a task that crashes its runner to the crash, in ms: the start is answered before. */
+const CRASH_AFTER_MS = 10;
+
 const FULL = 100;
 
 /** One life. */
@@ -113,6 +118,8 @@
 
   #ends = 0;
 
+  #crashed = false;
+
   #term = 0;
 
   #deadlineMs = 0;
@@ -126,6 +133,7 @@
       gangTimeoutMs: 3000,
       takesTicket: () => true,
       observer: {},
+      onCrash: () => undefined,
       ...options,
     };
   }
@@ -224,7 +232,7 @@
   /** Waits for an end, at most this long, in ms. */
   async ended(waitMs: number): Promise<void> {
     const before = this.#ends;
-    await waitFor(this.#watchers, () => this.#ends > before, waitMs);
+    await waitFor(this.#watchers, () => this.#ends > before || this.#crashed, waitMs);
   }
 
   /** The life ends: nothing runs any more, nothing is listed. */
@@ -236,6 +244,8 @@
       this.#leaveGang(each, 'broken');
     });
     this.#running.clear();
+    this.#crashed = true;
+    [...this.#watchers].forEach((wake) => wake());
   }
 
   #admit(term: number): boolean {
@@ -272,6 +282,10 @@
     };
     this.#running.set(task, running);
     this.#options.observer.onStart?.(this.#observed(running));
+    if (crashes(running)) {
+      running.timer = setTimeout(() => this.#options.onCrash(), CRASH_AFTER_MS);
+      return;
+    }
     const size = script.gangs[stepOf(task)];
     if (size === undefined) {
       this.#work(running);
@@ -333,6 +347,11 @@
   }
 }
 
+function crashes({ task, run, script: { crashRuns, crashTasks } }: Running): boolean {
+  const index = Number(task.slice(task.lastIndexOf('.') + 1));
+  return run <= crashRuns && (crashTasks?.includes(index) ?? true);
+}
+
 function workedMs({ workingAt, resumedMs }: Running): number {
   return resumedMs + (workingAt === undefined ? 0 : performance.now() - workingAt);
 }
--- a/packages/stand-ins/src/fleet/runner-server.ts
+++ b/packages/stand-ins/src/fleet/runner-server.ts
@@ -20,6 +20,9 @@
 /** A draining runner goes on for this long after it was heard, in ms. */
 const DRAIN_MS = 2500;
 
+/** A runner that a task crashed is back as another life after this time, in ms. */
+const AWAY_MS = 1500;
+
 /** Longest wait for an end, in ms. */
 const MOST_WAIT_MS = 2000;
 
@@ -109,6 +112,9 @@
 
   #draining = false;
 
+  /** It has crashed and isn't back yet. */
+  #away = false;
+
   #timer: NodeJS.Timeout | undefined;
 
   #closed = false;
@@ -182,14 +188,25 @@
     const { vm, slots, board, holdMaxMs, observer } = this.#options;
     this.#lives += 1;
     const id = `${vm}-life-${this.#lives}`;
-    return new RunnerModel({ id, slots, board, holdMaxMs, observer });
+    return new RunnerModel({ id, slots, board, holdMaxMs, observer, onCrash: () => this.#crash() });
+  }
+
+  #crash(): void {
+    const { life } = this;
+    this.#away = true;
+    life.crash();
+    setTimeout(() => {
+      if (this.#closed) return;
+      this.#away = false;
+      if (life === this.#life) this.replace();
+    }, AWAY_MS);
   }
 
   async #beat(): Promise<void> {
     if (this.#closed) return;
     const { service, failureDomain: zone, rack, slots, heartbeatMs } = this.#options;
     this.#sequence += 1;
-    if (!this.faults.mute) {
+    if (!this.faults.mute && !this.#away) {
       await this.#send('PUT', this.#life.id, {
         service,
         address: this.#address,
@@ -259,7 +276,7 @@
     const word = life.hold({ term, confirmed, deadlineMs });
     if (word !== 'ok') return refuse(h, life, word);
     if (call.wait_ms > 0) await life.ended(call.wait_ms);
-    if (this.#life !== life || this.#closed) return cutConnection(req, h);
+    if (this.#life !== life || this.#closed || this.#away) return cutConnection(req, h);
     return {
       clock_ms: life.clockMs,
       running: life
@@ -293,6 +310,7 @@
 
   /** What a call gets that isn't served; undefined if it is. */
   #fault(req: Hapi.Request, h: Hapi.ResponseToolkit): Hapi.Lifecycle.ReturnValue | undefined {
+    if (this.#away) return cutConnection(req, h);
     if (this.faults.down === 'silent') return neverAnswer(h);
     if (this.faults.down === 'unhealthy') return h.response({}).code(UNAVAILABLE);
     const expected = req.raw.req.headers['x-expect-instance'];
--- a/packages/stand-ins/src/fleet/task-script.ts
+++ b/packages/stand-ins/src/fleet/task-script.ts
@@ -6,6 +6,9 @@
   workMs: z.number().min(0).default(200),
   /** The first so many runs of each task fail at once. */
   failRuns: z.int().min(0).default(0),
+  /** The first so many runs of each of these tasks crash their runner right after their start; all tasks if none is named. */
+  crashRuns: z.int().min(0).default(0),
+  crashTasks: z.optional(z.array(z.int())),
   /** Sizes of gangs by the number of their step. */
   gangs: z.record(z.string(), z.int()).default({}),
   /** Time between checkpoints, in ms of work; 0: none are saved. */
