Give a task up once two runners have crashed right after starting it

What callers saw: a job with a task that crashes each runner which starts it was shown as running for good, and was started 33 times within two minutes; each crash took the runs beside it along.

Cause: only ends that a runner lists as failed counted against a task. A run whose runner comes back as another life ends as lost, which counts for nothing, so nothing bounded the starts, under no owner. Ruled out: a count that is lost with the owner (four starts came within one term); the standstill watch (it blames the worker, but ends nothing). A count of every run on a crashed runner was weighed and not taken: it would end jobs that stood beside.

Change: the guard tells the owner of a crash, with how long each run had been there, again for 15 s, as the owner may be replaced. The task's progress keeps the crashes, at most once a run. After the first, the task starts where nothing else has just been started (it waits at most a second for that), nothing of others starts beside it until it is a second old, and it goes to the emptiest worker rather than the fullest, and not to a runner that is just back.

Why it holds: what is counted is durable before anything else starts, and doesn't depend on who owns the cell or on the worker; a life that left by itself, or whose guard was lost with it (power), isn't counted.

--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -2,7 +2,7 @@
  * The guard's side of one runner: follows what it lists, renews its lease while there is authority, carries out orders,
  * and keeps what the owner hasn't heard of yet.
  */
-import type { CellContact, CellOrders, ProcessContext } from '@zincspan/core';
+import type { CellContact, CellOrders, ProcessContext, RunnerCrash } from '@zincspan/core';
 import { RunOrders, type OrderContext } from './run-orders.js';
 import type { RunnerPort, RunnerReport } from './runner-port.js';
 import { RunnerRecord } from './runner-record.js';
@@ -17,6 +17,9 @@
 /** Pause after a look that failed, or while ends wait for the owner, in ms. */
 const LOOK_PAUSE_MS = 80;
 
+/** A crash is told for this long, in ms: the owner that hears of it first may be replaced before it has written that down. */
+const TELL_CRASH_MS = 15_000;
+
 /** Runs named in a log line: a runner has tens of them. */
 const MOST_RUNS_LOGGED = 8;
 
@@ -39,6 +42,9 @@
 
   #life: Life | undefined;
 
+  /** The last crash of the runner, and when its next life was adopted. */
+  #crash: { told: RunnerCrash; at: number } | undefined;
+
   #term = 0;
 
   #checking: string | undefined;
@@ -96,7 +102,13 @@
       const pace = orders.paceOf(status);
       return pace === undefined ? status : { ...status, pace };
     });
-    return { ...contact, running };
+    const crash = this.#recentCrash();
+    return { ...contact, running, ...(crash === undefined ? {} : { crash }) };
+  }
+
+  #recentCrash(): RunnerCrash | undefined {
+    if (this.#crash === undefined) return undefined;
+    return this.#now() - this.#crash.at < TELL_CRASH_MS ? this.#crash.told : undefined;
   }
 
   /** Takes the owner's answer to a contact that was sent at `sentAt`, telling of `told`. */
@@ -218,18 +230,18 @@
 
   /** Another life of the runner is there although the one before never said that it leaves. */
   #noteReplaced(): void {
-    const record = this.#life?.record;
-    if (record === undefined || record.report.draining) return;
+    const life = this.#life;
+    if (life === undefined || life.record.report.draining) return;
+    const { record, orders } = life;
+    const now = this.#now();
+    // The next life may be there before any call to the earlier one has failed.
+    record.noteNoAnswer(now, orders.sent());
+    const { id } = record.report;
+    const { at, runs } = record.silence ?? { at: now, runs: [] };
+    this.#crash = { told: { runner: id, runs }, at: now };
     this.#ctx.metrics.count('runner.replaced');
-    const { silence } = record;
-    this.#ctx.log.warn(
-      {
-        runner: record.report.id,
-        ...(silence === undefined ? {} : { silentMs: Math.round(this.#now() - silence.at) }),
-        ...describeRuns(record),
-      },
-      'runner crashed',
-    );
+    const silentMs = Math.round(now - at);
+    this.#ctx.log.warn({ runner: id, silentMs, ...describeRuns(record) }, 'runner crashed');
   }
 
   #target({ record }: Life): OrderContext {
--- a/packages/cell/src/job/progress.ts
+++ b/packages/cell/src/job/progress.ts
@@ -1,4 +1,5 @@
 /** How far a job has come. Only the owner of its cell changes it, and each change is written before it takes effect. */
+import { isGivenUp, withCrash, type CrashRecord } from './crash-record.js';
 import type { Step, Submission } from './submission.js';
 
 /** A run that was given to a runner and isn't known to be over. */
@@ -18,6 +19,8 @@
   failures: number;
   checkpoint: string;
   active?: ActiveRun;
+  /** Absent until a runner crashed under it. */
+  crashes?: CrashRecord;
 }
 
 /** One step. A gang counts its failures for all members together, once a run. */
@@ -182,6 +185,20 @@
     return true;
   }
 
+  /**
+   * A runner crashed under this run, which had been there for `ranMs`. The task's job fails once that has come to be the task's
+   * own fault: without a bound such a task was started 33 times within two minutes. False if it says nothing new.
+   */
+  noteCrash({ ref, run, ranMs }: { ref: TaskRef; run: number; ranMs: number }): boolean {
+    const task = this.findTask(ref);
+    const step = this.#submission.steps[ref.step];
+    if (task === undefined || step === undefined || task.done) return false;
+    if (this.#outcome !== 'open' || run > task.run || run <= (task.crashes?.run ?? 0)) return false;
+    task.crashes = withCrash(task.crashes, { run, ranMs });
+    if (isGivenUp(task.crashes, step)) this.#outcome = 'failed';
+    return true;
+  }
+
   /** A checkpoint of a run that goes on. True if it is a new one. */
   keepCheckpoint({ ref, run, checkpoint }: Omit<RunEnd, 'how'>): boolean {
     const task = this.findTask(ref);
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -51,6 +51,7 @@
     assignment.percent = status.percent;
     assignment.checkpoint = status.checkpoint;
   });
+  contact.crash?.runs.forEach((run) => book.noteCrash(worker, run));
   loseWhatCannotRun(book, worker, contact);
   watchServing(book, worker, contact);
   const { runner, ends, refused } = contact;
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -7,6 +7,9 @@
 /** Nothing is placed on a worker that was out of contact for longer, in ms: two missed contacts. */
 const PLACE_WITHIN_MS = 2200;
 
+/** A runner's life counts as fresh for this long, in ms: one that crashes by itself mostly does so again sooner. */
+const FRESH_MS = 10_000;
+
 /** Workers by VM. */
 export class Fleet {
   readonly #workers = new Map<string, Worker>();
@@ -85,6 +88,7 @@
 
 function toRoom(worker: Worker, now: number): Room {
   const { vm, rack, runner } = worker;
+  const young = worker.youngRuns(now);
   return new Room({
     vm,
     runner: runner?.id ?? '',
@@ -94,5 +98,8 @@
     free: worker.free(),
     capacity: runner?.capacity ?? { milliCores: 0, memoryMb: 0, accelerators: 0 },
     suspicion: worker.health.suspicion(now),
+    youngJobs: new Set(young.map(({ jobId }) => jobId)),
+    trialOf: young.find(({ isOnTrial }) => isOnTrial)?.jobId,
+    isFresh: now - worker.lifeSince < FRESH_MS,
   });
 }
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -1,9 +1,10 @@
 /** The owner's books of one term: jobs, workers, and every run that may exist. All changes of progress pass through it. */
-import type { ProcessContext } from '@zincspan/core';
+import type { ProcessContext, RunnerCrash } from '@zincspan/core';
 import type { AdviceBook } from '../advice/advice-book.js';
+import { isSuspect } from '../job/crash-record.js';
 import type { RunEnd } from '../job/progress.js';
 import type { Step } from '../job/submission.js';
-import { taskName } from '../job/task-name.js';
+import { parseTaskName, taskName } from '../job/task-name.js';
 import type { DurationBook } from '../placing/duration-book.js';
 import { FleetHealth } from '../worker/fleet-health.js';
 import type { Assignment, Worker } from '../worker/worker.js';
@@ -143,6 +144,31 @@
     return change;
   }
 
+  /** A runner crashed under a run. It may be told again, also of a run that was given up before. */
+  noteCrash(worker: Worker, { task, run, ranMs }: RunnerCrash['runs'][number]): void {
+    const parsed = parseTaskName(task);
+    const job = this.jobs.get(parsed?.jobId ?? '');
+    if (parsed === undefined || job === undefined) return;
+    const { ref } = parsed;
+    if (!job.progress.noteCrash({ ref, run, ranMs })) return;
+    this.#changed(job);
+    this.#ctx.metrics.count('run.crashed');
+    const { outcome } = job.progress;
+    const { atStart, all } = job.progress.findTask(ref)?.crashes ?? {};
+    this.log('runner crashed under a run', {
+      task,
+      run,
+      vm: worker.vm,
+      ranMs,
+      atStart,
+      all,
+      outcome,
+    });
+    if (outcome === 'open') return;
+    this.#ctx.metrics.count('job.given-up');
+    this.#stopAll(job, 'crashes its runners');
+  }
+
   /** The step that a run is of; undefined for one that isn't known. */
   stepOf(assignment: Assignment | undefined): Step | undefined {
     if (assignment === undefined) return undefined;
@@ -288,6 +314,7 @@
       assignedAt: now,
       runningAt: undefined,
       stopping: undefined,
+      isOnTrial: isSuspect(job.progress.findTask(ref)?.crashes),
     });
   }
 
--- a/packages/cell/src/owner/wanted-groups.ts
+++ b/packages/cell/src/owner/wanted-groups.ts
@@ -1,4 +1,5 @@
 /** The groups of a job that wait for room. */
+import { isSuspect } from '../job/crash-record.js';
 import { isStepReady, type Occurrence, type StepProgress } from '../job/progress.js';
 import type { Step } from '../job/submission.js';
 import type { Group } from '../placing/room.js';
@@ -14,6 +15,12 @@
 /** Otherwise for this many of its durations: elsewhere it takes three times as long, and as much room for as long. */
 const RACK_WAIT_DURATIONS = 2;
 
+/**
+ * How long a task that may crash its runner waits for a worker where nothing else has just been started, in ms: on a busy
+ * service there may be none, and it may be innocent.
+ */
+const TRIAL_WAIT_MS = 1000;
+
 /** What the wait for a rack depends on. */
 export interface RackPatience {
   /** More than half of the service is in use. */
@@ -62,6 +69,7 @@
   const key = `${occurrence.index}.${stepIndex}`;
   const readySince = job.readySince.get(key) ?? now;
   job.readySince.set(key, readySince);
+  const mayCrash = progress.tasks.some(({ crashes }) => isSuspect(crashes));
   const waitsForRack = now - readySince < rackWaitMs(step, patience);
   const group: Group = {
     jobId: job.id,
@@ -77,6 +85,8 @@
     maxPerWorker: step.maxPerWorker,
     present: tasksByWorker(progress),
     avoided: job.avoided({ occurrence: occurrence.index, step: stepIndex }, now),
+    isSuspect: mayCrash,
+    startsAlone: mayCrash && now - readySince < TRIAL_WAIT_MS,
   };
   return [{ job, step, group, readySince }];
 }
--- a/packages/cell/src/placing/fit.ts
+++ b/packages/cell/src/placing/fit.ts
@@ -24,8 +24,10 @@
   if (group.gang && totalThatFit(group, rooms) < group.indexes.length) return [];
   const waiting = [...group.indexes];
   const placed: Placed[] = [];
-  tightestFirst(rooms).forEach((room) => {
+  const ordered = group.isSuspect ? emptiestFirst(rooms) : tightestFirst(rooms);
+  ordered.forEach((room) => {
     const count = Math.min(tasksThatFit(group, room), waiting.length);
+    if (count > 0) room.noteStart(group);
     room.take(group.demand, count);
     waiting.splice(0, count).forEach((index) => placed.push({ index, vm: room.vm }));
   });
@@ -41,3 +43,17 @@
       a.free.milliCores - b.free.milliCores,
   );
 }
+
+/**
+ * For tasks that may crash their runner: where least is lost with it, and not where the runner has just come back, as it may
+ * be that one which crashes.
+ */
+function emptiestFirst(rooms: readonly Room[]): Room[] {
+  return [...rooms].sort(
+    (a, b) =>
+      a.suspicion - b.suspicion ||
+      Number(a.isFresh) - Number(b.isFresh) ||
+      b.free.accelerators - a.free.accelerators ||
+      b.free.milliCores - a.free.milliCores,
+  );
+}
--- a/packages/cell/src/placing/placing.steps.ts
+++ b/packages/cell/src/placing/placing.steps.ts
@@ -1,18 +1,15 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { Demand } from '../job/submission.js';
 import { placeGroup } from './fit.js';
 import { byUrgency, type Standing } from './order.js';
-import { planRoom, type RoomPlan, type Victim } from './reclaim.js';
-import { Room, type Group, type Placed } from './room.js';
-
-interface PlacingSteps {
-  rooms: Room[];
-  victims: Victim[];
-  placed: Placed[];
-  plan: RoomPlan | undefined;
-  order: string[];
-}
+import {
+  accelerators,
+  newGroup,
+  newRooms,
+  numbers,
+  type PlacingSteps,
+} from './placing-steps.support.js';
+import { planRoom } from './reclaim.js';
 
 const STANDING: Standing = {
   priority: 1,
@@ -25,48 +22,6 @@
   leftChainMs: 1000,
 };
 
-function accelerators(count: number): Demand {
-  return { milliCores: 0, memoryMb: 0, accelerators: count };
-}
-
-function numbers(list: string): number[] {
-  return (list.match(/\d+/g) ?? []).map(Number);
-}
-
-function newRooms(free: readonly number[], perRack: number): Room[] {
-  return free.map(
-    (count, index) =>
-      new Room({
-        vm: `worker ${index + 1}`,
-        runner: `runner ${index + 1}`,
-        rack: `r${Math.floor(index / perRack)}`,
-        labels: [],
-        service: 'render',
-        free: accelerators(count),
-        capacity: accelerators(8),
-      }),
-  );
-}
-
-function newGroup(tasks: number, each: number, change: Partial<Group> = {}): Group {
-  return {
-    jobId: 'job',
-    occurrence: 0,
-    step: 0,
-    indexes: Array.from({ length: tasks }, (_, index) => index),
-    service: 'render',
-    demand: accelerators(each),
-    gang: false,
-    oneRack: false,
-    rack: undefined,
-    label: undefined,
-    maxPerWorker: undefined,
-    present: new Map(),
-    avoided: new Set(),
-    ...change,
-  };
-}
-
 function order(world: PlacingSteps, standings: Record<string, Standing>): void {
   Object.assign(world, {
     order: Object.entries(standings)
--- a/packages/cell/src/placing/room-ledger.ts
+++ b/packages/cell/src/placing/room-ledger.ts
@@ -39,7 +39,11 @@
   /** Places as much of the group as fits now and takes the room. */
   place(group: Group): Placed[] {
     const placed = placeGroup(group, this.free);
-    placed.forEach(({ vm }) => this.#coming.get(vm)?.take(group.demand, 1));
+    placed.forEach(({ vm }) => {
+      const coming = this.#coming.get(vm);
+      coming?.take(group.demand, 1);
+      coming?.noteStart(group);
+    });
     return placed;
   }
 
--- a/packages/cell/src/placing/room.ts
+++ b/packages/cell/src/placing/room.ts
@@ -13,6 +13,12 @@
   capacity: Demand;
   /** Lower is better: how much a worker is to be avoided, 0 if it is sound. */
   suspicion?: number;
+  /** Jobs with runs here that have only just been started. */
+  youngJobs?: ReadonlySet<string>;
+  /** The job whose run here may crash the runner: nothing of others starts beside it until that is seen. */
+  trialOf?: string | undefined;
+  /** The runner has only just come back. */
+  isFresh?: boolean;
 }
 
 /** Room on one worker, as a pass uses it up. */
@@ -31,9 +37,27 @@
 
   readonly suspicion: number;
 
+  readonly isFresh: boolean;
+
   #free: Demand;
 
-  constructor({ vm, runner, rack, labels, service, free, capacity, suspicion = 0 }: RoomOptions) {
+  #youngJobs: ReadonlySet<string>;
+
+  #trialOf: string | undefined;
+
+  constructor({
+    vm,
+    runner,
+    rack,
+    labels,
+    service,
+    free,
+    capacity,
+    suspicion = 0,
+    youngJobs = new Set(),
+    trialOf,
+    isFresh = false,
+  }: RoomOptions) {
     this.vm = vm;
     this.runner = runner;
     this.rack = rack;
@@ -41,13 +65,30 @@
     this.service = service;
     this.capacity = capacity;
     this.suspicion = suspicion;
+    this.isFresh = isFresh;
     this.#free = free;
+    this.#youngJobs = youngJobs;
+    this.#trialOf = trialOf;
   }
 
   get free(): Readonly<Demand> {
     return this.#free;
   }
 
+  get youngJobs(): ReadonlySet<string> {
+    return this.#youngJobs;
+  }
+
+  get trialOf(): string | undefined {
+    return this.#trialOf;
+  }
+
+  /** Tasks of this group start here. */
+  noteStart({ jobId, isSuspect }: Group): void {
+    this.#youngJobs = new Set([...this.#youngJobs, jobId]);
+    if (isSuspect) this.#trialOf = jobId;
+  }
+
   /** Takes the room of `count` tasks; a negative count gives it back. */
   take(demand: Demand, count: number): void {
     this.#free = {
@@ -72,7 +113,8 @@
   }
 
   copy(): Room {
-    return new Room({ ...this, free: this.#free });
+    const { youngJobs, trialOf } = this;
+    return new Room({ ...this, free: this.#free, youngJobs, trialOf });
   }
 }
 
@@ -96,6 +138,10 @@
   present: ReadonlyMap<string, number>;
   /** Workers where the step's runs went wrong lately. */
   avoided: ReadonlySet<string>;
+  /** A runner crashed right after it had started one of the tasks. */
+  isSuspect: boolean;
+  /** For now it starts only where nothing else is as young: should the runner crash again, it is known who did it. */
+  startsAlone: boolean;
 }
 
 /** A task of a group and its worker. */
@@ -133,8 +179,10 @@
   return [...rooms].reduce((sum, room) => sum + tasksThatFit(group, room), 0);
 }
 
-/** Right service, label and rack. */
+/** Right service, label and rack, and no run on trial beside another that could be to blame as well. */
 export function isEligible(group: Group, room: Room): boolean {
+  if (room.trialOf !== undefined && room.trialOf !== group.jobId) return false;
+  if (group.startsAlone && [...room.youngJobs].some((id) => id !== group.jobId)) return false;
   if (room.service !== group.service || group.avoided.has(room.vm)) return false;
   if (group.label !== undefined && !room.labels.includes(group.label)) return false;
   return group.rack === undefined || room.rack === group.rack;
--- a/packages/cell/src/worker/worker.ts
+++ b/packages/cell/src/worker/worker.ts
@@ -1,6 +1,7 @@
 /** A worker as the owner of its cell sees it: its runner's life, what was given to it, what room is left. */
 import type { RunnerFacts } from '@zincspan/core';
 import { LEASE_SLACK_MS, SLOW_CLOCK } from '../clock/lease-margin.js';
+import { SUSPECT_WITHIN_MS } from '../job/crash-record.js';
 import type { TaskRef } from '../job/progress.js';
 import type { Demand } from '../job/submission.js';
 import { Pacer } from '../pacing/pacer.js';
@@ -32,6 +33,8 @@
   runningAt: number | undefined;
   /** Why it is to be stopped. */
   stopping: string | undefined;
+  /** The runner crashed under the run before it: whether it does again is to be seen. */
+  isOnTrial: boolean;
 }
 
 /** An end that was taken up and isn't durable yet. */
@@ -54,6 +57,8 @@
 
   #contactAt = -Infinity;
 
+  #lifeSince = -Infinity;
+
   #avoidUntil = -Infinity;
 
   #leaseEndsAt: number | undefined;
@@ -77,6 +82,11 @@
     return rackOf(this.#runner?.labels ?? []);
   }
 
+  /** When its runner's present life was first heard of. */
+  get lifeSince(): number {
+    return this.#lifeSince;
+  }
+
   /** When it was last in contact. */
   get contactAt(): number {
     return this.#contactAt;
@@ -115,6 +125,7 @@
       this.#ends.clear();
       this.#confirmedEnd = 0;
       this.#drainEndsAt = Infinity;
+      this.#lifeSince = now;
     }
     this.#runner = runner;
     // What it last said may be as old as a heartbeat: the earliest moment that follows from it stands.
@@ -123,6 +134,13 @@
     }
   }
 
+  /** Runs that would be suspects if the runner crashed now. */
+  youngRuns(now: number): Assignment[] {
+    return [...this.assignments.values()].filter(
+      ({ runningAt }) => runningAt === undefined || now - runningAt < SUSPECT_WITHIN_MS,
+    );
+  }
+
   /** Room that nothing was given, also not what is still being stopped. */
   free(): Demand {
     const capacity = this.#runner?.capacity ?? { milliCores: 0, memoryMb: 0, accelerators: 0 };
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -72,6 +72,15 @@
 ]);
 export type StartRefusal = z.infer<typeof startRefusalSchema>;
 
+/** A runner's life that ended without leaving first, with what was on it. */
+export const runnerCrashSchema = z.strictObject({
+  /** The life that ended. */
+  runner: z.string(),
+  /** Runs that were there when it fell silent; `ranMs`: since when each had been there, in ms. */
+  runs: z.array(runNameSchema.extend({ ranMs: z.number().min(0) })),
+});
+export type RunnerCrash = z.infer<typeof runnerCrashSchema>;
+
 /** What a guard tells the owner: all that it knows, each time. */
 export const cellContactSchema = z.strictObject({
   /** Absent until a runner has announced itself. */
@@ -82,6 +91,8 @@
   /** Orders that are being carried out. */
   inProgress: z.array(runNameSchema),
   refused: z.array(runNameSchema.extend({ reason: startRefusalSchema })),
+  /** The last crash of the runner beside the guard, told again for some seconds: the owner may change meanwhile. */
+  crash: z.optional(runnerCrashSchema),
 });
 export type CellContact = z.infer<typeof cellContactSchema>;
 
