Tell the owner at once when a runner's capacity changes

Cause: a changed capacity was told with the next contact, up to a second later, and asked for no pass.

The guard logs each change.

--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -78,8 +78,12 @@
       void this.#check(report);
       return;
     }
-    if (!record.noteReport(report)) return;
-    this.#ctx.log.info({ runner: report.id, remainingMs: report.remainingMs }, 'runner draining');
+    const news = record.noteReport(report);
+    if (news === undefined) return;
+    const { id, remainingMs, capacity } = report;
+    if (news === 'draining') this.#ctx.log.info({ runner: id, remainingMs }, 'runner draining');
+    else this.#ctx.log.info({ runner: id, capacity }, "runner's capacity changed");
+    // Also a capacity that grew: told with the next contact, what waits for it would wait a second longer.
     this.#onNews();
   }
 
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -4,6 +4,7 @@
 import type { Refused } from './run-orders.js';
 import { RunnerLease } from './runner-lease.js';
 import type { Listing, RunnerReport } from './runner-port.js';
+import { isSameDemand } from '../job/submission.js';
 import { runKey } from '../job/task-name.js';
 
 /** A runner that hasn't answered for this long counts as out of reach, in ms: a look that failed took 1.3 s. */
@@ -76,12 +77,13 @@
     return !this.#left && now - this.#answeredAt < UNREACHABLE_AFTER_MS;
   }
 
-  /** A later heartbeat of this life. True if it says for the first time that the runner is draining. */
-  noteReport(report: RunnerReport): boolean {
-    if (report.sequence <= this.#report.sequence) return false;
-    const wasDraining = this.#report.draining;
-    this.#report = { ...report, draining: report.draining || wasDraining };
-    return report.draining && !wasDraining;
+  /** A later heartbeat of this life. Answers what is new in it, if that lets something start or bars it. */
+  noteReport(report: RunnerReport): 'draining' | 'capacity' | undefined {
+    const earlier = this.#report;
+    if (report.sequence <= earlier.sequence) return undefined;
+    this.#report = { ...report, draining: report.draining || earlier.draining };
+    if (report.draining && !earlier.draining) return 'draining';
+    return isSameDemand(report.capacity, earlier.capacity) ? undefined : 'capacity';
   }
 
   noteLeave(): void {
--- a/packages/cell/src/job/submission.ts
+++ b/packages/cell/src/job/submission.ts
@@ -116,3 +116,10 @@
   });
   return Math.max(0, ...ends);
 }
+
+/** True if both are the same room. */
+export function isSameDemand(a: Demand, b: Demand): boolean {
+  return (
+    a.milliCores === b.milliCores && a.memoryMb === b.memoryMb && a.accelerators === b.accelerators
+  );
+}
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -5,8 +5,10 @@
   ListedEnd,
   PaceOrder,
   RunName,
+  RunnerFacts,
   StartOrder,
 } from '@zincspan/core';
+import { isSameDemand } from '../job/submission.js';
 import { parseTaskName, runKey } from '../job/task-name.js';
 import type { Assignment, Worker } from '../worker/worker.js';
 import type { RunBook } from './run-book.js';
@@ -55,11 +57,17 @@
   loseWhatCannotRun(book, worker, contact);
   watchServing(book, worker, contact);
   const { runner, ends, refused } = contact;
-  const isOther = runner?.id !== earlierLife || runner?.draining !== earlier?.draining;
+  const isOther = !isSameRunner(runner, earlier);
   const hasChanged = worker.assignments.size !== runsBefore;
   return ends.length > 0 || refused.length > 0 || hasChanged || isOther || !wasThere;
 }
 
+/** False if something may start, or may not any more, by what the runner says of itself. */
+function isSameRunner(a: RunnerFacts | undefined, b: RunnerFacts | undefined): boolean {
+  if (a === undefined || b === undefined) return a === b;
+  return a.id === b.id && a.draining === b.draining && isSameDemand(a.capacity, b.capacity);
+}
+
 /** Sets the pace of what fills the worker by how its serving tasks do. */
 function watchServing(book: RunBook, worker: Worker, { running }: CellContact): void {
   const paces = running.flatMap(({ pace }) => pace ?? []);
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -23,6 +23,9 @@
 const LINK_KEY = '0'.repeat(64);
 const HEARTBEAT_MS = 300;
 
+/** Of a worker, unless a test says otherwise. */
+const ACCELERATORS = 8;
+
 /** A runner that a task crashed is back as another life after this time, in ms. */
 const AWAY_MS = 300;
 
@@ -104,6 +107,8 @@
   beat: NodeJS.Timeout;
   /** Its runner leaves after at least this long, in ms. */
   remainingMs: number | undefined;
+  /** What its runner says of its room; the emulated runner takes more all the same. */
+  accelerators: number;
 }
 
 /** A cell that runs until `stop`. */
@@ -203,6 +208,7 @@
       lives: [life],
       beat: setInterval(() => this.beat(worker, rack), HEARTBEAT_MS),
       remainingMs: undefined,
+      accelerators: ACCELERATORS,
     };
     this.workers.push(worker);
     this.beat(worker, rack);
@@ -297,7 +303,7 @@
   }
 
   /** The runner reports to its guard. */
-  beat({ guard, runner, remainingMs }: WorkerVm, rack = 'r1'): void {
+  beat({ guard, runner, remainingMs, accelerators }: WorkerVm, rack = 'r1'): void {
     const { life } = runner;
     if (life === undefined || runner.dark) return;
     this.#sequence += 1;
@@ -307,7 +313,7 @@
       service: 'render',
       failureDomain: 'hall',
       labels: ['a', rack],
-      capacity: { milliCores: 64_000, memoryMb: 64_000, accelerators: 8 },
+      capacity: { milliCores: 64_000, memoryMb: 64_000, accelerators },
       draining: remainingMs !== undefined,
       ...(remainingMs === undefined ? {} : { remainingMs }),
       sequence: this.#sequence,
