Don't count what ran on a runner that doesn't answer as standing still

What callers saw: after a crash the worker was closed for 5 s or more, also once its runner was back, and less room was left for all.

Cause: runs count as standing still when their percent doesn't grow between contacts; a runner that is gone is still told of by its guard, with the percents that it listed last. Two such runs close the worker. Scenario first: one worker closed; after: none.

Why it holds: a runner that gave its guard no answer for 1.5 s is told as out of reach, less than the 1.8 s without progress that count; what becomes of its runs follows from its next life or from their lease.

--- a/packages/cell/src/owner/crashing-tasks.feature
+++ b/packages/cell/src/owner/crashing-tasks.feature
@@ -34,3 +34,10 @@
     And a job whose runs all crash their runners is handed in
     Then the last of them is given up
     And the others complete
+
+  Scenario: a worker isn't put out of use for what a crash did
+    Given a cell of 2 entries and 3 workers
+    When 3 jobs that take 2 s are handed in
+    And a runner with work crashes and is away for 2.6 s
+    Then each of them completes
+    And no worker was closed
--- a/packages/cell/src/owner/crashing-tasks.steps.ts
+++ b/packages/cell/src/owner/crashing-tasks.steps.ts
@@ -1,7 +1,14 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
 import { eventually, testStep } from '../testing/cell-world.support.js';
-import { cellOf, handIn, jobOf, ownerOf, type CellSteps } from './cell-steps.support.js';
+import {
+  cellOf,
+  handIn,
+  jobOf,
+  ownerOf,
+  runningWorker,
+  type CellSteps,
+} from './cell-steps.support.js';
 
 /** Every run of the task crashes its runner. */
 const ALWAYS = 99;
@@ -67,13 +74,34 @@
   assert.ok(mostStartsOfATask(this, jobOf(this)) <= 5);
 });
 
-Then('the others complete', { timeout: 20_000 }, async function (this: CellSteps) {
-  const others = this.jobs.slice(0, -1);
-  const states = (): Promise<string[]> => Promise.all(others.map((id) => cellOf(this).state(id)));
-  const areOver = async (): Promise<boolean> => !(await states()).includes('running');
-  assert.ok(await eventually(areOver, GIVEN_UP_WITHIN_MS));
+When(
+  /^a runner with work crashes and is away for (\d\.\d) s$/,
+  function (this: CellSteps, seconds: string) {
+    const worker = runningWorker(this);
+    assert.ok((worker.runner.life?.running().length ?? 0) > 1);
+    cellOf(this).crashRunner(worker, Number(seconds) * 1000);
+  },
+);
+
+Then(
+  /^(the others complete|each of them completes)$/,
+  { timeout: 20_000 },
+  async function (this: CellSteps, which: string) {
+    const jobs = which.startsWith('each') ? this.jobs : this.jobs.slice(0, -1);
+    const states = (): Promise<string[]> => Promise.all(jobs.map((id) => cellOf(this).state(id)));
+    const areOver = async (): Promise<boolean> => !(await states()).includes('running');
+    assert.ok(await eventually(areOver, GIVEN_UP_WITHIN_MS));
+    assert.deepEqual(
+      await states(),
+      jobs.map(() => 'completed'),
+    );
+  },
+);
+
+Then('no worker was closed', function (this: CellSteps) {
+  const closed = cellOf(this).entries.map(({ metrics }) => metrics.counters.get('worker.closed'));
   assert.deepEqual(
-    await states(),
-    others.map(() => 'completed'),
+    closed,
+    closed.map(() => undefined),
   );
 });
--- a/packages/cell/src/owner/run-watch.ts
+++ b/packages/cell/src/owner/run-watch.ts
@@ -18,9 +18,13 @@
 
 const FULL_PERCENT = 100;
 
-/** Stops runs that stand still, and gives their jobs another worker. */
+/**
+ * Stops runs that stand still, and gives their jobs another worker. What a runner that gives no answer listed last is old and
+ * says nothing: after a crash each run there would count against the worker, which two of them close for 5 s or more.
+ */
 export function stopStandstills(book: RunBook): void {
-  [...book.fleet.all()].forEach((worker) =>
+  const answering = [...book.fleet.all()].filter(({ runner }) => runner?.reachable);
+  answering.forEach((worker) =>
     worker.assignments.forEach((assignment) => {
       const { jobId, ref, name } = assignment;
       const job = book.jobs.get(jobId);
