Let jobs that crash their runners into the soak

Each so many jobs (--crash-each N) have a task that crashes each runner which starts it. The run watch counts crashes and reports a third start after the third crash; a job shown as failed that neither crashes nor fails stays a violation.

--- a/packages/e2e/src/soak/followed-job.ts
+++ b/packages/e2e/src/soak/followed-job.ts
@@ -41,7 +41,7 @@
 
   /** Its last state can't be true. */
   get isShownWrongly(): boolean {
-    if (this.#state === 'failed') return this.job.failRuns < MAX_ATTEMPTS;
+    if (this.#state === 'failed') return this.job.failRuns < MAX_ATTEMPTS && !this.job.crashes;
     return this.#state === 'cancelled' && !this.#isCancelled;
   }
 
--- a/packages/e2e/src/soak/run-watch.ts
+++ b/packages/e2e/src/soak/run-watch.ts
@@ -8,6 +8,10 @@
  */
 const CANCEL_MS = 10_000;
 
+/** After so many crashes a task may be started twice more, and no third time: the platform's bound. */
+const CRASHES_ALLOWED = 3;
+const STARTS_TOO_MANY = 3;
+
 interface WatchedJob {
   job: SoakJob;
   cancelledAt: number | undefined;
@@ -24,6 +28,9 @@
   isDone: boolean;
   isConfirmed: boolean;
   failedRuns: Set<number>;
+  /** Runners that crashed under a task that crashes them, and starts after the third. */
+  crashes: number;
+  startsTooMany: number;
   lastStartAt: number;
 }
 
@@ -81,6 +88,8 @@
     if (!this.#isTurn(task, watched.job)) this.#report(task, `run ${run} before its turn`);
     const sinceCancelled = performance.now() - (watched.cancelledAt ?? Infinity);
     if (sinceCancelled > CANCEL_MS) this.#report(task, `run ${run} long after its cancellation`);
+    if (isFirst(task) && unit.crashes >= CRASHES_ALLOWED) unit.startsTooMany += 1;
+    if (unit.startsTooMany === STARTS_TOO_MANY) this.#report(task, 'goes on crashing runners');
     unit.running.set(task, life);
     unit.lastStartAt = performance.now();
   };
@@ -90,6 +99,7 @@
     if (watched === undefined) return;
     const unit = this.#unitOf(task, watched.job);
     if (unit.running.get(task) === life) unit.running.delete(task);
+    if (how === 'crashed' && watched.job.crashes && isFirst(task)) unit.crashes += 1;
     if (how !== 'done') return;
     unit.isDone = true;
     unit.doneAt.set(life, performance.now());
@@ -129,6 +139,8 @@
       isDone: false,
       isConfirmed: false,
       failedRuns: new Set(),
+      crashes: 0,
+      startsTooMany: 0,
       lastStartAt: -Infinity,
     };
     this.#units.set(name, unit);
@@ -140,6 +152,11 @@
   }
 }
 
+/** The task of each step that crashes its runners, where the job has one. */
+function isFirst(task: string): boolean {
+  return task.endsWith('.0');
+}
+
 function parseTask(task: string): TaskName {
   const [id = '', , step = '0'] = task.split('.');
   return { id, step: Number(step) };
--- a/packages/e2e/src/soak/soak-callers.ts
+++ b/packages/e2e/src/soak/soak-callers.ts
@@ -49,6 +49,8 @@
 
   readonly #rng: RandomGenerator;
 
+  readonly #crashEach: number;
+
   readonly #lanes: Promise<void>[] = [];
 
   #isSubmitting = true;
@@ -61,6 +63,7 @@
     caller,
     key,
     seed,
+    crashEach,
   }: {
     fleet: Fleet;
     watch: RunWatch;
@@ -68,12 +71,15 @@
     /** The client account's key as it is now. */
     key: () => string;
     seed: number;
+    /** Each so many jobs crash their runners; 0: none. */
+    crashEach: number;
   }) {
     this.#fleet = fleet;
     this.#watch = watch;
     this.#caller = caller;
     this.#key = key;
     this.#rng = xoroshiro128plus(seed);
+    this.#crashEach = crashEach;
   }
 
   start(): void {
@@ -101,7 +107,7 @@
 
   async #submitAll(): Promise<void> {
     for (let number = 1; this.#isSubmitting; number++) {
-      const job = drawJob(this.#rng, number);
+      const job = drawJob(this.#rng, number, this.#crashEach);
       this.#watch.expect(job);
       const followed = new FollowedJob(job);
       this.jobs.push(followed);
--- a/packages/e2e/src/soak/soak-run.ts
+++ b/packages/e2e/src/soak/soak-run.ts
@@ -47,6 +47,8 @@
   lengthMs: number;
   entries?: number;
   workers?: number;
+  /** Each so many jobs crash their runners; 0: none. */
+  crashEach?: number;
 }
 
 /** What came of it. */
@@ -110,6 +112,7 @@
   lengthMs,
   entries = 3,
   workers = 5,
+  crashEach = 0,
 }: SoakOptions): Promise<SoakResult> {
   const watch = new RunWatch();
   const caller = new FleetCaller();
@@ -122,7 +125,8 @@
     );
     operator.newConfiguration();
     await sleep(WARM_UP_MS);
-    const callers = new SoakCallers({ fleet, watch, caller, key: () => operator.key, seed });
+    const key = (): string => operator.key;
+    const callers = new SoakCallers({ fleet, watch, caller, key, seed, crashEach });
     const faults = new FaultMaker({ fleet, operator });
     callers.start();
     await strikeAll(faults, scheduleFaults({ seed, lengthMs }));
--- a/packages/e2e/src/soak/soak.feature
+++ b/packages/e2e/src/soak/soak.feature
@@ -15,3 +15,7 @@
       | seed |
       | 236  |
       | 238  |
+
+  Scenario: a short run with tasks that crash their runners
+    When the faults of seed 2 strike for 8 s, and each fourth job crashes its runners
+    Then no promise is broken
--- a/packages/e2e/src/soak/soak.steps.ts
+++ b/packages/e2e/src/soak/soak.steps.ts
@@ -10,12 +10,20 @@
 /** Start, faults, and all jobs over: a step may take this long, in ms. */
 const STEP_TIMEOUT_MS = 120_000;
 
+/** Each so many jobs crash their runners. */
+const CRASH_EACH = 4;
+
 When(
-  'the faults of seed {int} strike for {int} s',
+  /^the faults of seed (\d+) strike for (\d+) s(, and each fourth job crashes its runners)?$/,
   { timeout: STEP_TIMEOUT_MS },
-  async function (this: SoakSteps, seed: number, seconds: number) {
-    this.result = await runSoak({ seed, lengthMs: seconds * 1000 });
-    if (this.result.violations.length > 0) await keepEvidence(seed, this.result);
+  async function (this: SoakSteps, seed: string, seconds: string, crash: string | null) {
+    const crashEach = crash === null ? 0 : CRASH_EACH;
+    this.result = await runSoak({
+      seed: Number(seed),
+      lengthMs: Number(seconds) * 1000,
+      crashEach,
+    });
+    if (this.result.violations.length > 0) await keepEvidence(Number(seed), this.result);
   },
 );
 
--- a/packages/e2e/src/soak/soak.ts
+++ b/packages/e2e/src/soak/soak.ts
@@ -1,5 +1,6 @@
 /**
  * Random faults over the platform's program as separate processes: `npm run soak -- --seed N --seeds K --seconds S`.
+ * With `--crash-each N` each N-th job crashes the runners that start it.
  * The seed gives jobs, faults, their targets and their times; how the processes interleave can't be repeated.
  */
 import { parseArgs } from 'node:util';
@@ -22,6 +23,7 @@
       seconds: { type: 'string', default: '20' },
       entries: { type: 'string', default: '3' },
       workers: { type: 'string', default: '5' },
+      'crash-each': { type: 'string', default: '0' },
     },
   });
   const [seed, seeds, seconds, entries, workers] = [
@@ -35,6 +37,7 @@
   if (!numbers.every((each) => each !== undefined && Number.isFinite(each) && each > 0)) {
     throw new Error('Usage: --seed N --seeds K --seconds S --entries E --workers W, all above 0');
   }
+  const crashEach = Number(values['crash-each']);
   let broken = 0;
   for (let each = seed!; each < seed! + seeds!; each++) {
     const result = await runSoak({
@@ -42,6 +45,7 @@
       lengthMs: seconds! * 1000,
       entries: entries!,
       workers: workers!,
+      crashEach,
     });
     await report(each, result);
     if (result.violations.length > 0) broken += 1;
