Blame crashes on who can have caused them: young runs before old ones, tasks before runners that had just come back

Found by thinking through which jobs a crash can end that didn't cause it, and by a scenario: with every run on the runner counted, one of three jobs beside the task on the only worker was given up after four crashes (jobs beside it are not given up).

Change: where some run on the runner was younger than a second, older ones aren't counted. A crash of a life of less than 10 s doesn't decide by itself, as a runner that goes down and up by itself takes whatever it starts along; four in all still do (three more starts after three crashes aren't allowed, so that one which no guard could tell of is reckoned with). A guard tells of a crash until 15 s after an owner has answered, not after the next life began: it may be cut off meanwhile. The wait for a quiet worker is half a second longer than a run counts as young: at the same length the run it waited for could still be blamed.

--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -17,7 +17,10 @@
 /** Pause after a look that failed, or while ends wait for the owner, in ms. */
 const LOOK_PAUSE_MS = 80;
 
-/** A crash is told for this long, in ms: the owner that hears of it first may be replaced before it has written that down. */
+/**
+ * A crash is told for this long after an owner first answered, in ms: it may be replaced before it has written that down. Longer
+ * than a takeover takes.
+ */
 const TELL_CRASH_MS = 15_000;
 
 /** Runs named in a log line: a runner has tens of them. */
@@ -42,8 +45,11 @@
 
   #life: Life | undefined;
 
-  /** The last crash of the runner, and when its next life was adopted. */
-  #crash: { told: RunnerCrash; at: number } | undefined;
+  /** The last crash of the runner. */
+  #crash: RunnerCrash | undefined;
+
+  /** When an owner first answered that it had heard of it. */
+  #crashHeardAt: number | undefined;
 
   #term = 0;
 
@@ -106,13 +112,8 @@
       const pace = orders.paceOf(status);
       return pace === undefined ? status : { ...status, pace };
     });
-    const crash = this.#recentCrash();
-    return { ...contact, running, ...(crash === undefined ? {} : { crash }) };
-  }
-
-  #recentCrash(): RunnerCrash | undefined {
-    if (this.#crash === undefined) return undefined;
-    return this.#now() - this.#crash.at < TELL_CRASH_MS ? this.#crash.told : undefined;
+    if (this.#now() - (this.#crashHeardAt ?? Infinity) >= TELL_CRASH_MS) this.#crash = undefined;
+    return { ...contact, running, ...(this.#crash === undefined ? {} : { crash: this.#crash }) };
   }
 
   /** Takes the owner's answer to a contact that was sent at `sentAt`, telling of `told`. */
@@ -124,6 +125,7 @@
     }
     const life = this.#life;
     if (life === undefined || orders.runner !== life.record.report.id) return;
+    if (told.crash !== undefined && told.crash === this.#crash) this.#crashHeardAt ??= this.#now();
     const { record } = life;
     if (orders.leaseMs > 0) record.lease.grant(sentAt, orders.leaseMs);
     record.noteTold(told, orders.confirmedEnd);
@@ -242,10 +244,15 @@
     record.noteNoAnswer(now, orders.sent());
     const { id } = record.report;
     const { at, runs } = record.silence ?? { at: now, runs: [] };
-    this.#crash = { told: { runner: id, runs }, at: now };
+    const livedMs = Math.round(at - record.since);
+    this.#crash = { runner: id, livedMs, runs };
+    this.#crashHeardAt = undefined;
     this.#ctx.metrics.count('runner.replaced');
     const silentMs = Math.round(now - at);
-    this.#ctx.log.warn({ runner: id, silentMs, ...describeRuns(record) }, 'runner crashed');
+    this.#ctx.log.warn(
+      { runner: id, livedMs, silentMs, ...describeRuns(record) },
+      'runner crashed',
+    );
   }
 
   #target({ record }: Life): OrderContext {
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -19,6 +19,9 @@
 export class RunnerRecord {
   readonly lease = new RunnerLease();
 
+  /** When this life became known. */
+  readonly since: number;
+
   #report: RunnerReport;
 
   #listing: Listing = { running: [], ends: [] };
@@ -45,6 +48,7 @@
   #left = false;
 
   constructor({ report, now }: { report: RunnerReport; now: number }) {
+    this.since = now;
     this.#report = report;
     this.#answeredAt = now;
   }
--- a/packages/cell/src/job/crash-record.steps.ts
+++ b/packages/cell/src/job/crash-record.steps.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { testStep, testSubmission } from '../testing/cell-world.support.js';
+import { blamedFor } from './crash-record.js';
 import { JobProgress } from './progress.js';
 
 interface CrashSteps {
+  blamed: readonly { ranMs: number }[];
   progress: JobProgress;
 }
 
@@ -12,6 +14,14 @@
 /** A task that crashes its runner does so at this age, in ms. */
 const YOUNG_MS = 10;
 
+/** Ages of runners: of one that has been up for long, and of one that has just come back. */
+const LIVED_MS = 60_000;
+const FRESH_MS = 3000;
+
+function numbers(list: string): number[] {
+  return (list.match(/\d+/g) ?? []).map(Number);
+}
+
 function start({ progress }: CrashSteps): number {
   return progress.startRuns([{ ref: REF, vm: 'vm', runner: 'life' }]);
 }
@@ -20,17 +30,32 @@
   progress.endRun({ ref: REF, run, how: 'lost', checkpoint: '' }, { maxAttempts: 2 });
 }
 
+Given(
+  /^a runner that crashed under runs of ([\d, and]+) ms$/,
+  function (this: CrashSteps, ages: string) {
+    this.blamed = blamedFor(numbers(ages).map((ranMs) => ({ ranMs })));
+  },
+);
+
+Then(/^those of ([\d, and]+) ms are blamed$/, function (this: CrashSteps, ages: string) {
+  assert.deepEqual(
+    this.blamed.map(({ ranMs }) => ranMs),
+    numbers(ages),
+  );
+});
+
 Given(/^a task that (lasts|ends)$/, function (this: CrashSteps, which: string) {
   const steps = [testStep({ lasting: which === 'lasts' })];
   this.progress = new JobProgress(testSubmission({ steps }));
 });
 
 When(
-  /^runners crash under its runs, which were ([\d, and]+) ms old$/,
-  function (this: CrashSteps, ages: string) {
-    (ages.match(/\d+/g) ?? []).map(Number).forEach((ranMs) => {
+  /^(fresh )?runners crash under its runs, which were ([\d, and]+) ms old$/,
+  function (this: CrashSteps, fresh: string | null, ages: string) {
+    const livedMs = fresh === null ? LIVED_MS : FRESH_MS;
+    numbers(ages).forEach((ranMs) => {
       const run = start(this);
-      assert.ok(this.progress.noteCrash({ ref: REF, run, ranMs }));
+      assert.ok(this.progress.noteCrash({ ref: REF, run, ranMs, livedMs }));
       lose(this, run);
     });
   },
@@ -41,7 +66,7 @@
   function (this: CrashSteps, ranMs: number, times: number) {
     const run = start(this);
     const told = Array.from({ length: times }, () =>
-      this.progress.noteCrash({ ref: REF, run, ranMs }),
+      this.progress.noteCrash({ ref: REF, run, ranMs, livedMs: LIVED_MS }),
     );
     assert.deepEqual(
       told,
@@ -56,7 +81,7 @@
     const run = start(this);
     lose(this, run);
     start(this);
-    assert.ok(this.progress.noteCrash({ ref: REF, run, ranMs: YOUNG_MS }));
+    assert.ok(this.progress.noteCrash({ ref: REF, run, ranMs: YOUNG_MS, livedMs: LIVED_MS }));
   },
 );
 
--- a/packages/cell/src/job/crash-record.ts
+++ b/packages/cell/src/job/crash-record.ts
@@ -19,11 +19,26 @@
  */
 export const SUSPECT_WITHIN_MS = 1000;
 
-/** Crashes in a row at the start after which a task is given up: the second comes with nothing else as young beside it. */
+/** A runner's life counts as fresh for this long, in ms: one that goes down and up by itself does so again within it. */
+export const FRESH_RUNNER_MS = 10_000;
+
+/**
+ * Crashes in a row at the start after which a task is given up: the second comes with nothing else as young beside it. On a
+ * runner that had only just come back it decides nothing, as that runner may be what crashes.
+ */
 const MOST_AT_START = 2;
 
-/** Crashes in all after which it is given up: a task that crashes its runner later than at its start. */
-const MOST_IN_ALL = 5;
+/**
+ * Crashes in all after which it is given up, of a task that crashes its runner later than at its start, or where all runners are
+ * fresh. A fifth start is allowed after three crashes: one that no guard could tell of is reckoned with.
+ */
+const MOST_IN_ALL = 4;
+
+/** Which of the runs on a runner that crashed may have crashed it: those that had just been started, or else all. */
+export function blamedFor<T extends { ranMs: number }>(runs: readonly T[]): readonly T[] {
+  const young = runs.filter(({ ranMs }) => ranMs < SUSPECT_WITHIN_MS);
+  return young.length > 0 ? young : runs;
+}
 
 /** With one more crash, under a run that was `ranMs` old. */
 export function withCrash(
@@ -41,10 +56,14 @@
   return record !== undefined && record.atStart > 0;
 }
 
-/** True if the task isn't to be started again. One that lasts meets crashes that aren't its own in time. */
+/**
+ * True if the task isn't to be started again, after the crash of a life of `livedMs`. Of a task that lasts only crashes at its start
+ * count, as in time it meets others that aren't its own.
+ */
 export function isGivenUp(
   { atStart, all }: CrashRecord,
-  { lasting }: { lasting: boolean },
+  { lasting, livedMs }: { lasting: boolean; livedMs: number },
 ): boolean {
-  return atStart >= MOST_AT_START || (!lasting && all >= MOST_IN_ALL);
+  if ((lasting ? atStart : all) >= MOST_IN_ALL) return true;
+  return atStart >= MOST_AT_START && livedMs >= FRESH_RUNNER_MS;
 }
--- a/packages/cell/src/job/progress.ts
+++ b/packages/cell/src/job/progress.ts
@@ -61,6 +61,16 @@
   checkpoint: string;
 }
 
+/** A runner's crash, as it concerns one run. Times in ms. */
+export interface RunCrash {
+  ref: TaskRef;
+  run: number;
+  /** How long the run had been there. */
+  ranMs: number;
+  /** How long the runner's life had been known. */
+  livedMs: number;
+}
+
 /** Where a task goes. */
 export interface PlacedTask {
   ref: TaskRef;
@@ -186,16 +196,16 @@
   }
 
   /**
-   * A runner crashed under this run, which had been there for `ranMs`. The task's job fails once that has come to be the task's
+   * A runner of `livedMs` crashed under this run, which had been there for `ranMs`. The task's job fails once that has come to be the task's
    * own fault: without a bound such a task was started 33 times within two minutes. False if it says nothing new.
    */
-  noteCrash({ ref, run, ranMs }: { ref: TaskRef; run: number; ranMs: number }): boolean {
+  noteCrash({ ref, run, ranMs, livedMs }: RunCrash): boolean {
     const task = this.findTask(ref);
     const step = this.#submission.steps[ref.step];
     if (task === undefined || step === undefined || task.done) return false;
     if (this.#outcome !== 'open' || run > task.run || run <= (task.crashes?.run ?? 0)) return false;
     task.crashes = withCrash(task.crashes, { run, ranMs });
-    if (isGivenUp(task.crashes, step)) this.#outcome = 'failed';
+    if (isGivenUp(task.crashes, { lasting: step.lasting, livedMs })) this.#outcome = 'failed';
     return true;
   }
 
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -53,7 +53,7 @@
     assignment.percent = status.percent;
     assignment.checkpoint = status.checkpoint;
   });
-  contact.crash?.runs.forEach((run) => book.noteCrash(worker, run));
+  if (contact.crash !== undefined) book.noteCrash(worker, contact.crash);
   loseWhatCannotRun(book, worker, contact);
   watchServing(book, worker, contact);
   const { runner, ends, refused } = contact;
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -1,15 +1,13 @@
 /** The workers of a cell, and when what was given to one that is out of contact is surely over. */
 import type { Clock } from '@zincspan/core';
 import { LEASE_SLACK_MS, SLOW_CLOCK } from '../clock/lease-margin.js';
+import { FRESH_RUNNER_MS } from '../job/crash-record.js';
 import { Worker, type Assignment } from '../worker/worker.js';
 import { Room } from '../placing/room.js';
 
 /** Nothing is placed on a worker that was out of contact for longer, in ms: two missed contacts. */
 const PLACE_WITHIN_MS = 2200;
 
-/** A runner's life counts as fresh for this long, in ms: one that crashes by itself mostly does so again sooner. */
-const FRESH_MS = 10_000;
-
 /** Workers by VM. */
 export class Fleet {
   readonly #workers = new Map<string, Worker>();
@@ -100,6 +98,6 @@
     suspicion: worker.health.suspicion(now),
     youngJobs: new Set(young.map(({ jobId }) => jobId)),
     trialOf: young.find(({ isOnTrial }) => isOnTrial)?.jobId,
-    isFresh: now - worker.lifeSince < FRESH_MS,
+    isFresh: now - worker.lifeSince < FRESH_RUNNER_MS,
   });
 }
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -1,7 +1,7 @@
 /** The owner's books of one term: jobs, workers, and every run that may exist. All changes of progress pass through it. */
 import type { ProcessContext, RunnerCrash } from '@zincspan/core';
 import type { AdviceBook } from '../advice/advice-book.js';
-import { isSuspect } from '../job/crash-record.js';
+import { blamedFor, isSuspect } from '../job/crash-record.js';
 import type { RunEnd } from '../job/progress.js';
 import type { Step } from '../job/submission.js';
 import { parseTaskName, taskName } from '../job/task-name.js';
@@ -144,13 +144,20 @@
     return change;
   }
 
-  /** A runner crashed under a run. It may be told again, also of a run that was given up before. */
-  noteCrash(worker: Worker, { task, run, ranMs }: RunnerCrash['runs'][number]): void {
+  /** A runner crashed. It may be told again, also of runs that were given up before. */
+  noteCrash(worker: Worker, { runs, livedMs }: RunnerCrash): void {
+    blamedFor(runs).forEach((run) => this.#noteCrashUnder(worker, { ...run, livedMs }));
+  }
+
+  #noteCrashUnder(
+    worker: Worker,
+    { task, run, ranMs, livedMs }: RunnerCrash['runs'][number] & { livedMs: number },
+  ): void {
     const parsed = parseTaskName(task);
     const job = this.jobs.get(parsed?.jobId ?? '');
     if (parsed === undefined || job === undefined) return;
     const { ref } = parsed;
-    if (!job.progress.noteCrash({ ref, run, ranMs })) return;
+    if (!job.progress.noteCrash({ ref, run, ranMs, livedMs })) return;
     this.#changed(job);
     this.#ctx.metrics.count('run.crashed');
     const { outcome } = job.progress;
@@ -160,6 +167,7 @@
       run,
       vm: worker.vm,
       ranMs,
+      livedMs,
       atStart,
       all,
       outcome,
--- a/packages/cell/src/owner/wanted-groups.ts
+++ b/packages/cell/src/owner/wanted-groups.ts
@@ -1,5 +1,5 @@
 /** The groups of a job that wait for room. */
-import { isSuspect } from '../job/crash-record.js';
+import { SUSPECT_WITHIN_MS, isSuspect } from '../job/crash-record.js';
 import { isStepReady, type Occurrence, type StepProgress } from '../job/progress.js';
 import type { Step } from '../job/submission.js';
 import type { Group } from '../placing/room.js';
@@ -16,10 +16,10 @@
 const RACK_WAIT_DURATIONS = 2;
 
 /**
- * How long a task that may crash its runner waits for a worker where nothing else has just been started, in ms: on a busy
- * service there may be none, and it may be innocent.
+ * How long a task that may crash its runner waits for a worker where nothing else has just been started, in ms: longer than a
+ * run counts as just started, and no longer, as a busy service may never have such a worker and the task may be innocent.
  */
-const TRIAL_WAIT_MS = 1000;
+const TRIAL_WAIT_MS = SUSPECT_WITHIN_MS + 500;
 
 /** What the wait for a rack depends on. */
 export interface RackPatience {
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -76,6 +76,8 @@
 export const runnerCrashSchema = z.strictObject({
   /** The life that ended. */
   runner: z.string(),
+  /** How long the guard had known it when it fell silent, in ms. */
+  livedMs: z.number().min(0),
   /** Runs that were there when it fell silent; `ranMs`: since when each had been there, in ms. */
   runs: z.array(runNameSchema.extend({ ranMs: z.number().min(0) })),
 });
