Split stops and crash reports off the owner's books

What asks for ends of runs is run-stopper.ts, what takes up a guard's word of a crash is crash-report.ts.

--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -11,6 +11,7 @@
 import { isSameDemand } from '../job/submission.js';
 import { parseTaskName, runKey } from '../job/task-name.js';
 import type { Assignment, Worker } from '../worker/worker.js';
+import { takeUpCrash } from './crash-report.js';
 import type { RunBook } from './run-book.js';
 
 /** A worker that refused a start for want of room is left alone this long, in ms: a stop takes about as long. */
@@ -53,7 +54,7 @@
     assignment.percent = status.percent;
     assignment.checkpoint = status.checkpoint;
   });
-  if (contact.crash !== undefined) book.noteCrash(worker, contact.crash);
+  if (contact.crash !== undefined) takeUpCrash(book, worker, contact.crash);
   loseWhatCannotRun(book, worker, contact);
   watchServing(book, worker, contact);
   const { runner, ends, refused } = contact;
--- a/packages/cell/src/owner/occupants.ts
+++ b/packages/cell/src/owner/occupants.ts
@@ -3,7 +3,8 @@
 import type { Assignment } from '../worker/worker.js';
 import type { OwnedJob } from './owned-job.js';
 import type { Occupant } from './placing-pass.js';
-import { isSameStep, type RunBook } from './run-book.js';
+import type { RunBook } from './run-book.js';
+import { isSameStep } from './run-stopper.js';
 import { acceleratorsOf } from './standings.js';
 
 const FULL_PERCENT = 100;
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -1,16 +1,17 @@
 /** The owner's books of one term: jobs, workers, and every run that may exist. All changes of progress pass through it. */
-import type { ProcessContext, RunnerCrash } from '@zincspan/core';
+import type { ProcessContext } from '@zincspan/core';
 import type { AdviceBook } from '../advice/advice-book.js';
-import { blamedFor, isSuspect } from '../job/crash-record.js';
-import type { RunEnd } from '../job/progress.js';
+import { isSuspect } from '../job/crash-record.js';
+import type { RunCrash, RunEnd } from '../job/progress.js';
 import type { Step } from '../job/submission.js';
-import { parseTaskName, taskName } from '../job/task-name.js';
+import { taskName } from '../job/task-name.js';
 import type { DurationBook } from '../placing/duration-book.js';
 import { FleetHealth } from '../worker/fleet-health.js';
 import type { Assignment, Worker } from '../worker/worker.js';
 import type { Fleet } from './fleet.js';
 import type { OwnedJob } from './owned-job.js';
 import type { Start } from './placing-pass.js';
+import { RunStopper } from './run-stopper.js';
 import { StartOrders } from './start-orders.js';
 import { durationsOf, roomDemand } from './standings.js';
 
@@ -45,6 +46,8 @@
 
   readonly #events: RunBookEvents;
 
+  readonly #stopper: RunStopper;
+
   #checkpointsKeptAt = -Infinity;
 
   constructor({
@@ -66,6 +69,13 @@
     this.#durations = durations;
     this.#health = new FleetHealth(() => [...fleet.all()].map(({ health }) => health));
     this.#events = events;
+    this.#stopper = new RunStopper({
+      fleet,
+      onStop: ({ name, run }, vm, reason) => {
+        this.log('run to be stopped', { task: name, run, reason });
+        events.onNews(vm);
+      },
+    });
   }
 
   now(): number {
@@ -139,42 +149,21 @@
       outcome: job.progress.outcome,
     });
     job.readySince.delete(`${end.ref.occurrence}.${end.ref.step}`);
-    if (end.how !== 'done') this.#stopRestOfGang(job, end);
-    if (job.progress.outcome !== 'open') this.#stopAll(job, job.progress.outcome);
+    if (end.how !== 'done') this.#stopper.stopRestOfGang(job, end);
+    if (job.progress.outcome !== 'open') this.#stopper.stopAll(job, job.progress.outcome);
     return change;
   }
 
-  /** A runner crashed. It may be told again, also of runs that were given up before. */
-  noteCrash(worker: Worker, { runs, livedMs }: RunnerCrash): void {
-    blamedFor(runs).forEach((run) => this.#noteCrashUnder(worker, { ...run, livedMs }));
-  }
-
-  #noteCrashUnder(
-    worker: Worker,
-    { task, run, ranMs, livedMs }: RunnerCrash['runs'][number] & { livedMs: number },
-  ): void {
-    const parsed = parseTaskName(task);
-    const job = this.jobs.get(parsed?.jobId ?? '');
-    if (parsed === undefined || job === undefined) return;
-    const { ref } = parsed;
-    if (!job.progress.noteCrash({ ref, run, ranMs, livedMs })) return;
+  /** Counts a runner's crash against one run's task. False if that says nothing new. */
+  noteCrash(job: OwnedJob, crash: RunCrash): boolean {
+    if (!job.progress.noteCrash(crash)) return false;
     this.#changed(job);
     this.#ctx.metrics.count('run.crashed');
-    const { outcome } = job.progress;
-    const { atStart, all } = job.progress.findTask(ref)?.crashes ?? {};
-    this.log('runner crashed under a run', {
-      task,
-      run,
-      vm: worker.vm,
-      ranMs,
-      livedMs,
-      atStart,
-      all,
-      outcome,
-    });
-    if (outcome === 'open') return;
-    this.#ctx.metrics.count('job.given-up');
-    this.#stopAll(job, 'crashes its runners');
+    if (job.progress.outcome !== 'open') {
+      this.#ctx.metrics.count('job.given-up');
+      this.#stopper.stopAll(job, 'crashes its runners');
+    }
+    return true;
   }
 
   /** The step that a run is of; undefined for one that isn't known. */
@@ -251,23 +240,18 @@
     if (!job.progress.cancel()) return;
     this.log('job cancelled', { job: job.id });
     this.#changed(job);
-    this.#stopAll(job, 'cancelled');
+    this.#stopper.stopAll(job, 'cancelled');
   }
 
   /** Asks for the end of a run, and of the rest of its gang. */
   stop(assignment: Assignment, reason: string): void {
     const job = this.jobs.get(assignment.jobId);
-    if (job === undefined) return;
-    const gang = job.submission.steps[assignment.ref.step]?.gang ?? false;
-    const members = gang ? this.#membersOf(assignment) : [assignment];
-    members.forEach((member) => this.#stopOne(member, reason));
+    if (job !== undefined) this.#stopper.stop(job, assignment, reason);
   }
 
   /** All that was given out of this job and isn't known to be over. */
   assignmentsOf(jobId: string): Assignment[] {
-    return [...this.fleet.all()].flatMap(({ assignments }) =>
-      [...assignments.values()].filter((assignment) => assignment.jobId === jobId),
-    );
+    return this.#stopper.assignmentsOf(jobId);
   }
 
   /** Highest end that may be confirmed to the runner. */
@@ -326,34 +310,6 @@
     });
   }
 
-  /** A gang works only whole: once one member has ended otherwise, the others are stopped. */
-  #stopRestOfGang(job: OwnedJob, { ref, run }: RunEnd): void {
-    const step = job.submission.steps[ref.step];
-    if (!step?.gang || job.progress.findTask(ref)?.done) return;
-    this.assignmentsOf(job.id)
-      .filter((other) => other.run === run && isSameStep(other, ref))
-      .forEach((other) => this.#stopOne(other, 'gang broken'));
-  }
-
-  #stopAll(job: OwnedJob, reason: string): void {
-    if (reason === 'completed') return;
-    this.assignmentsOf(job.id).forEach((assignment) => this.#stopOne(assignment, reason));
-  }
-
-  #stopOne(assignment: Assignment, reason: string): void {
-    if (assignment.stopping !== undefined) return;
-    Object.assign(assignment, { stopping: reason });
-    this.log('run to be stopped', { task: assignment.name, run: assignment.run, reason });
-    const vm = [...this.fleet.all()].find(
-      (worker) => worker.assignments.get(assignment.name) === assignment,
-    )?.vm;
-    if (vm !== undefined) this.#events.onNews(vm);
-  }
-
-  #membersOf({ jobId, run, ref }: Assignment): Assignment[] {
-    return this.assignmentsOf(jobId).filter((other) => other.run === run && isSameStep(other, ref));
-  }
-
   /** How long ago a run was assigned and first listed, in ms, and how far it had come. */
   #describeTime({ assignedAt, runningAt, percent }: Assignment): object {
     const assignedMs = Math.round(this.now() - assignedAt);
@@ -376,11 +332,3 @@
     return change;
   }
 }
-
-/** True if both are tasks of one step of one occurrence. */
-export function isSameStep(
-  { ref }: Assignment,
-  other: { occurrence: number; step: number },
-): boolean {
-  return ref.occurrence === other.occurrence && ref.step === other.step;
-}
