Make the owner's list of successors once a heartbeat instead of for each link

Change: a list that is kept for one heartbeat of a link (0.8 s), and one function that puts the fittest first.

--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -13,7 +13,7 @@
 import { CallerGate } from './caller-gate.js';
 import { JobCalls, STORE_AWAY_MS } from './job-calls.js';
 import { JobLookup } from './job-lookup.js';
-import { successorsAmong } from './owner-status.js';
+import { SuccessorList } from './owner-status.js';
 import { PeerEntries } from './peer-entries.js';
 import { WaitingCount } from './waiting-count.js';
 
@@ -64,6 +64,8 @@
 
   readonly #peers: PeerEntries;
 
+  readonly #successors: SuccessorList;
+
   #owner: CellOwner | undefined;
 
   #draining = false;
@@ -109,6 +111,7 @@
       listen: linkAddress,
       status: () => this.#status(),
     });
+    this.#successors = new SuccessorList({ links: () => this.#links.links(), clock: ctx.clock });
     this.#ownership = new Ownership({
       ctx,
       store,
@@ -182,7 +185,7 @@
 
   /** Told in heartbeats; only the owner has something to tell. */
   #status(): Record<string, unknown> {
-    return this.#owner === undefined ? {} : { successors: successorsAmong(this.#links.links()) };
+    return this.#owner === undefined ? {} : { successors: this.#successors.current() };
   }
 
   #close(): void {
--- a/packages/cell/src/entry/neighbours.ts
+++ b/packages/cell/src/entry/neighbours.ts
@@ -30,9 +30,13 @@
 }
 
 /** The best owners first: those with the larger share of a processor, and among equals an order that is the same everywhere. */
-export function byFitness(a: Carrier, b: Carrier): number {
-  if (a.processorShare !== b.processorShare) return b.processorShare - a.processorShare;
-  return scoreOf('owner', a.id) < scoreOf('owner', b.id) ? -1 : 1;
+export function fittestFirst(carriers: readonly Carrier[]): Carrier[] {
+  return carriers
+    .map((carrier) => ({ carrier, score: scoreOf('owner', carrier.id) }))
+    .sort(
+      (a, b) => b.carrier.processorShare - a.carrier.processorShare || (a.score < b.score ? -1 : 1),
+    )
+    .map(({ carrier }) => carrier);
 }
 
 function scoreOf(from: string, to: string): string {
