Count crashes that no guard could tell of

What callers would see: a task that crashes its runners, on VMs whose guards are started anew at the same time (a planned restart strikes the machine that started a task last), would still be started without end: the new guard knows nothing of the life before.

Change: where the owner sees another life of a runner that never said it leaves, and the guard names no crash of the one before, each run that had begun there counts, its age unknown. That doesn't say that it crashed at its start, so four in all end the job. Runs that a loss of power takes along count the same way: four of them under one task that doesn't last are more than its time allows.

--- a/packages/cell/src/job/crash-record.ts
+++ b/packages/cell/src/job/crash-record.ts
@@ -29,8 +29,9 @@
 const MOST_AT_START = 2;
 
 /**
- * Crashes in all after which it is given up, of a task that crashes its runner later than at its start, or where all runners are
- * fresh. A fifth start is allowed after three crashes: one that no guard could tell of is reckoned with.
+ * Crashes in all after which it is given up: of a task that crashes its runner later than at its start, where all runners are
+ * fresh, or where guards can't tell. Five starts are allowed, two after the third crash: one crash that nobody counted is
+ * reckoned with.
  */
 const MOST_IN_ALL = 4;
 
@@ -40,12 +41,13 @@
   return young.length > 0 ? young : runs;
 }
 
-/** With one more crash, under a run that was `ranMs` old. */
+/** With one more crash, under a run that was `ranMs` old; undefined: that isn't known, and says nothing of its start. */
 export function withCrash(
   record: CrashRecord | undefined,
-  { run, ranMs }: { run: number; ranMs: number },
+  { run, ranMs }: { run: number; ranMs: number | undefined },
 ): CrashRecord {
   const { atStart, all } = record ?? { atStart: 0, all: 0 };
+  if (ranMs === undefined) return { run, atStart, all: all + 1 };
   if (ranMs < SUSPECT_WITHIN_MS) return { run, atStart: atStart + 1, all: all + 1 };
   // It got past its start: earlier crashes there weren't its doing.
   return { run, atStart: 0, all: all + 1 };
--- a/packages/cell/src/job/progress.ts
+++ b/packages/cell/src/job/progress.ts
@@ -65,8 +65,8 @@
 export interface RunCrash {
   ref: TaskRef;
   run: number;
-  /** How long the run had been there. */
-  ranMs: number;
+  /** How long the run had been there; undefined if nobody knows. */
+  ranMs: number | undefined;
   /** How long the runner's life had been known. */
   livedMs: number;
 }
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -11,7 +11,7 @@
 import { isSameDemand } from '../job/submission.js';
 import { parseTaskName, runKey } from '../job/task-name.js';
 import type { Assignment, Worker } from '../worker/worker.js';
-import { takeUpCrash } from './crash-report.js';
+import { takeUpCrash, takeUpUntoldCrash } from './crash-report.js';
 import type { RunBook } from './run-book.js';
 
 /** A worker that refused a start for want of room is left alone this long, in ms: a stop takes about as long. */
@@ -55,6 +55,7 @@
     assignment.checkpoint = status.checkpoint;
   });
   if (contact.crash !== undefined) takeUpCrash(book, worker, contact.crash);
+  noteUntoldCrash(book, worker, { earlier, contact });
   loseWhatCannotRun(book, worker, contact);
   watchServing(book, worker, contact);
   const { runner, ends, refused } = contact;
@@ -152,6 +153,25 @@
   book.lose(worker, assignment, `refused: ${reason}`);
 }
 
+/**
+ * The runner is another one, it never said that it leaves, and its guard can't tell what was there as it was started anew
+ * itself. What had begun there counts, with nothing known of its age: otherwise a guard that is lost with each crash would let a
+ * task go on crashing runners.
+ */
+function noteUntoldCrash(
+  book: RunBook,
+  worker: Worker,
+  { earlier, contact }: { earlier: RunnerFacts | undefined; contact: CellContact },
+): void {
+  const isOther = contact.runner !== undefined && contact.runner.id !== earlier?.id;
+  if (earlier === undefined || !isOther || earlier.draining) return;
+  if (contact.crash?.runner === earlier.id) return;
+  const begun = [...worker.assignments.values()].filter(
+    ({ runner, runningAt }) => runner === earlier.id && runningAt !== undefined,
+  );
+  begun.forEach((assignment) => takeUpUntoldCrash(book, worker, assignment));
+}
+
 /** A new life of the runner runs nothing of the one before; without a lease nothing runs. */
 function loseWhatCannotRun(book: RunBook, worker: Worker, { runner }: CellContact): void {
   if (runner === undefined) return;
--- a/packages/cell/src/owner/crashing-tasks.feature
+++ b/packages/cell/src/owner/crashing-tasks.feature
@@ -41,3 +41,10 @@
     And a runner with work crashes and is away for 2.6 s
     Then each of them completes
     And no worker was closed
+
+  Scenario: crashes that no guard could tell of are reckoned with
+    Given a cell of 2 entries and 3 workers
+    And a guard is started anew whenever the runner beside it crashes
+    When a job whose runs all crash their runners is handed in
+    Then it is given up
+    And none of its tasks was started more than 5 times
--- a/packages/cell/src/owner/crashing-tasks.steps.ts
+++ b/packages/cell/src/owner/crashing-tasks.steps.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { Then, When } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 import { eventually, testStep } from '../testing/cell-world.support.js';
 import {
   cellOf,
@@ -24,6 +24,10 @@
   return Math.max(0, ...counts.values());
 }
 
+Given('a guard is started anew whenever the runner beside it crashes', function (this: CellSteps) {
+  cellOf(this).crashesTakeGuards = true;
+});
+
 When('a job whose runs all crash their runners is handed in', async function (this: CellSteps) {
   await handIn(this, { spec: { crashRuns: ALWAYS } });
 });
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -123,6 +123,9 @@
 
   keepEndedMs = 600_000;
 
+  /** Where a task crashes a runner, the guard beside it is started anew before the runner is back. */
+  crashesTakeGuards = false;
+
   /** Asked about queues that need advice; without one these refuse. */
   advisor: AdvisorModel | undefined;
 
@@ -193,13 +196,7 @@
     const store = new MemoryRowStore(this.tables);
     const life = this.#newLife(id);
     const runner = new MemoryRunner(life);
-    const guard = new GuardApp({
-      ctx: quietContext({ id, role: 'guard' }),
-      store,
-      runner,
-      linkKey: LINK_KEY,
-    });
-    guard.start();
+    const guard = startGuard({ id, store, runner });
     const worker: WorkerVm = {
       id,
       guard,
@@ -235,7 +232,11 @@
 
   #crashByTask(id: string): void {
     const worker = this.workers.find((each) => each.id === id);
-    if (worker !== undefined) this.crashRunner(worker, AWAY_MS);
+    if (worker === undefined) return;
+    this.crashRunner(worker, AWAY_MS);
+    if (!this.crashesTakeGuards || this.#stopped) return;
+    worker.guard.stop();
+    worker.guard = startGuard(worker);
   }
 
   newJobId(): string {
@@ -326,6 +327,13 @@
   }
 }
 
+function startGuard({ id, store, runner }: Pick<WorkerVm, 'id' | 'store' | 'runner'>): GuardApp {
+  const ctx = quietContext({ id, role: 'guard' });
+  const guard = new GuardApp({ ctx, store, runner, linkKey: LINK_KEY });
+  guard.start();
+  return guard;
+}
+
 /** The emulated advisor as an owner calls it. */
 function memoryAdvisor(model: AdvisorModel): Advisor {
   return {
