--- a/packages/cell/src/owner/cell-steps.support.ts
+++ b/packages/cell/src/owner/cell-steps.support.ts
@@ -1,6 +1,6 @@
 /** What the steps about a cell have in common. */
 import assert from 'node:assert/strict';
-import type { Step } from '../job/submission.js';
+import type { JobRequest, Step } from '../job/submission.js';
 import { CellWorld, eventually, submit } from '../testing/cell-world.support.js';
 
 /** What the steps of a scenario share. */
@@ -54,7 +54,7 @@
 /** Hands a job in, at an entry that does not own the cell unless said otherwise. */
 export async function handIn(
   world: CellSteps,
-  options: { steps?: Step[]; spec?: object; entry?: Entry },
+  options: { steps?: Step[]; spec?: object; schedule?: JobRequest['schedule']; entry?: Entry },
 ): Promise<void> {
   const cell = cellOf(world);
   const id = cell.newJobId();
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -1,6 +1,6 @@
 /** Entries and guards of a small cell in one process: real links over loopback, store and runners in memory. */
 import { createServer } from 'node:net';
-import { quietContext, type CountingMetrics } from '@zincspan/core';
+import { SystemClock, quietContext, type CountingMetrics } from '@zincspan/core';
 import { GangBoard, RowTables, RunnerModel, type AdvisorModel } from '@zincspan/stand-ins';
 import type { Advisor } from '../advice/advisor.js';
 import type { CellConfig, Queue } from '../config/cell-config.js';
@@ -111,6 +111,15 @@
   accelerators: number;
 }
 
+/** The host's clocks, with a time of day that can be made to jump. */
+class SteppedClock extends SystemClock {
+  aheadMs = 0;
+
+  override wall(): number {
+    return super.wall() + this.aheadMs;
+  }
+}
+
 /** A cell that runs until `stop`. */
 export class CellWorld {
   readonly tables = new RowTables();
@@ -123,6 +132,9 @@
 
   keepEndedMs = 600_000;
 
+  /** Of all entries. */
+  readonly clock = new SteppedClock();
+
   /** Where a task crashes a runner, the guard beside it is started anew before the runner is back. */
   crashesTakeGuards = false;
 
@@ -157,7 +169,7 @@
   async addEntry({ processorShare = 1 } = {}): Promise<EntryVm> {
     const id = `entry-${this.#nextEntry()}`;
     const store = new MemoryRowStore(this.tables);
-    const ctx = quietContext({ id, role: 'entry' });
+    const ctx = quietContext({ id, role: 'entry', clock: this.clock });
     const app = new EntryApp({
       ctx,
       store,
@@ -354,9 +366,13 @@
 export async function submit(
   entry: EntryVm,
   id: string,
-  { steps = [testStep()], spec = {} }: { steps?: Step[]; spec?: object } = {},
+  {
+    steps = [testStep()],
+    spec = {},
+    schedule,
+  }: { steps?: Step[]; spec?: object; schedule?: JobRequest['schedule'] } = {},
 ): Promise<string> {
-  const job: JobRequest = { spec: JSON.stringify(spec), steps, schedule: undefined };
+  const job: JobRequest = { spec: JSON.stringify(spec), steps, schedule };
   const { outcome } = await entry.app.calls.submit(callOf(id), { decode: () => ({ job }) });
   return outcome;
 }
--- a/packages/cell/src/testing/memory-runner.support.ts
+++ b/packages/cell/src/testing/memory-runner.support.ts
@@ -15,6 +15,9 @@
   /** Starts get no answer and are carried out after this long, in ms. */
   lateStartsMs: number | undefined;
 
+  /** So many starts have their connections reset, each second one only after it was carried out. */
+  resetStarts = 0;
+
   constructor(life: RunnerModel) {
     this.life = life;
   }
@@ -33,6 +36,11 @@
       return { outcome: 'no-answer', detail: 'late' };
     }
     await pause(ANSWER_MS);
+    if (this.resetStarts > 0) {
+      this.resetStarts -= 1;
+      if (this.resetStarts % 2 === 0) target.start(order);
+      return { outcome: 'no-answer', detail: 'connection reset' };
+    }
     const word = target.start(order);
     if (word === 'ok') return { outcome: 'ok', clockMs: target.clockMs };
     return { outcome: 'refused', reason: word, detail: word };
