Let only the tasks under which a runner crashed wait for a trial, not the rest of their step

Now suspects of a step are a group of their own (not of gangs, nor where a step bounds its tasks on a worker, which counts over all that are placed together).

Also names: PresentRuns, suspectsAmong, runsThere; reasons in terms of the product.

--- a/packages/cell/src/guard/aboard.ts
+++ b/packages/cell/src/guard/present-runs.ts
@@ -6,7 +6,7 @@
 import { runKey } from '../job/task-name.js';
 
 /** A run and how long it had been on its runner, in ms. */
-export interface AboardRun extends RunName {
+export interface PresentRun extends RunName {
   ranMs: number;
 }
 
@@ -14,17 +14,17 @@
 export interface Silence {
   /** On the guard's monotonic clock, in ms. */
   at: number;
-  runs: AboardRun[];
+  runs: PresentRun[];
 }
 
-/** A run and since when it has been on the runner, on the guard's monotonic clock, in ms. */
-export interface SentRun extends RunName {
+/** A run, and when it was sent to the runner or first seen there, on the guard's monotonic clock, in ms. */
+export interface TimedRun extends RunName {
   at: number;
 }
 
-/** Of one life of a runner. */
-export class Aboard {
-  readonly #since = new Map<string, SentRun>();
+/** Runs on one life of a runner. */
+export class PresentRuns {
+  readonly #since = new Map<string, TimedRun>();
 
   #silence: Silence | undefined;
 
@@ -33,6 +33,7 @@
     return this.#silence;
   }
 
+  /** The runner said yes to a start. */
   noteStarted({ task, run }: RunName, at: number): void {
     this.#since.set(runKey({ task, run }), { task, run, at });
   }
@@ -48,6 +49,7 @@
       .forEach((run) => this.noteStarted(run, at));
   }
 
+  /** The runner answered. */
   noteAnswer(): void {
     this.#silence = undefined;
   }
@@ -56,7 +58,7 @@
    * A call got no answer. The first one in a row fixes what was there, with the starts that were on their way (`sent`): what
    * is sent later never arrives. True if it is the first.
    */
-  noteNoAnswer(at: number, sent: readonly SentRun[]): boolean {
+  noteNoAnswer(at: number, sent: readonly TimedRun[]): boolean {
     if (this.#silence !== undefined) return false;
     const runs = [...this.#since.values(), ...sent].map((run) => ({
       task: run.task,
--- a/packages/cell/src/guard/run-orders.ts
+++ b/packages/cell/src/guard/run-orders.ts
@@ -1,6 +1,6 @@
 /** Orders on their way to the runner: each is repeated until it is answered or surely barred. */
 import type { PaceOrder, ProcessContext, RunName, StartOrder, StartRefusal } from '@zincspan/core';
-import type { SentRun } from './aboard.js';
+import type { TimedRun } from './present-runs.js';
 import type { RunnerAnswer, RunnerLife, RunnerPort, RunnerRefusal } from './runner-port.js';
 import { pause } from '../clock/pause.js';
 import { runKey } from '../job/task-name.js';
@@ -56,7 +56,7 @@
 
   readonly #events: RunOrderEvents;
 
-  readonly #starting = new Map<string, SentRun>();
+  readonly #starting = new Map<string, TimedRun>();
 
   readonly #stopped = new Map<string, number>();
 
@@ -81,7 +81,7 @@
   }
 
   /** Starts that aren't answered yet, and when each was first sent. */
-  sent(): SentRun[] {
+  sent(): TimedRun[] {
     return [...this.#starting.values()];
   }
 
--- a/packages/cell/src/guard/runner-record.steps.ts
+++ b/packages/cell/src/guard/runner-record.steps.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import type { SentRun } from './aboard.js';
+import type { TimedRun } from './present-runs.js';
 import { RunnerRecord } from './runner-record.js';
 
 interface RecordSteps {
   record: RunnerRecord;
-  sent?: SentRun[];
+  sent?: TimedRun[];
 }
 
 const RUN = { task: '0000000000000001.0.0.0', run: 1 };
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -1,6 +1,6 @@
 /** What a guard keeps of one life of its runner: the last listing, and what came to pass since it was asked for. */
 import type { CellContact, RunName, RunStatus } from '@zincspan/core';
-import { Aboard, type SentRun, type Silence } from './aboard.js';
+import { PresentRuns, type TimedRun, type Silence } from './present-runs.js';
 import type { Refused } from './run-orders.js';
 import { RunnerLease } from './runner-lease.js';
 import type { Listing, RunnerReport } from './runner-port.js';
@@ -40,7 +40,7 @@
   /** Stops that were answered and not yet seen in a listing. */
   readonly #stopped = new Map<string, RunName & At>();
 
-  readonly #aboard = new Aboard();
+  readonly #present = new PresentRuns();
 
   #confirmedEnd = 0;
 
@@ -97,23 +97,23 @@
 
   /** Since when it hasn't answered, and what ran there then; undefined while it answers. */
   get silence(): Silence | undefined {
-    return this.#aboard.silence;
+    return this.#present.silence;
   }
 
   /** It answered, if only to refuse. */
   noteAnswer(now: number): void {
     this.#answeredAt = now;
-    this.#aboard.noteAnswer();
+    this.#present.noteAnswer();
   }
 
   /** It gave no answer; `sent`: starts on their way. True if it is the first time since it answered. */
-  noteNoAnswer(now: number, sent: readonly SentRun[]): boolean {
-    return this.#aboard.noteNoAnswer(now, sent);
+  noteNoAnswer(now: number, sent: readonly TimedRun[]): boolean {
+    return this.#present.noteNoAnswer(now, sent);
   }
 
   noteStarted(run: RunName, now: number): void {
     this.#started.set(runKey(run), { ...run, at: now });
-    this.#aboard.noteStarted(run, now);
+    this.#present.noteStarted(run, now);
   }
 
   noteRefused(refused: Refused): void {
@@ -144,7 +144,7 @@
     this.#listedAt = sentAt;
     this.noteAnswer(now);
     this.#dropSeen(sentAt);
-    this.#aboard.noteRunning(this.#running(), sentAt);
+    this.#present.noteRunning(this.#running(), sentAt);
     const hasRefused = [...this.#refused.values()].some(({ at }) => at < sentAt);
     return isFirst || hasNewEnd || hasRefused;
   }
--- a/packages/cell/src/job/crash-record.steps.ts
+++ b/packages/cell/src/job/crash-record.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { testStep, testSubmission } from '../testing/cell-world.support.js';
-import { blamedFor } from './crash-record.js';
+import { suspectsAmong } from './crash-record.js';
 import { JobProgress } from './progress.js';
 
 interface CrashSteps {
@@ -33,7 +33,7 @@
 Given(
   /^a runner that crashed under runs of ([\d, and]+) ms$/,
   function (this: CrashSteps, ages: string) {
-    this.blamed = blamedFor(numbers(ages).map((ranMs) => ({ ranMs })));
+    this.blamed = suspectsAmong(numbers(ages).map((ranMs) => ({ ranMs })));
   },
 );
 
--- a/packages/cell/src/job/crash-record.ts
+++ b/packages/cell/src/job/crash-record.ts
@@ -14,8 +14,8 @@
 }
 
 /**
- * A run this young when its runner crashed may have crashed it, in ms. Tasks that crash their runners do so 10 ms after the
- * start; the guard may notice a part of a second late. Most others on the runner are older: jobs take 3 to 16 s.
+ * A run this young when its runner crashed may have crashed it, in ms. A task that crashes its runner does so as it starts, and the
+ * guard may notice a part of a second late; tasks take several seconds, so that most others on the runner are older.
  */
 export const SUSPECT_WITHIN_MS = 1000;
 
@@ -35,8 +35,8 @@
  */
 const MOST_IN_ALL = 4;
 
-/** Which of the runs on a runner that crashed may have crashed it: those that had just been started, or else all. */
-export function blamedFor<T extends { ranMs: number }>(runs: readonly T[]): readonly T[] {
+/** Which of the runs on a crashed runner may have crashed it: those that had just been started, or else all. */
+export function suspectsAmong<T extends { ranMs: number }>(runs: readonly T[]): readonly T[] {
   const young = runs.filter(({ ranMs }) => ranMs < SUSPECT_WITHIN_MS);
   return young.length > 0 ? young : runs;
 }
--- a/packages/cell/src/job/progress.ts
+++ b/packages/cell/src/job/progress.ts
@@ -196,8 +196,8 @@
   }
 
   /**
-   * A runner of `livedMs` crashed under this run, which had been there for `ranMs`. The task's job fails once that has come to be the task's
-   * own fault: without a bound such a task was started 33 times within two minutes. False if it says nothing new.
+   * A runner crashed under this run. The job fails once that has come to be the task's own fault: without a bound such a task was
+   * started 33 times within two minutes, by the logs of one day. False if it says nothing new.
    */
   noteCrash({ ref, run, ranMs, livedMs }: RunCrash): boolean {
     const task = this.findTask(ref);
--- a/packages/cell/src/owner/crash-report.ts
+++ b/packages/cell/src/owner/crash-report.ts
@@ -1,6 +1,6 @@
 /** What a guard tells of its runner's crash is counted against the tasks that may have caused it. */
 import type { RunnerCrash } from '@zincspan/core';
-import { blamedFor } from '../job/crash-record.js';
+import { suspectsAmong } from '../job/crash-record.js';
 import type { RunCrash } from '../job/progress.js';
 import { parseTaskName } from '../job/task-name.js';
 import type { Assignment, Worker } from '../worker/worker.js';
@@ -8,12 +8,11 @@
 
 /** Takes it up. It may be told again, also of runs that were given up before: each run counts once. */
 export function takeUpCrash(book: RunBook, { vm }: Worker, { runs, livedMs }: RunnerCrash): void {
-  const aboard = runs.length;
-  blamedFor(runs).forEach(({ task, run, ranMs }) => {
+  suspectsAmong(runs).forEach(({ task, run, ranMs }) => {
     const parsed = parseTaskName(task);
     if (parsed === undefined) return;
     const { jobId, ref } = parsed;
-    count(book, jobId, { ref, run, ranMs, livedMs }, { task, vm, aboard });
+    count(book, jobId, { ref, run, ranMs, livedMs }, { task, vm, runsThere: runs.length });
   });
 }
 
--- a/packages/cell/src/owner/wanted-groups.feature
+++ b/packages/cell/src/owner/wanted-groups.feature
@@ -9,3 +9,17 @@
   Scenario: it doesn't wait longer than the other racks would cost
     Given a gang expected to take 5 s that has waited 11 s for its rack
     Then it takes any racks while the service is busy
+
+  Scenario Outline: the tasks under which a runner crashed wait by themselves
+    Given a <step> of 4 tasks, under the second of which a runner crashed
+    Then the groups that may crash their runner are <suspects>, and the others <others>
+
+    Examples:
+      | step                         | suspects   | others  |
+      | step                         | 1          | 0, 2, 3 |
+      | gang                         | 0, 1, 2, 3 | none    |
+      | step with 1 task to a worker | 0, 1, 2, 3 | none    |
+
+  Scenario: a task that is done makes no others wait
+    Given a step of 4 tasks, under the second of which a runner crashed and which is done
+    Then the groups that may crash their runner are none, and the others 0, 2, 3
--- a/packages/cell/src/owner/wanted-groups.steps.ts
+++ b/packages/cell/src/owner/wanted-groups.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then } from '@cucumber/cucumber';
+import type { Step } from '../job/submission.js';
 import { testStep, testSubmission } from '../testing/cell-world.support.js';
 import { OwnedJob } from './owned-job.js';
 import { wantedGroups, type RackPatience } from './wanted-groups.js';
@@ -10,6 +11,18 @@
   expectedMs: number;
 }
 
+function newJob(step: Step): OwnedJob {
+  const submission = testSubmission({ steps: [step] });
+  const { id } = submission;
+  return new OwnedJob({
+    id,
+    submission,
+    submissionVersion: 1,
+    progressVersion: 0,
+    cancelled: false,
+  });
+}
+
 function wantsOneRack(
   { job, now, expectedMs }: WantedSteps,
   patience: Pick<RackPatience, 'isBusy' | 'claim'>,
@@ -22,17 +35,48 @@
 Given(
   'a gang expected to take {int} s that has waited {int} s for its rack',
   function (this: WantedSteps, expectedS: number, waitedS: number) {
-    const step = testStep({ tasks: 2, gang: true, rackSensitive: true });
-    const submission = testSubmission({ steps: [step] });
-    const { id } = submission;
-    const row = { id, submission, submissionVersion: 1, progressVersion: 0, cancelled: false };
-    this.job = new OwnedJob(row);
+    this.job = newJob(testStep({ tasks: 2, gang: true, rackSensitive: true }));
     this.job.readySince.set('0.0', 0);
     this.now = waitedS * 1000;
     this.expectedMs = expectedS * 1000;
   },
 );
 
+Given(
+  /^a (step|gang|step with 1 task to a worker) of 4 tasks, under the second of which a runner crashed( and which is done)?$/,
+  function (this: WantedSteps, kind: string, done: string | null) {
+    const bound = kind.startsWith('step with') ? { maxPerWorker: 1 } : {};
+    this.job = newJob(testStep({ tasks: 4, gang: kind === 'gang', ...bound }));
+    const { progress } = this.job;
+    const tasks = [0, 1, 2, 3].map((index) => ({ occurrence: 0, step: 0, index }));
+    const run = progress.startRuns(tasks.map((ref) => ({ ref, vm: 'vm', runner: 'life' })));
+    const [, second] = tasks;
+    assert.ok(second);
+    assert.ok(progress.noteCrash({ ref: second, run, ranMs: 10, livedMs: 60_000 }));
+    tasks.forEach((ref) => {
+      const how = done !== null && ref === second ? 'done' : 'lost';
+      progress.endRun({ ref, run, how, checkpoint: '' }, { maxAttempts: 2 });
+    });
+    this.now = 0;
+    this.expectedMs = 1000;
+  },
+);
+
+Then(
+  /^the groups that may crash their runner are (.*), and the others (.*)$/,
+  function (this: WantedSteps, suspects: string, others: string) {
+    const patience = { isBusy: false, claim: false, expectedMs: () => this.expectedMs };
+    const groups = wantedGroups(this.job, this.now, patience).map(({ group }) => group);
+    const list = (isSuspect: boolean): string =>
+      groups
+        .filter((group) => group.isSuspect === isSuspect)
+        .map(({ indexes }) => indexes.join(', '))
+        .join(' ') || 'none';
+    assert.equal(list(true), suspects);
+    assert.equal(list(false), others);
+  },
+);
+
 Then(
   /^it (wants one rack|takes any racks) while the service is busy$/,
   function (this: WantedSteps, what: string) {
--- a/packages/cell/src/owner/wanted-groups.ts
+++ b/packages/cell/src/owner/wanted-groups.ts
@@ -69,13 +69,11 @@
   const key = `${occurrence.index}.${stepIndex}`;
   const readySince = job.readySince.get(key) ?? now;
   job.readySince.set(key, readySince);
-  const mayCrash = progress.tasks.some(({ crashes }) => isSuspect(crashes));
   const waitsForRack = now - readySince < rackWaitMs(step, patience);
-  const group: Group = {
+  const common = {
     jobId: job.id,
     occurrence: occurrence.index,
     step: stepIndex,
-    indexes,
     service: job.terms.service,
     demand: roomDemand(step),
     gang: step.gang,
@@ -85,10 +83,38 @@
     maxPerWorker: step.maxPerWorker,
     present: tasksByWorker(progress),
     avoided: job.avoided({ occurrence: occurrence.index, step: stepIndex }, now),
-    isSuspect: mayCrash,
-    startsAlone: mayCrash && now - readySince < TRIAL_WAIT_MS,
   };
-  return [{ job, step, group, readySince }];
+  return splitSuspects(step, progress, indexes).map(({ isSuspect: suspect, indexes: own }) => ({
+    job,
+    step,
+    group: {
+      ...common,
+      indexes: own,
+      isSuspect: suspect,
+      startsAlone: suspect && now - readySince < TRIAL_WAIT_MS,
+    },
+    readySince,
+  }));
+}
+
+/**
+ * Tasks that may crash their runner are placed by themselves, so that the others of a wide step don't wait with them. Not members
+ * of a gang, nor of a step with a bound on tasks of one worker, which counts over all that are placed together.
+ */
+function splitSuspects(
+  step: Step,
+  progress: StepProgress,
+  indexes: readonly number[],
+): { isSuspect: boolean; indexes: readonly number[] }[] {
+  const suspects = indexes.filter((index) => isSuspect(progress.tasks[index]?.crashes));
+  if (step.gang || step.maxPerWorker !== undefined) {
+    return [{ isSuspect: suspects.length > 0, indexes }];
+  }
+  const others = indexes.filter((index) => !suspects.includes(index));
+  return [
+    { isSuspect: false, indexes: others },
+    { isSuspect: true, indexes: suspects },
+  ].filter((part) => part.indexes.length > 0);
 }
 
 function rackWaitMs(step: Step, { isBusy, claim, expectedMs }: RackPatience): number {
