--- a/packages/e2e/src/soak/soak.ts
+++ b/packages/e2e/src/soak/soak.ts
@@ -38,6 +38,9 @@
     throw new Error('Usage: --seed N --seeds K --seconds S --entries E --workers W, all above 0');
   }
   const crashEach = Number(values['crash-each']);
+  if (!Number.isInteger(crashEach) || crashEach < 0) {
+    throw new Error('Usage: --crash-each N, a whole number, 0 for none');
+  }
   let broken = 0;
   for (let each = seed!; each < seed! + seeds!; each++) {
     const result = await runSoak({
