Let steps share one job, one list of numbers and one way to lose an entry

Five step files made an owned job from a submission with the same five fields, two read the numbers of a text, and four lost an entry, or lost it as it writes a run down, in the same lines. No assertion changed.

--- a/packages/cell/src/advice/advice.steps.ts
+++ b/packages/cell/src/advice/advice.steps.ts
@@ -3,13 +3,8 @@
 import { AdvisorModel } from '@zincspan/stand-ins';
 import { pause } from '../clock/pause.js';
 import type { Step } from '../job/submission.js';
-import {
-  CellWorld,
-  TEST_QUEUE,
-  eventually,
-  submit,
-  testStep,
-} from '../testing/cell-world.support.js';
+import { CellWorld, eventually, submit, loseEntryAtWrite } from '../testing/cell-world.support.js';
+import { TEST_QUEUE, testStep } from '../testing/test-jobs.support.js';
 
 interface AdviceSteps {
   cell?: CellWorld;
@@ -68,11 +63,7 @@
 Given('the owner is lost the moment it writes a run down', function (this: AdviceSteps) {
   const owner = cellOf(this).owner();
   assert.ok(owner);
-  owner.store.onDone = ({ set }) => {
-    if (!set.some(({ key }) => key.endsWith('/p'))) return;
-    owner.store.fault = 'silent';
-    void owner.app.stop();
-  };
+  loseEntryAtWrite(owner);
 });
 
 When(
--- a/packages/cell/src/entry/config-order.steps.ts
+++ b/packages/cell/src/entry/config-order.steps.ts
@@ -2,7 +2,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
 import { cellOf, otherEntry, type CellSteps, type Entry } from '../owner/cell-steps.support.js';
-import { HOST, KEY, TEST_QUEUE } from '../testing/cell-world.support.js';
+import { HOST, KEY, TEST_QUEUE } from '../testing/test-jobs.support.js';
 
 interface OrderSteps extends CellSteps {
   entry: Entry;
--- a/packages/cell/src/entry/entry-load.steps.ts
+++ b/packages/cell/src/entry/entry-load.steps.ts
@@ -11,7 +11,8 @@
   type CellSteps,
   type Entry,
 } from '../owner/cell-steps.support.js';
-import { CellWorld, PREFIX, callOf, eventually } from '../testing/cell-world.support.js';
+import { CellWorld, callOf, eventually } from '../testing/cell-world.support.js';
+import { PREFIX } from '../testing/test-jobs.support.js';
 
 /** Links beside the owner's that each entry keeps. */
 const NEIGHBOURS = 2;
--- a/packages/cell/src/job/crash-record.steps.ts
+++ b/packages/cell/src/job/crash-record.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { testStep, testSubmission } from '../testing/cell-world.support.js';
+import { numbers } from '../placing/placing-steps.support.js';
+import { testStep, testSubmission } from '../testing/test-jobs.support.js';
 import { suspectsAmong } from './crash-record.js';
 import { JobProgress } from './progress.js';
 
@@ -18,10 +19,6 @@
 const LIVED_MS = 60_000;
 const FRESH_MS = 3000;
 
-function numbers(list: string): number[] {
-  return (list.match(/\d+/g) ?? []).map(Number);
-}
-
 function start({ progress }: CrashSteps): number {
   return progress.startRuns([{ ref: REF, vm: 'vm', runner: 'life' }]);
 }
--- a/packages/cell/src/job/progress.steps.ts
+++ b/packages/cell/src/job/progress.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { testStep, testSubmission } from '../testing/cell-world.support.js';
+import { testStep, testSubmission } from '../testing/test-jobs.support.js';
 import { packProgress, unpackProgress } from './job-rows.js';
 import { JobProgress, type EndKind } from './progress.js';
 import type { Submission } from './submission.js';
--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -3,12 +3,13 @@
 import { pause } from '../clock/pause.js';
 import {
   CellWorld,
-  TEST_QUEUE,
   callOf,
   eventually,
   submit,
-  testSubmission,
+  loseEntry,
+  loseEntryAtWrite,
 } from '../testing/cell-world.support.js';
+import { TEST_QUEUE, testSubmission } from '../testing/test-jobs.support.js';
 import { OWNER_KEY } from './owner-row.js';
 import { entryRowKey } from '../entry/entry-row.js';
 import { jobRowKey, packProgress } from '../job/job-rows.js';
@@ -28,12 +29,7 @@
 });
 
 Given('the owner stops the moment a run is written down', function (this: CellSteps) {
-  const owner = ownerOf(this);
-  owner.store.onDone = ({ set }) => {
-    if (!set.some(({ key }) => key.endsWith('/p'))) return;
-    owner.store.fault = 'silent';
-    void owner.app.stop();
-  };
+  loseEntryAtWrite(ownerOf(this));
 });
 
 Given(
@@ -227,9 +223,7 @@
 );
 
 When('the owner is lost', function (this: CellSteps) {
-  const owner = ownerOf(this);
-  owner.store.fault = 'silent';
-  void owner.app.stop();
+  loseEntry(ownerOf(this));
 });
 
 When('the owner is cut from the store', function (this: CellSteps) {
--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -9,8 +9,8 @@
   callOf,
   eventually,
   submit,
-  testStep,
 } from '../testing/cell-world.support.js';
+import { testStep } from '../testing/test-jobs.support.js';
 import {
   cellOf,
   hasBegun,
--- a/packages/cell/src/owner/crashing-tasks.steps.ts
+++ b/packages/cell/src/owner/crashing-tasks.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { eventually, testStep } from '../testing/cell-world.support.js';
+import { eventually, loseEntry } from '../testing/cell-world.support.js';
+import { testStep } from '../testing/test-jobs.support.js';
 import {
   cellOf,
   handIn,
@@ -58,9 +59,7 @@
 
 When('after its second start the loss of the owner happens', async function (this: CellSteps) {
   assert.ok(await eventually(() => mostStartsOfATask(this, jobOf(this)) >= 2));
-  const owner = ownerOf(this);
-  owner.store.fault = 'silent';
-  void owner.app.stop();
+  loseEntry(ownerOf(this));
 });
 
 Then(
--- a/packages/cell/src/owner/disturbed-fleet.steps.ts
+++ b/packages/cell/src/owner/disturbed-fleet.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
-import { eventually, testStep } from '../testing/cell-world.support.js';
+import { eventually } from '../testing/cell-world.support.js';
+import { testStep } from '../testing/test-jobs.support.js';
 import { cellOf, handIn, jobOf, type CellSteps } from './cell-steps.support.js';
 
 const ACCELERATORS = 8;
--- a/packages/cell/src/owner/occupants.steps.ts
+++ b/packages/cell/src/owner/occupants.steps.ts
@@ -3,12 +3,10 @@
 import { quietContext } from '@zincspan/core';
 import { AdviceBook } from '../advice/advice-book.js';
 import { JobProgress } from '../job/progress.js';
-import type { Submission } from '../job/submission.js';
 import { DurationBook } from '../placing/duration-book.js';
-import { testStep, testSubmission } from '../testing/cell-world.support.js';
+import { testStep, testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
 import { Fleet } from './fleet.js';
 import { findOccupants } from './occupants.js';
-import { OwnedJob } from './owned-job.js';
 import { RunBook } from './run-book.js';
 
 interface OccupantSteps {
@@ -29,12 +27,6 @@
   });
 }
 
-function newJob(submission: Submission, progress: JobProgress): OwnedJob {
-  const { id } = submission;
-  const versions = { submissionVersion: 1, progressVersion: 1 };
-  return new OwnedJob({ id, submission, progress, ...versions, cancelled: false });
-}
-
 Given(
   'a step of {int} tasks that last, of which {int} may be away and {int} are',
   function (this: OccupantSteps, tasks: number, mayMiss: number, away: number) {
@@ -49,7 +41,7 @@
       })),
     );
     this.book = newBook();
-    this.book.add(newJob(submission, progress));
+    this.book.add(testOwnedJob(submission, { progress, progressVersion: 1 }));
     this.book.assignmentsOf(submission.id).forEach((assignment) => {
       const isAway = assignment.ref.index < away;
       Object.assign(assignment, { percent: isAway ? 0 : FULL_PERCENT });
@@ -67,7 +59,7 @@
     const ref = { occurrence: 0, step: 0, index: 0 };
     progress.startRuns([{ ref, vm: 'vm-0', runner: 'runner-0' }]);
     this.book = newBook();
-    this.book.add(newJob(submission, progress));
+    this.book.add(testOwnedJob(submission, { progress, progressVersion: 1 }));
     const [assignment] = this.book.assignmentsOf(submission.id);
     assert.ok(assignment);
     assignment.assignedAt -= Number(seconds) * 1000;
--- a/packages/cell/src/owner/placing-pass.steps.ts
+++ b/packages/cell/src/owner/placing-pass.steps.ts
@@ -4,8 +4,8 @@
 import type { Demand } from '../job/submission.js';
 import { DurationBook } from '../placing/duration-book.js';
 import { Room } from '../placing/room.js';
-import { testStep, testSubmission } from '../testing/cell-world.support.js';
-import { OwnedJob } from './owned-job.js';
+import { testStep, testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
+import type { OwnedJob } from './owned-job.js';
 import { decidePass, type Occupant, type PassResult } from './placing-pass.js';
 import { QueueMeans } from './standings.js';
 
@@ -45,14 +45,7 @@
     },
     steps: [testStep({ tasks, gang, demand, estimateMs: ESTIMATE_MS })],
   });
-  const { id } = submission;
-  return new OwnedJob({
-    id,
-    submission,
-    submissionVersion: 1,
-    progressVersion: 0,
-    cancelled: false,
-  });
+  return testOwnedJob(submission);
 }
 
 function newRoom(vm: string, free: Demand): Room {
--- a/packages/cell/src/owner/progress-writer.steps.ts
+++ b/packages/cell/src/owner/progress-writer.steps.ts
@@ -4,9 +4,10 @@
 import { RowTables } from '@zincspan/stand-ins';
 import { pause } from '../clock/pause.js';
 import { jobRowKey, packSubmission, unpackProgress } from '../job/job-rows.js';
-import { eventually, testSubmission } from '../testing/cell-world.support.js';
+import { eventually } from '../testing/cell-world.support.js';
+import { testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
 import { MemoryRowStore } from '../testing/memory-row-store.support.js';
-import { OwnedJob } from './owned-job.js';
+import type { OwnedJob } from './owned-job.js';
 import { OWNER_KEY } from './owner-row.js';
 import { ProgressWriter } from './progress-writer.js';
 
@@ -24,13 +25,7 @@
 const STRANGER = Buffer.from('of a stranger');
 
 function newJob(submissionVersion: number): OwnedJob {
-  return new OwnedJob({
-    id: SUBMISSION.id,
-    submission: SUBMISSION,
-    submissionVersion,
-    progressVersion: 0,
-    cancelled: false,
-  });
+  return testOwnedJob(SUBMISSION, { submissionVersion });
 }
 
 function put(tables: RowTables, key: typeof PROGRESS_KEY, value: Buffer): number {
--- a/packages/cell/src/owner/standings.steps.ts
+++ b/packages/cell/src/owner/standings.steps.ts
@@ -2,8 +2,8 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { DurationBook } from '../placing/duration-book.js';
 import { urgencyOf, type Standing } from '../placing/order.js';
-import { testStep, testSubmission } from '../testing/cell-world.support.js';
-import { OwnedJob } from './owned-job.js';
+import { testStep, testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
+import type { OwnedJob } from './owned-job.js';
 import { QueueMeans, objectiveMs, standingOf } from './standings.js';
 
 interface StandingSteps {
@@ -34,9 +34,7 @@
       },
       steps: [testStep({ tasks: Number(tasks), estimateMs: Number(seconds) * 1000 })],
     });
-    const { id } = submission;
-    const versions = { submissionVersion: 1, progressVersion: 0 };
-    this.standingJob = new OwnedJob({ id, submission, ...versions, cancelled: false });
+    this.standingJob = testOwnedJob(submission);
   },
 );
 
--- a/packages/cell/src/owner/wanted-groups.steps.ts
+++ b/packages/cell/src/owner/wanted-groups.steps.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { Given, Then } from '@cucumber/cucumber';
 import type { Step } from '../job/submission.js';
-import { testStep, testSubmission } from '../testing/cell-world.support.js';
-import { OwnedJob } from './owned-job.js';
+import { testStep, testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
+import type { OwnedJob } from './owned-job.js';
 import { wantedGroups, type RackPatience } from './wanted-groups.js';
 
 interface WantedSteps {
@@ -12,15 +12,7 @@
 }
 
 function newJob(step: Step): OwnedJob {
-  const submission = testSubmission({ steps: [step] });
-  const { id } = submission;
-  return new OwnedJob({
-    id,
-    submission,
-    submissionVersion: 1,
-    progressVersion: 0,
-    cancelled: false,
-  });
+  return testOwnedJob(testSubmission({ steps: [step] }));
 }
 
 function wantsOneRack(
--- a/packages/cell/src/pacing/pacing.steps.ts
+++ b/packages/cell/src/pacing/pacing.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { CellWorld, eventually, submit, testStep } from '../testing/cell-world.support.js';
+import { CellWorld, eventually, submit } from '../testing/cell-world.support.js';
+import { testStep } from '../testing/test-jobs.support.js';
 import type { Step } from '../job/submission.js';
 import { Pacer } from './pacer.js';
 
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -3,18 +3,15 @@
 import { SystemClock, quietContext, type CountingMetrics } from '@zincspan/core';
 import { GangBoard, RowTables, RunnerModel, type AdvisorModel } from '@zincspan/stand-ins';
 import type { Advisor } from '../advice/advisor.js';
-import type { CellConfig, Queue } from '../config/cell-config.js';
+import type { CellConfig } from '../config/cell-config.js';
 import { EntryApp } from '../entry/entry-app.js';
 import { GuardApp } from '../guard/guard-app.js';
 import { jobRowKey, unpackProgress, unpackSubmission } from '../job/job-rows.js';
 import type { JobProgress } from '../job/progress.js';
-import {
-  submissionSchema,
-  type JobRequest,
-  type Step,
-  type Submission,
-} from '../job/submission.js';
+import type { JobRequest, Step } from '../job/submission.js';
 import { OWNER_KEY, unpackOwner } from '../owner/owner-row.js';
+import { HOST, KEY, PREFIX, TEST_QUEUE, testStep } from './test-jobs.support.js';
+import type { Transaction } from '../store/row-store.js';
 import { MemoryRowStore } from './memory-row-store.support.js';
 import { MemoryRunner } from './memory-runner.support.js';
 import { pause } from '../clock/pause.js';
@@ -35,62 +32,6 @@
 /** Lease of tests: longer than an owner takes to be replaced, as the real one is. */
 export const TEST_LEASE_MS = 4000;
 
-export const HOST = 'proofs.example';
-export const PREFIX = '/proofs/';
-export const KEY = 'key-of-weddings';
-
-export const TEST_QUEUE: Queue = {
-  name: 'proofs',
-  host: HOST,
-  pathPrefix: PREFIX,
-  service: 'render',
-  priority: 1,
-  maxAttempts: 2,
-  stretch: 3,
-  targetLatencyMs: 1000,
-  isPublic: false,
-  needsAdvice: false,
-};
-
-/** A step with the defaults of tests: one task of one accelerator. */
-export function testStep(change: Partial<Step> = {}): Step {
-  return {
-    tasks: 1,
-    demand: { milliCores: 1000, memoryMb: 100, accelerators: 1 },
-    estimateMs: 200,
-    after: [],
-    gang: false,
-    checkpointing: false,
-    rackSensitive: false,
-    duplicates: false,
-    lasting: false,
-    fills: false,
-    mayMiss: 0,
-    ...change,
-  };
-}
-
-/** A submission with the defaults of tests. */
-export function testSubmission(change: Partial<Submission>): Submission {
-  return submissionSchema.parse({
-    id: '0'.repeat(16),
-    queue: 'proofs',
-    terms: {
-      service: 'render',
-      priority: 0,
-      maxAttempts: 2,
-      stretch: 1,
-      targetLatencyMs: 0,
-      needsAdvice: false,
-    },
-    account: 'weddings',
-    spec: '',
-    steps: [testStep()],
-    acceptedAtMs: 0,
-    ...change,
-  });
-}
-
 interface EntryVm {
   id: string;
   app: EntryApp;
@@ -357,6 +298,21 @@
   };
 }
 
+/** The entry is gone, and nothing that it sends reaches the store any more. */
+export function loseEntry({ app, store }: EntryVm): void {
+  Object.assign(store, { fault: 'silent' });
+  void app.stop();
+}
+
+/** The same the moment it writes a run down. */
+export function loseEntryAtWrite(entry: EntryVm): void {
+  Object.assign(entry.store, {
+    onDone: ({ set }: Transaction) => {
+      if (set.some(({ key }) => key.endsWith('/p'))) loseEntry(entry);
+    },
+  });
+}
+
 /** A call about a job of the tests' queue. */
 export function callOf(rest: string, key = KEY): { host: string; path: string; key: string } {
   return { host: HOST, path: `${PREFIX}${rest}`, key };
