Say in logs which life of a runner answers, which ends are skipped, and why groups wait

Change, none of it of logic: the birth of a runner's life is decoded and logged; a guard logs once that another life answers under the id that it follows; the owner logs an end that it skips though its run is in the books, a run that is neither told of nor ordered for 2 s, and every 5 s up to three groups that have waited for 5 s, with how the workers stand in its books.

--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -55,6 +55,9 @@
 
   #checking: string | undefined;
 
+  /** The life that last answered in place of the one that is followed, by its birth. */
+  #strangerBornMs: number | undefined;
+
   #stopped = false;
 
   constructor({
@@ -84,6 +87,7 @@
       void this.#check(report);
       return;
     }
+    this.#noteBirth(record, report.bornMs, 'heartbeat');
     const news = record.noteReport(report);
     if (news === undefined) return;
     const { id, remainingMs, capacity } = report;
@@ -180,7 +184,8 @@
     });
     const life = { record, orders };
     this.#life = life;
-    this.#ctx.log.info({ runner: report.id, earlier, service: report.service }, 'runner adopted');
+    const { id, bornMs, service } = report;
+    this.#ctx.log.info({ runner: id, bornMs, earlier, service }, 'runner adopted');
     void this.#follow(life);
   }
 
@@ -216,6 +221,7 @@
     );
     if (this.#life !== life) return;
     if (answer.outcome === 'ok') {
+      this.#noteBirth(record, answer.bornMs, 'listing');
       if (record.noteListing(answer, { sentAt, now: this.#now() })) this.#onNews();
       if (endsWait) await pause(LOOK_PAUSE_MS);
       return;
@@ -227,6 +233,17 @@
     await pause(LOOK_PAUSE_MS);
   }
 
+  /** Logs once that a life other than the one that is followed answers under its id. */
+  #noteBirth({ report }: RunnerRecord, bornMs: number | undefined, source: string): void {
+    if (bornMs === report.bornMs || bornMs === this.#strangerBornMs) return;
+    this.#strangerBornMs = bornMs;
+    this.#ctx.metrics.count('runner.other-life');
+    this.#ctx.log.warn(
+      { runner: report.id, bornMs, followedBornMs: report.bornMs, source },
+      'runner answers as another life',
+    );
+  }
+
   #noteSilence({ record, orders }: Life): void {
     if (!record.noteNoAnswer(this.#now(), orders.sent())) return;
     this.#ctx.metrics.count('runner.silent');
--- a/packages/cell/src/guard/runner-port.ts
+++ b/packages/cell/src/guard/runner-port.ts
@@ -14,6 +14,8 @@
   labels: string[];
   capacity: { milliCores: number; memoryMb: number; accelerators: number };
   draining: boolean;
+  /** When this life began, in Unix ms; undefined where the platform doesn't say, and gives each life an id of its own. */
+  bornMs: number | undefined;
   /** Least time until a draining runner ends, in ms. */
   remainingMs?: number;
   /** Rises with each heartbeat of one life. */
@@ -49,6 +51,8 @@
   running: RunStatus[];
   /** Ends that weren't confirmed yet. */
   ends: ListedEnd[];
+  /** When the life that answered began, as in its heartbeats. */
+  bornMs: number | undefined;
 }
 
 /** Calls to one runner. None rejects. Times are on the runner's clock unless said otherwise. */
--- a/packages/cell/src/guard/runner-record.steps.ts
+++ b/packages/cell/src/guard/runner-record.steps.ts
@@ -29,6 +29,7 @@
     labels: [],
     capacity: { milliCores: 1, memoryMb: 1, accelerators: 1 },
     draining: false,
+    bornMs: undefined,
     sequence: 1,
   };
   return new RunnerRecord({ report, now: 0 });
@@ -38,7 +39,10 @@
   'a runner whose stop of a run was answered at {int}',
   function (this: RecordSteps, at: number) {
     this.record = newRecord();
-    this.record.noteListing({ clockMs: 0, running: [], ends: [] }, { sentAt: 10, now: 20 });
+    this.record.noteListing(
+      { clockMs: 0, running: [], ends: [], bornMs: undefined },
+      { sentAt: 10, now: 20 },
+    );
     this.record.noteStopped(RUN, at);
   },
 );
@@ -46,7 +50,10 @@
 Given('a runner that lists a run at {int}', function (this: RecordSteps, at: number) {
   this.record = newRecord();
   const running = [{ ...RUN, checkpoint: '', percent: 3 }];
-  this.record.noteListing({ clockMs: 0, running, ends: [] }, { sentAt: at, now: at + 10 });
+  this.record.noteListing(
+    { clockMs: 0, running, ends: [], bornMs: undefined },
+    { sentAt: at, now: at + 10 },
+  );
 });
 
 Given('another run started there at {int}', function (this: RecordSteps, at: number) {
@@ -86,7 +93,10 @@
 When(
   'a listing that was asked for at {int} shows nothing of it',
   function (this: RecordSteps, sentAt: number) {
-    this.record.noteListing({ clockMs: 0, running: [], ends: [] }, { sentAt, now: sentAt + 10 });
+    this.record.noteListing(
+      { clockMs: 0, running: [], ends: [], bornMs: undefined },
+      { sentAt, now: sentAt + 10 },
+    );
   },
 );
 
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -24,7 +24,7 @@
 
   #report: RunnerReport;
 
-  #listing: Listing = { running: [], ends: [] };
+  #listing: Listing = { running: [], ends: [], bornMs: undefined };
 
   /** When the last listing was asked for. */
   #listedAt = -Infinity;
@@ -134,13 +134,13 @@
 
   /** A listing that was asked for at `sentAt`. True if the owner should hear of it at once. */
   noteListing(
-    { clockMs, running, ends }: Listing & { clockMs: number },
+    { clockMs, ...listing }: Listing & { clockMs: number },
     { sentAt, now }: { sentAt: number; now: number },
   ): boolean {
     const isFirst = !this.isListed;
-    const hasNewEnd = ends.some(({ number }) => !this.#hasEnd(number));
+    const hasNewEnd = listing.ends.some(({ number }) => !this.#hasEnd(number));
     this.lease.noteClock(clockMs, now);
-    this.#listing = { running, ends };
+    this.#listing = listing;
     this.#listedAt = sentAt;
     this.noteAnswer(now);
     this.#dropSeen(sentAt);
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -13,6 +13,7 @@
 import type { Assignment, Worker } from '../worker/worker.js';
 import { takeUpCrash, takeUpUntoldCrash } from './crash-report.js';
 import type { RunBook } from './run-book.js';
+import { noteUnaccounted } from './unaccounted-runs.js';
 
 /** A worker that refused a start for want of room is left alone this long, in ms: a stop takes about as long. */
 const ROOM_PAUSE_MS = 300;
@@ -107,12 +108,21 @@
   const listed = [...contact.running, ...contact.inProgress].filter(
     (run) => !book.orders.mayGoOn(assignmentOf(worker, run)),
   );
+  noteUnaccounted(book, worker, leftAlone(unstarted, starts));
   // Not listed and not to start: barred there, so that no late call starts it.
   const barred = unstarted.filter((assignment) => assignment.stopping !== undefined).map(toRunName);
   const stops = [...listed, ...barred].map(({ task, run }) => ({ task, run }));
   return { runner, starts, stops, confirmedEnd, paces: pacesFor(book, worker, contact) };
 }
 
+/** Of the runs that the worker doesn't tell of: those that it isn't told anything of either. */
+function leftAlone(unstarted: readonly Assignment[], starts: readonly StartOrder[]): Assignment[] {
+  const ordered = new Set(starts.map(runKey));
+  return unstarted.filter(
+    (each) => each.stopping === undefined && !ordered.has(runKey(toRunName(each))),
+  );
+}
+
 /** Nothing, until something was paced here: a runner lets each run work in full by itself. */
 function pacesFor(book: RunBook, worker: Worker, { running }: CellContact): PaceOrder[] {
   const { isPacing, percent } = worker.pacer;
@@ -123,7 +133,10 @@
 }
 
 function takeUpEnd(book: RunBook, worker: Worker, end: ListedEnd): void {
-  if (worker.hasEnd(end.number)) return;
+  if (worker.hasEnd(end.number)) {
+    noteSkippedEnd(book, worker, end);
+    return;
+  }
   const parsed = parseTaskName(end.task);
   const assignment = assignmentOf(worker, end);
   const change =
@@ -140,6 +153,14 @@
   if (assignment !== undefined) worker.assignments.delete(assignment.name);
 }
 
+/** Its number says that it was taken up before, yet its run is still in the books: one of the two is wrong. */
+function noteSkippedEnd(book: RunBook, worker: Worker, end: ListedEnd): void {
+  if (assignmentOf(worker, end) === undefined) return;
+  const { number, task, run, how } = end;
+  book.count('end.skipped');
+  book.log('end skipped', { vm: worker.vm, runner: worker.runner?.id, number, task, run, how });
+}
+
 function takeUpRefusal(
   book: RunBook,
   worker: Worker,
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -82,6 +82,11 @@
     return this.#ctx.clock.now();
   }
 
+  /** Counts something that has come to pass. */
+  count(name: string): void {
+    this.#ctx.metrics.count(name);
+  }
+
   log(msg: string, fields: object): void {
     this.#ctx.log.info(fields, msg);
   }
@@ -305,6 +310,8 @@
       progressAt: now,
       assignedAt: now,
       runningAt: undefined,
+      unaccountedSince: undefined,
+      unaccountedTold: false,
       stopping: undefined,
       isOnTrial: isSuspect(job.progress.findTask(ref)?.crashes),
     });
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -11,6 +11,7 @@
 import { decidePass, type ReclaimBounds } from './placing-pass.js';
 import { RunBook, type RunBookEvents } from './run-book.js';
 import { evacuate, stopStandstills } from './run-watch.js';
+import { WaitingReport } from './waiting-report.js';
 import {
   QueueMeans,
   describeStep,
@@ -53,6 +54,8 @@
 
   readonly #startedAt: number;
 
+  readonly #waitingReport = new WaitingReport();
+
   constructor(options: SchedulerOptions) {
     this.#options = options;
     const { ctx, leaseMs, earlierGrantMs, events } = options;
@@ -98,6 +101,7 @@
     this.book.openDue(this.#options.ctx.clock.wall());
     this.#refreshTerms();
     const questions = this.#decide();
+    this.#waitingReport.look(this.book);
     this.book.forgetEnded();
     this.advice.keepOnly((jobId) => this.book.jobs.has(jobId));
     return questions;
--- /dev/null
+++ b/packages/cell/src/owner/waiting-report.steps.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { eventually } from '../testing/cell-world.support.js';
+import { testStep } from '../testing/test-jobs.support.js';
+import { cellOf, handIn, hasBegun, type CellSteps } from './cell-steps.support.js';
+
+const WHOLE_WORKER = { milliCores: 1000, memoryMb: 100, accelerators: 8 };
+
+When('a job that takes 9 s on all of a worker is handed in', async function (this: CellSteps) {
+  const steps = [testStep({ demand: WHOLE_WORKER, estimateMs: 9000 })];
+  await handIn(this, { steps, spec: { workMs: 9000 } });
+  await hasBegun(this);
+});
+
+When(
+  'a gang that needs all {int} workers is handed in',
+  async function (this: CellSteps, tasks: number) {
+    const steps = [testStep({ tasks, gang: true, demand: WHOLE_WORKER })];
+    await handIn(this, { steps, spec: { gangs: { 0: tasks }, workMs: 300 } });
+  },
+);
+
+Then(
+  'within {int} s the owner logs that the gang waits, with {int} usable workers and {int} of {int} accelerators free',
+  { timeout: 15_000 },
+  async function (
+    this: CellSteps,
+    seconds: number,
+    usable: number,
+    free: number,
+    accelerators: number,
+  ) {
+    const gang = this.jobs.at(-1);
+    const told = (): object | undefined =>
+      cellOf(this)
+        .logged('group waits')
+        .find(({ job }) => job === gang);
+    assert.ok(await eventually(() => told() !== undefined, seconds * 1000));
+    const { open, given, unaccounted, ...line } = told() as Record<string, unknown>;
+    assert.deepEqual([open, given, unaccounted], [3, 0, 0]);
+    assert.deepEqual([line.usable, line.free, line.accelerators], [usable, free, accelerators]);
+  },
+);
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -12,6 +12,7 @@
 import { OWNER_KEY, unpackOwner } from '../owner/owner-row.js';
 import { HOST, KEY, PREFIX, TEST_QUEUE, testStep } from './test-jobs.support.js';
 import type { Transaction } from '../store/row-store.js';
+import { LogKeeper, type LoggedLine } from './log-keeper.support.js';
 import { MemoryRowStore } from './memory-row-store.support.js';
 import { MemoryRunner } from './memory-runner.support.js';
 import { pause } from '../clock/pause.js';
@@ -73,6 +74,8 @@
 
   keepEndedMs = 600_000;
 
+  readonly #log = new LogKeeper();
+
   /** Of all entries. */
   readonly clock = new SteppedClock();
 
@@ -110,7 +113,7 @@
   async addEntry({ processorShare = 1 } = {}): Promise<EntryVm> {
     const id = `entry-${this.#nextEntry()}`;
     const store = new MemoryRowStore(this.tables);
-    const ctx = quietContext({ id, role: 'entry', clock: this.clock });
+    const ctx = quietContext({ id, role: 'entry', clock: this.clock, log: this.#log.log });
     const app = new EntryApp({
       ctx,
       store,
@@ -234,6 +237,11 @@
     return Math.max(0, ...tasks.map(({ run }) => run));
   }
 
+  /** Lines of all entries with this message, the oldest first. */
+  logged(msg: string): LoggedLine[] {
+    return this.#log.of(msg);
+  }
+
   #nextEntry(): number {
     this.#entries += 1;
     return this.#entries;
@@ -274,6 +282,7 @@
       labels: ['a', rack],
       capacity: { milliCores: 64_000, memoryMb: 64_000, accelerators },
       draining: remainingMs !== undefined,
+      bornMs: life.bornMs,
       ...(remainingMs === undefined ? {} : { remainingMs }),
       sequence: this.#sequence,
     });
--- a/packages/cell/src/testing/memory-runner.support.ts
+++ b/packages/cell/src/testing/memory-runner.support.ts
@@ -89,6 +89,7 @@
       clockMs: target.clockMs,
       running: target.running(),
       ends: target.finished(),
+      bornMs: target.bornMs,
     };
   }
 
--- a/packages/cell/src/worker/worker.ts
+++ b/packages/cell/src/worker/worker.ts
@@ -31,6 +31,10 @@
   assignedAt: number;
   /** First listed as running, on the owner's monotonic clock; undefined before. */
   runningAt: number | undefined;
+  /** Since when its worker has told nothing of it and was told nothing of it either, for the log; undefined: it is accounted for. */
+  unaccountedSince: number | undefined;
+  /** The log told of it. */
+  unaccountedTold: boolean;
   /** Why it is to be stopped. */
   stopping: string | undefined;
   /** The runner crashed under the run before it: whether it does again is to be seen. */
--- a/packages/core/src/process/quiet-context.ts
+++ b/packages/core/src/process/quiet-context.ts
@@ -3,22 +3,27 @@
 import { HybridClock } from '../clock/hybrid-clock.js';
 import { Timeline } from '../timeline/timeline.js';
 import type { ProcessId } from '../vm/vm.js';
-import type { ProcessContext } from './context.js';
+import type { Log, ProcessContext } from './context.js';
 import { CountingMetrics } from './metrics.js';
 
 /** What differs from an entry on the host's clock. */
 export interface QuietContextOptions extends Partial<Omit<ProcessId, 'id'>> {
   id: string;
   clock?: Clock;
+  /** Where lines go; nowhere by default. */
+  log?: Log;
 }
 
-/** Keeps counters and time line in memory, and no log. */
+const NO_LOG: Log = { info: () => {}, warn: () => {}, error: () => {} };
+
+/** Keeps counters and time line in memory, and no log unless one is given. */
 export function quietContext({
   id,
   role = 'entry',
   failureDomain = 'ernakulam',
   incarnation = `${id}-incarnation`,
   clock = new SystemClock(),
+  log = NO_LOG,
 }: QuietContextOptions): ProcessContext & { metrics: CountingMetrics } {
   const hybrid = new HybridClock({ clock });
   return {
@@ -27,6 +32,6 @@
     hybrid,
     timeline: new Timeline({ process: id, hybrid }),
     metrics: new CountingMetrics(),
-    log: { info: () => {}, warn: () => {}, error: () => {} },
+    log,
   };
 }
--- a/packages/stand-ins/src/fleet/runner-model.ts
+++ b/packages/stand-ins/src/fleet/runner-model.ts
@@ -78,6 +78,8 @@
 /** What a life is made of. */
 export interface RunnerModelOptions {
   id: string;
+  /** When this life began, in Unix ms: what tells lives of one id apart; undefined: each has an id of its own. */
+  bornMs?: number;
   /** Tasks at once. */
   slots: number;
   board: GangBoard;
@@ -101,10 +103,12 @@
 export class RunnerModel {
   readonly id: string;
 
+  readonly bornMs: number | undefined;
+
   /** All starts that were carried out, for checks of what ran twice. */
   readonly starts: { task: string; run: number; at: number; checkpoint: string }[] = [];
 
-  readonly #options: Required<RunnerModelOptions>;
+  readonly #options: Required<Omit<RunnerModelOptions, 'bornMs'>>;
 
   readonly #bornAt = performance.now();
 
@@ -128,6 +132,7 @@
 
   constructor(options: RunnerModelOptions) {
     this.id = options.id;
+    this.bornMs = options.bornMs;
     this.#options = {
       holdMaxMs: 6000,
       gangTimeoutMs: 3000,
