--- a/packages/cell/src/owner/crashing-tasks.steps.ts
+++ b/packages/cell/src/owner/crashing-tasks.steps.ts
@@ -17,6 +17,9 @@
 /** Some crashes, each with the time until the runner is back, in ms. */
 const GIVEN_UP_WITHIN_MS = 15_000;
 
+/** States of a job that isn't over. */
+const OPEN_STATES = ['queued', 'running'];
+
 function mostStartsOfATask(world: CellSteps, job: string): number {
   const counts = new Map<string, number>();
   cellOf(world)
@@ -92,7 +95,8 @@
   async function (this: CellSteps, which: string) {
     const jobs = which.startsWith('each') ? this.jobs : this.jobs.slice(0, -1);
     const states = (): Promise<string[]> => Promise.all(jobs.map((id) => cellOf(this).state(id)));
-    const areOver = async (): Promise<boolean> => !(await states()).includes('running');
+    const areOver = async (): Promise<boolean> =>
+      (await states()).every((state) => !OPEN_STATES.includes(state));
     assert.ok(await eventually(areOver, GIVEN_UP_WITHIN_MS));
     assert.deepEqual(
       await states(),
--- a/packages/cell/src/owner/returning-runners.feature
+++ b/packages/cell/src/owner/returning-runners.feature
@@ -17,7 +17,16 @@
     Then each of them completes
     And each task was started once
 
-  Scenario: the room of a gang that has ended is free again
+  Scenario: the room of a gang whose end was told by some of its members only is free again
+    Given a cell of 2 entries and 3 workers
+    And runners keep their ids when they start again
+    When a gang of 2 tasks of whole workers is handed in and completes
+    And the runners that it was on return
+    And a gang of 3 tasks of whole workers, one of them slower, is handed in and completes
+    And a gang of 3 tasks of whole workers is handed in
+    Then each of them completes
+
+  Scenario: what a gang's members end as isn't missed where all runners have returned
     Given a cell of 2 entries and 3 workers
     And runners keep their ids when they start again
     When a gang of 3 tasks of whole workers is handed in and completes
--- a/packages/cell/src/owner/returning-runners.steps.ts
+++ b/packages/cell/src/owner/returning-runners.steps.ts
@@ -73,11 +73,26 @@
   for (let each = 0; each < count; each++) await handIn(this, { spec: { workMs: 300 } });
 });
 
-async function handInGang(world: CellSteps, tasks: number): Promise<void> {
+async function handInGang(world: CellSteps, tasks: number, spec: object = {}): Promise<void> {
   const steps = [testStep({ tasks, gang: true, demand: WHOLE_WORKER })];
-  await handIn(world, { steps, spec: { gangs: { 0: tasks }, workMs: 300 } });
+  await handIn(world, { steps, spec: { gangs: { 0: tasks }, workMs: 300, ...spec } });
 }
 
+When(
+  'a gang of {int} tasks of whole workers, one of them slower, is handed in and completes',
+  { timeout: 15_000 },
+  async function (this: CellSteps, tasks: number) {
+    // The quick ones are at 100% when the last look sees them.
+    await handInGang(this, tasks, { workMsOf: { [tasks - 1]: 1500 } });
+    await completes(this, this.jobs.at(-1) ?? '', GANG_WITHIN_MS);
+  },
+);
+
+When('the runners that it was on return', async function (this: CellSteps) {
+  const used = cellOf(this).workers.filter(({ lives }) => lives.at(-1)?.starts.length);
+  await Promise.all(used.map((worker) => returns(this, worker)));
+});
+
 When(
   'a gang of {int} tasks of whole workers is handed in and completes',
   { timeout: 15_000 },
--- a/packages/stand-ins/src/fleet/gang-board.ts
+++ b/packages/stand-ins/src/fleet/gang-board.ts
@@ -10,6 +10,9 @@
 export class GangBoard {
   readonly #gangs = new Map<string, Map<string, GangMember>>();
 
+  /** Members that have done their work, by gang and run. */
+  readonly #finished = new Map<string, Set<string>>();
+
   /** A member has come; all begin once `size` of them are there. */
   join(
     gang: string,
@@ -21,12 +24,28 @@
     if (members.size === size) members.forEach(({ begin }) => begin());
   }
 
-  /** One has ended: so do the others, as done with it or as broken. */
-  leave(gang: string, task: string, how: 'done' | 'broken'): void {
+  /** One has done its work, and waits for the others: they end together. */
+  finish(gang: string, task: string): void {
+    const members = this.#gangs.get(gang);
+    if (members === undefined) return;
+    const finished = this.#finished.get(gang) ?? new Set<string>();
+    this.#finished.set(gang, finished.add(task));
+    if (finished.size < members.size) return;
+    this.#drop(gang);
+    members.forEach(({ end }) => end('done'));
+  }
+
+  /** One has ended before its gang was done: so do the others. */
+  leave(gang: string, task: string): void {
     const members = this.#gangs.get(gang);
     if (members === undefined) return;
     members.delete(task);
+    this.#drop(gang);
+    members.forEach(({ end }) => end('broken'));
+  }
+
+  #drop(gang: string): void {
     this.#gangs.delete(gang);
-    members.forEach(({ end }) => end(how));
+    this.#finished.delete(gang);
   }
 }
--- a/packages/stand-ins/src/fleet/runner-model.ts
+++ b/packages/stand-ins/src/fleet/runner-model.ts
@@ -246,7 +246,7 @@
     this.#running.forEach((each) => {
       clearTimeout(each.timer);
       this.#options.observer.onEnd?.(this.#observed(each), 'crashed');
-      this.#leaveGang(each, 'broken');
+      this.#leaveGang(each);
     });
     this.#running.clear();
     this.#crashed = true;
@@ -318,12 +318,18 @@
     Object.assign(running, {
       workingAt: performance.now(),
       timer: setTimeout(
-        () => this.#end(running, fails ? 'failed' : 'done'),
-        fails ? 0 : Math.max(0, script.workMs - resumedMs),
+        () => (fails ? this.#end(running, 'failed') : this.#finish(running)),
+        fails ? 0 : Math.max(0, workMsOf(running) - resumedMs),
       ),
     });
   }
 
+  /** Its work is done: a member of a gang waits for the others. */
+  #finish(running: Running): void {
+    if (isOfGang(running)) this.#options.board.finish(gangOf(running), running.task);
+    else this.#end(running, 'done');
+  }
+
   #end(running: Running, how: EndWord): void {
     const { task, run } = running;
     if (this.#running.get(task) !== running) return;
@@ -334,13 +340,12 @@
     const checkpoint = checkpointOf(running);
     this.#options.observer.onEnd?.(this.#observed(running), how);
     this.#finished.push({ number: this.#ends, task, run, how, checkpoint });
-    this.#leaveGang(running, how === 'done' ? 'done' : 'broken');
+    this.#leaveGang(running);
     [...this.#watchers].forEach((wake) => wake());
   }
 
-  #leaveGang(running: Running, how: 'done' | 'broken'): void {
-    if (running.script.gangs[stepOf(running.task)] === undefined) return;
-    this.#options.board.leave(gangOf(running), running.task, how);
+  #leaveGang(running: Running): void {
+    if (isOfGang(running)) this.#options.board.leave(gangOf(running), running.task);
   }
 
   #observed({ task, run, spec, checkpoint }: Running): ObservedRun {
@@ -353,8 +358,15 @@
 }
 
 function crashes({ task, run, script: { crashRuns, crashTasks } }: Running): boolean {
-  const index = Number(task.slice(task.lastIndexOf('.') + 1));
-  return run <= crashRuns && (crashTasks?.includes(index) ?? true);
+  return run <= crashRuns && (crashTasks?.includes(Number(indexOf(task))) ?? true);
+}
+
+function workMsOf({ task, script: { workMs, workMsOf: own } }: Running): number {
+  return own[indexOf(task)] ?? workMs;
+}
+
+function isOfGang({ task, script }: Running): boolean {
+  return script.gangs[stepOf(task)] !== undefined;
 }
 
 function workedMs({ workingAt, resumedMs }: Running): number {
@@ -364,7 +376,7 @@
 function percentOf(running: Running): number {
   const { script, workingAt } = running;
   if (script.servesMs !== undefined) return workingAt === undefined ? 0 : FULL;
-  return Math.min(FULL, Math.floor((FULL * workedMs(running)) / Math.max(1, script.workMs)));
+  return Math.min(FULL, Math.floor((FULL * workedMs(running)) / Math.max(1, workMsOf(running))));
 }
 
 /** The work that was saved, in ms, as a text; empty if none was. */
@@ -375,6 +387,11 @@
   return saved > 0 ? `${saved}` : '';
 }
 
+/** Its place in its step. */
+function indexOf(task: string): string {
+  return task.slice(task.lastIndexOf('.') + 1);
+}
+
 function stepOf(task: string): string {
   return task.split('.')[2] ?? '';
 }
--- a/packages/stand-ins/src/fleet/task-script.ts
+++ b/packages/stand-ins/src/fleet/task-script.ts
@@ -4,6 +4,8 @@
 const scriptSchema = z.object({
   /** Work of each task, in ms. */
   workMs: z.number().min(0).default(200),
+  /** Work of single tasks of each step where it differs, in ms, by their place in it. */
+  workMsOf: z.record(z.string(), z.number().min(0)).default({}),
   /** The first so many runs of each task fail at once. */
   failRuns: z.int().min(0).default(0),
   /** The first so many runs of each of these tasks crash their runner right after their start; all tasks if none is named. */
