Tell lives of a runner apart by their birth, not by the id alone

What callers saw: tasks that had ended as done started again; gangs never placed again while most workers were idle.

Cause: a runner that starts again may keep its id, and everything that the guard and the owner keep of a runner went by the id: the highest confirmed end, what is listed, heartbeats' numbers, the farewell, the clock of its leases, runs in the books and in the rows, tickets. The guard confirmed ends of the new life that nobody had read, and the owner skipped them as known. Then the run was ordered again, refused as old, given up and started elsewhere; or, at 100% and of a gang that others' ends had completed, kept its room. Its class: an identity that was taken from a name which the other side may use again.

Change: all of that goes by the life's name, made of id and birth (runner/life-name.ts); the platform's ids are used only towards the platform (calls, advice). A listing counts only if it was made by the life that is followed. Heartbeats of any other life are checked with the runner first, whichever birth is later, as clocks may be set back. As calls name an id only, what was on its way to the life before may reach the new one: its unsettled starts are barred there before the owner gives them up, what the new life tells of isn't given up, and leases may last as long as runners keep any. A farewell holds until the life is heard of again.

Why it holds: no number, clock or listing of one life is compared with another's; orders to a life that has been replaced stop at once.

The emulated runners of the soak return under a new id and under the same, one in two; late orders reach whichever life has the id by then.

--- a/packages/cell/src/advice/advice-desk.ts
+++ b/packages/cell/src/advice/advice-desk.ts
@@ -2,6 +2,7 @@
 import type { ProcessContext } from '@zincspan/core';
 import type { AdviceBook } from './advice-book.js';
 import type { Advisor } from './advisor.js';
+import { runnerIdOf } from '../runner/life-name.js';
 
 /** An answer may take this long, in ms: a decision, a part for each runner, and what the advisor has before it. */
 const ADVICE_TIMEOUT_MS = 5000;
@@ -59,7 +60,10 @@
 
   async #ask({ step, runners }: AdviceQuestion): Promise<void> {
     const sentAt = this.#ctx.clock.now();
-    const result = await this.#advisor.advise(step, runners, { timeoutMs: ADVICE_TIMEOUT_MS });
+    // The advisor knows runners by their ids, and its tickets hold for their present lives.
+    const lives = new Map(runners.map((life) => [runnerIdOf(life), life]));
+    const ids = [...lives.keys()];
+    const result = await this.#advisor.advise(step, ids, { timeoutMs: ADVICE_TIMEOUT_MS });
     const tookMs = Math.round(this.#ctx.clock.now() - sentAt);
     this.#ctx.metrics.timing('advice', tookMs);
     if (result.outcome === 'failed') {
@@ -68,7 +72,11 @@
       this.#pauseUntil = this.#ctx.clock.now() + RETRY_PAUSE_MS;
       return;
     }
-    const { approvals, validMs } = result;
+    const { validMs } = result;
+    const approvals = result.approvals.flatMap(({ runner, ticket }) => {
+      const life = lives.get(runner);
+      return life === undefined ? [] : [{ runner: life, ticket }];
+    });
     this.#book.note(step, { asked: runners, approvals, validMs, sentAt });
     this.#ctx.log.info(
       { step, asked: runners.length, approved: approvals.length, validMs, tookMs },
--- a/packages/cell/src/guard/guard-app.ts
+++ b/packages/cell/src/guard/guard-app.ts
@@ -38,6 +38,8 @@
   store: RowStore;
   runner: RunnerPort;
   linkKey: string;
+  /** Longest lease that the runner keeps, in ms. */
+  holdMs: number;
 }
 
 /** One guard. */
@@ -58,9 +60,14 @@
 
   #stopped = false;
 
-  constructor({ ctx, store, runner, linkKey }: GuardAppOptions) {
+  constructor({ ctx, store, runner, linkKey, holdMs }: GuardAppOptions) {
     this.#ctx = ctx;
-    this.#keeper = new RunnerKeeper({ ctx, port: runner, onNews: () => this.#contactNow() });
+    this.#keeper = new RunnerKeeper({
+      ctx,
+      port: runner,
+      holdMs,
+      onNews: () => this.#contactNow(),
+    });
     this.#owner = new OwnerLink({
       ctx,
       store,
--- a/packages/cell/src/guard/run-orders.ts
+++ b/packages/cell/src/guard/run-orders.ts
@@ -23,6 +23,9 @@
 /** A pace that was set is set again after this time, in ms: an earlier one may be carried out late and undo it. */
 const PACE_AGAIN_MS = 2000;
 
+/** A call without an answer may be carried out for this long, in ms: runners do so some seconds later. */
+const LATE_WITHIN_MS = 30_000;
+
 /** A run that was refused for good and is barred at the runner. */
 export interface Refused extends RunName {
   reason: StartRefusal;
@@ -39,6 +42,14 @@
   isCurrent: () => boolean;
 }
 
+/** What barring a run needs to know: it goes on over terms, and ends with the runner's life. */
+export interface BarContext {
+  /** As it is now. */
+  target: () => OrderContext;
+  /** The life is over. */
+  isOver: () => boolean;
+}
+
 /** Told when an order has come to something. */
 export interface RunOrderEvents {
   onStarted: (run: RunName) => void;
@@ -58,6 +69,9 @@
 
   readonly #starting = new Map<string, TimedRun>();
 
+  /** Starts that were sent at least once without an answer, and when that was: they may be carried out later. */
+  readonly #unanswered = new Map<string, TimedRun>();
+
   readonly #stopped = new Map<string, number>();
 
   /** Paces that the runner took, and when. */
@@ -90,6 +104,28 @@
     return this.sent().map(({ task, run }) => ({ task, run }));
   }
 
+  /** Starts that a life which follows under the same id may still be told to carry out. */
+  unsettled(): RunName[] {
+    const late = this.#lateAt(this.#now());
+    const runs = new Map([...late, ...this.#starting.values()].map((run) => [runKey(run), run]));
+    return [...runs.values()].map(({ task, run }) => ({ task, run }));
+  }
+
+  /**
+   * Sees to it that a run which the life before was told to start doesn't start here. In progress until the runner has taken a
+   * stop of it, and then told as refused, or as running if a call had started it before.
+   */
+  bar({ task, run }: RunName, { target, isOver }: BarContext): void {
+    const key = runKey({ task, run });
+    this.#starting.set(key, { task, run, at: this.#now() });
+    void this.#bar({ task, run }, { target, isOver })
+      .catch((err: unknown) => {
+        this.#ctx.metrics.count('order.failed');
+        this.#ctx.log.error({ err, task, run }, 'barring a run failed');
+      })
+      .finally(() => this.#starting.delete(key));
+  }
+
   start(order: StartOrder, target: OrderContext): void {
     const key = runKey(order);
     if (this.#starting.has(key)) return;
@@ -189,7 +225,10 @@
         this.#events.onStale();
         return;
       }
-      unanswered ||= answer.outcome === 'no-answer';
+      if (answer.outcome === 'no-answer') {
+        unanswered = true;
+        this.#noteUnanswered({ task, run });
+      }
       if (mayRepeat(answer, waitedMs)) {
         await pause(RETRY_PAUSE_MS);
         continue;
@@ -203,6 +242,31 @@
     }
   }
 
+  async #bar(run: RunName, { target, isOver }: BarContext): Promise<void> {
+    while (!isOver()) {
+      if (await this.#stop(run, target())) {
+        this.#ctx.log.info({ ...run }, 'run of an earlier life barred');
+        this.#events.onRefused({ ...run, reason: 'old', at: this.#now() });
+        return;
+      }
+      // The term has changed, or a newer owner's isn't known here yet.
+      await pause(RETRY_PAUSE_MS);
+    }
+  }
+
+  #noteUnanswered({ task, run }: RunName): void {
+    const at = this.#now();
+    this.#unanswered.set(runKey({ task, run }), { task, run, at });
+    const late = new Set(this.#lateAt(at));
+    this.#unanswered.forEach((each, key) => {
+      if (!late.has(each)) this.#unanswered.delete(key);
+    });
+  }
+
+  #lateAt(now: number): TimedRun[] {
+    return [...this.#unanswered.values()].filter(({ at }) => now - at < LATE_WITHIN_MS);
+  }
+
   /** Repeats a stop until it is answered. False if the runner's life or the term ended before. */
   async #stop({ task, run }: RunName, target: OrderContext): Promise<boolean> {
     while (target.isCurrent()) {
--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -4,9 +4,10 @@
  */
 import type { CellContact, CellOrders, ProcessContext, RunnerCrash } from '@zincspan/core';
 import { RunOrders, type OrderContext } from './run-orders.js';
-import type { RunnerPort, RunnerReport } from './runner-port.js';
+import type { Listing, RunnerAnswer, RunnerPort, RunnerReport } from './runner-port.js';
 import { RunnerRecord } from './runner-record.js';
 import { pause } from '../clock/pause.js';
+import { isSameLife, lifeName, type LifeIdentity } from '../runner/life-name.js';
 
 /** How long a look waits for an end, in ms: also how often progress is seen and leases are renewed, within each contact. */
 const LOOK_WAIT_MS = 700;
@@ -41,6 +42,8 @@
 
   readonly #port: RunnerPort;
 
+  readonly #holdMs: number;
+
   readonly #onNews: () => void;
 
   #life: Life | undefined;
@@ -55,23 +58,24 @@
 
   #checking: string | undefined;
 
-  /** The life that last answered in place of the one that is followed, by its birth. */
-  #strangerBornMs: number | undefined;
-
   #stopped = false;
 
   constructor({
     ctx,
     port,
+    holdMs,
     onNews,
   }: {
     ctx: ProcessContext;
     port: RunnerPort;
+    /** Longest lease that a runner keeps, in ms. */
+    holdMs: number;
     /** The owner should hear of something at once. */
     onNews: () => void;
   }) {
     this.#ctx = ctx;
     this.#port = port;
+    this.#holdMs = holdMs;
     this.#onNews = onNews;
   }
 
@@ -80,19 +84,22 @@
     this.#life = undefined;
   }
 
-  /** A heartbeat. A life that isn't known yet is asked first: a delayed heartbeat may come from one that has ended. */
+  /**
+   * A heartbeat. One of a life that isn't known yet is checked with the runner first: it may have been delayed, and its sender may
+   * have ended since.
+   */
   noteReport(report: RunnerReport): void {
     const record = this.#life?.record;
-    if (record?.report.id !== report.id) {
+    if (record === undefined || !isSameLife(report, record.report)) {
       void this.#check(report);
       return;
     }
-    this.#noteBirth(record, report.bornMs, 'heartbeat');
     const news = record.noteReport(report);
     if (news === undefined) return;
-    const { id, remainingMs, capacity } = report;
-    if (news === 'draining') this.#ctx.log.info({ runner: id, remainingMs }, 'runner draining');
-    else this.#ctx.log.info({ runner: id, capacity }, "runner's capacity changed");
+    const { remainingMs, capacity } = report;
+    const runner = record.life;
+    if (news === 'draining') this.#ctx.log.info({ runner, remainingMs }, 'runner draining');
+    else this.#ctx.log.info({ runner, capacity }, "runner's capacity changed");
     // Also a capacity that grew: told with the next contact, what waits for it would wait a second longer.
     this.#onNews();
   }
@@ -102,7 +109,7 @@
     const record = this.#life?.record;
     if (record?.report.id !== id) return;
     record.noteLeave();
-    this.#ctx.log.info({ runner: id }, 'runner leaving');
+    this.#ctx.log.info({ runner: record.life }, 'runner leaving');
     this.#onNews();
   }
 
@@ -128,15 +135,17 @@
       this.#term = orders.term;
     }
     const life = this.#life;
-    if (life === undefined || orders.runner !== life.record.report.id) return;
+    if (life === undefined || orders.runner !== life.record.life) return;
     if (told.crash !== undefined && told.crash === this.#crash) this.#crashHeardAt ??= this.#now();
     const { record } = life;
     if (orders.leaseMs > 0) record.lease.grant(sentAt, orders.leaseMs);
     record.noteTold(told, orders.confirmedEnd);
     const target = this.#target(life);
+    // Under the same id its orders would reach the life that has taken its place.
+    if (record.isReplaced) return;
     orders.starts.forEach((order) => {
       const { task, run } = order;
-      if (!record.report.draining) life.orders.start(order, target);
+      if (!record.isLeaving) life.orders.start(order, target);
       else record.noteRefused({ task, run, reason: 'unavailable', at: this.#now() });
     });
     orders.stops.forEach((run) => life.orders.stop(run, target));
@@ -152,21 +161,41 @@
       { timeoutMs: LOOK_SLACK_MS },
     );
     this.#checking = undefined;
-    // A runner that refuses our term is alive all the same: a newer owner's guard was here.
-    const isAlive = answer.outcome === 'ok' || answer.outcome === 'refused';
+    // A runner that refuses our term is alive all the same: a newer owner's guard was here. Under a known id that says nothing.
+    const isKnownId = this.#life?.record.report.id === report.id;
+    const isRefusal = answer.outcome === 'refused' && !isKnownId;
+    const isAlive = isRefusal || listingOf(answer, report) !== undefined;
     if (isAlive && !this.#stopped) {
       this.#adopt(report);
       return;
     }
     this.#ctx.metrics.count('runner.unverified');
-    this.#ctx.log.info({ runner: report.id, outcome: answer.outcome }, 'runner not verified');
+    const { outcome } = answer;
+    const bornMs = outcome === 'ok' ? answer.bornMs : undefined;
+    this.#ctx.log.info({ runner: lifeName(report), outcome, bornMs }, 'runner not verified');
   }
 
   #adopt(report: RunnerReport): void {
-    const earlier = this.#life?.record.report.id;
+    const before = this.#life;
     this.#noteReplaced();
-    const record = new RunnerRecord({ report, now: this.#now() });
-    const orders = new RunOrders({
+    const now = this.#now();
+    const returns = before?.record.report.id === report.id;
+    // A deadline on the clock of the life before may be any time away on the new one's: then the runner grants its most.
+    const heldUntil = returns ? now + this.#holdMs : -Infinity;
+    const record = new RunnerRecord({ report, now, heldUntil });
+    const orders = this.#newOrders(record);
+    const life = { record, orders };
+    this.#life = life;
+    this.#ctx.log.info(
+      { runner: record.life, earlier: before?.record.life, service: report.service },
+      'runner adopted',
+    );
+    if (returns) this.#barUnsettled(life, before);
+    void this.#follow(life);
+  }
+
+  #newOrders(record: RunnerRecord): RunOrders {
+    return new RunOrders({
       ctx: this.#ctx,
       port: this.#port,
       events: {
@@ -182,11 +211,16 @@
         onStale: () => this.#onNews(),
       },
     });
-    const life = { record, orders };
-    this.#life = life;
-    const { id, bornMs, service } = report;
-    this.#ctx.log.info({ runner: id, bornMs, earlier, service }, 'runner adopted');
-    void this.#follow(life);
+  }
+
+  /** Calls name a runner by its id: what was on its way to the life before is carried out by the one that has come under it. */
+  #barUnsettled(life: Life, before: Life): void {
+    before.orders.unsettled().forEach((run) =>
+      life.orders.bar(run, {
+        target: () => this.#target(life),
+        isOver: () => this.#life !== life || this.#stopped,
+      }),
+    );
   }
 
   async #follow(life: Life): Promise<void> {
@@ -195,7 +229,7 @@
         await this.#look(life);
       } catch (err) {
         this.#ctx.metrics.count('runner.look-failed');
-        this.#ctx.log.error({ err, runner: life.record.report.id }, 'following a runner failed');
+        this.#ctx.log.error({ err, runner: life.record.life }, 'following a runner failed');
         await pause(LOOK_PAUSE_MS);
       }
     }
@@ -220,54 +254,51 @@
       { timeoutMs: waitMs + LOOK_SLACK_MS },
     );
     if (this.#life !== life) return;
-    if (answer.outcome === 'ok') {
-      this.#noteBirth(record, answer.bornMs, 'listing');
-      if (record.noteListing(answer, { sentAt, now: this.#now() })) this.#onNews();
+    const listing = listingOf(answer, record.report);
+    if (listing !== undefined) {
+      if (record.noteListing(listing, { sentAt, now: this.#now() })) this.#onNews();
       if (endsWait) await pause(LOOK_PAUSE_MS);
       return;
     }
     this.#ctx.metrics.count(`runner.look-${answer.outcome}`);
+    if (answer.outcome === 'ok') this.#noteOtherLife(record, answer.bornMs);
     if (answer.outcome === 'refused') record.noteAnswer(this.#now());
     else this.#noteSilence(life);
     if (answer.outcome === 'wrong-life') this.#onNews();
     await pause(LOOK_PAUSE_MS);
   }
 
-  /** Logs once that a life other than the one that is followed answers under its id. */
-  #noteBirth({ report }: RunnerRecord, bornMs: number | undefined, source: string): void {
-    if (bornMs === report.bornMs || bornMs === this.#strangerBornMs) return;
-    this.#strangerBornMs = bornMs;
+  /** A listing of another life: it says nothing of this one, but that it is over. Its heartbeat brings the new one. */
+  #noteOtherLife(record: RunnerRecord, bornMs: number | undefined): void {
+    if (record.isReplaced) return;
+    record.noteReplaced();
     this.#ctx.metrics.count('runner.other-life');
-    this.#ctx.log.warn(
-      { runner: report.id, bornMs, followedBornMs: report.bornMs, source },
-      'runner answers as another life',
-    );
+    this.#ctx.log.warn({ runner: record.life, bornMs }, 'runner answers as another life');
+    this.#onNews();
   }
 
   #noteSilence({ record, orders }: Life): void {
     if (!record.noteNoAnswer(this.#now(), orders.sent())) return;
     this.#ctx.metrics.count('runner.silent');
-    const { id } = record.report;
-    this.#ctx.log.warn({ runner: id, ...describeRuns(record) }, "runner doesn't answer");
+    this.#ctx.log.warn({ runner: record.life, ...describeRuns(record) }, "runner doesn't answer");
   }
 
   /** Another life of the runner is there although the one before never said that it leaves. */
   #noteReplaced(): void {
     const life = this.#life;
-    if (life === undefined || life.record.report.draining) return;
+    if (life === undefined || life.record.isLeaving) return;
     const { record, orders } = life;
     const now = this.#now();
     // The next life may be there before any call to the earlier one has failed.
     record.noteNoAnswer(now, orders.sent());
-    const { id } = record.report;
     const { at, runs } = record.silence ?? { at: now, runs: [] };
     const livedMs = Math.round(at - record.since);
-    this.#crash = { runner: id, livedMs, runs };
+    this.#crash = { runner: record.life, livedMs, runs };
     this.#crashHeardAt = undefined;
     this.#ctx.metrics.count('runner.replaced');
     const silentMs = Math.round(now - at);
     this.#ctx.log.warn(
-      { runner: id, livedMs, silentMs, ...describeRuns(record) },
+      { runner: record.life, livedMs, silentMs, ...describeRuns(record) },
       'runner crashed',
     );
   }
@@ -278,7 +309,11 @@
       life: record.report,
       term,
       deadlineMs: () => record.lease.deadline(this.#now()),
-      isCurrent: () => this.#life?.record === record && this.#term === term && !this.#stopped,
+      isCurrent: () =>
+        this.#life?.record === record &&
+        !record.isReplaced &&
+        this.#term === term &&
+        !this.#stopped,
     };
   }
 
@@ -287,6 +322,15 @@
   }
 }
 
+/** The listing, if it is this life's: its runner's id alone doesn't say so. */
+function listingOf(
+  answer: RunnerAnswer<Listing>,
+  { id, bornMs }: LifeIdentity,
+): (Listing & { clockMs: number }) | undefined {
+  if (answer.outcome !== 'ok') return undefined;
+  return isSameLife({ id, bornMs: answer.bornMs }, { id, bornMs }) ? answer : undefined;
+}
+
 /** Runs that were there when the runner fell silent, for a log line: the youngest, as one of them may have been its end. */
 function describeRuns({ silence }: RunnerRecord): { runs: number; youngest: string } {
   const runs = [...(silence?.runs ?? [])].sort((a, b) => a.ranMs - b.ranMs);
--- a/packages/cell/src/guard/runner-lease.ts
+++ b/packages/cell/src/guard/runner-lease.ts
@@ -18,7 +18,12 @@
   #authorityEnd = -Infinity;
 
   /** Latest end of any lease that was handed on. */
-  #handedEnd = -Infinity;
+  #handedEnd: number;
+
+  /** `heldUntil`: somebody else may have handed it a lease until then. */
+  constructor({ heldUntil = -Infinity }: { heldUntil?: number } = {}) {
+    this.#handedEnd = heldUntil;
+  }
 
   noteClock(runnerMs: number, at: number): void {
     this.#reading = { runnerMs, at };
--- a/packages/cell/src/guard/runner-port.ts
+++ b/packages/cell/src/guard/runner-port.ts
@@ -1,9 +1,9 @@
 /** The runner beside a guard, as the guard calls it. */
 import type { ListedEnd, RunStatus } from '@zincspan/core';
+import type { LifeIdentity } from '../runner/life-name.js';
 
-/** One life of a runner and where it listens. */
-export interface RunnerLife {
-  id: string;
+/** One life of a runner and where it listens. Calls name the id only: another life with that id would take them as well. */
+export interface RunnerLife extends LifeIdentity {
   address: string;
 }
 
@@ -14,8 +14,6 @@
   labels: string[];
   capacity: { milliCores: number; memoryMb: number; accelerators: number };
   draining: boolean;
-  /** When this life began, in Unix ms; undefined where the platform doesn't say, and gives each life an id of its own. */
-  bornMs: number | undefined;
   /** Least time until a draining runner ends, in ms. */
   remainingMs?: number;
   /** Rises with each heartbeat of one life. */
@@ -51,7 +49,7 @@
   running: RunStatus[];
   /** Ends that weren't confirmed yet. */
   ends: ListedEnd[];
-  /** When the life that answered began, as in its heartbeats. */
+  /** When the life that answered began, as its heartbeats say it too. */
   bornMs: number | undefined;
 }
 
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -6,6 +6,7 @@
 import type { Listing, RunnerReport } from './runner-port.js';
 import { isSameDemand } from '../job/submission.js';
 import { runKey } from '../job/task-name.js';
+import { lifeName } from '../runner/life-name.js';
 
 /** A runner that hasn't answered for this long counts as out of reach, in ms: a look that failed took 1.3 s. */
 const UNREACHABLE_AFTER_MS = 1500;
@@ -17,7 +18,10 @@
 
 /** One life of a runner. All moments are on the guard's monotonic clock, in ms. */
 export class RunnerRecord {
-  readonly lease = new RunnerLease();
+  readonly lease: RunnerLease;
+
+  /** Names this life to the owner. */
+  readonly life: string;
 
   /** When this life became known. */
   readonly since: number;
@@ -44,10 +48,24 @@
 
   #confirmedEnd = 0;
 
-  /** It said that it ends. */
+  /** It said that it ends, and nothing since. */
   #left = false;
 
-  constructor({ report, now }: { report: RunnerReport; now: number }) {
+  /** Another life has answered in its place. */
+  #isReplaced = false;
+
+  constructor({
+    report,
+    now,
+    heldUntil = -Infinity,
+  }: {
+    report: RunnerReport;
+    now: number;
+    /** Calls that were meant for an earlier life with its id may have given it a lease until then. */
+    heldUntil?: number;
+  }) {
+    this.life = lifeName(report);
+    this.lease = new RunnerLease({ heldUntil });
     this.since = now;
     this.#report = report;
     this.#answeredAt = now;
@@ -77,14 +95,27 @@
     return isUnlisted || this.#stopped.size > 0;
   }
 
+  /** It takes nothing new, and ends soon or has ended. */
+  get isLeaving(): boolean {
+    return this.#report.draining || this.#left;
+  }
+
+  /** Another life has answered in its place: what is sent to it would reach that one. */
+  get isReplaced(): boolean {
+    return this.#isReplaced;
+  }
+
   isReachable(now: number): boolean {
-    return !this.#left && now - this.#answeredAt < UNREACHABLE_AFTER_MS;
+    if (this.#left || this.#isReplaced) return false;
+    return now - this.#answeredAt < UNREACHABLE_AFTER_MS;
   }
 
   /** A later heartbeat of this life. Answers what is new in it, if that lets something start or bars it. */
   noteReport(report: RunnerReport): 'draining' | 'capacity' | undefined {
     const earlier = this.#report;
     if (report.sequence <= earlier.sequence) return undefined;
+    // The farewell names no life: one that goes on has sent none, an earlier life with its id has.
+    this.#left = false;
     this.#report = { ...report, draining: report.draining || earlier.draining };
     if (report.draining && !earlier.draining) return 'draining';
     return isSameDemand(report.capacity, earlier.capacity) ? undefined : 'capacity';
@@ -92,7 +123,10 @@
 
   noteLeave(): void {
     this.#left = true;
-    this.#report = { ...this.#report, draining: true };
+  }
+
+  noteReplaced(): void {
+    this.#isReplaced = true;
   }
 
   /** Since when it hasn't answered, and what ran there then; undefined while it answers. */
@@ -151,17 +185,17 @@
 
   /** All that the owner should know, but for the orders in progress. */
   contact(now: number, inProgress: readonly RunName[]): CellContact {
-    const { id, service, failureDomain, labels, capacity, draining, remainingMs } = this.#report;
+    const { service, failureDomain, labels, capacity, remainingMs } = this.#report;
     const reachable = this.isReachable(now);
     const refused = [...this.#refused.values()];
     return {
       runner: {
-        id,
+        id: this.life,
         service,
         failureDomain,
         labels,
         capacity,
-        draining,
+        draining: this.isLeaving,
         ...(remainingMs === undefined ? {} : { remainingMs }),
         reachable,
         leaseLapsed: !reachable && inProgress.length === 0 && this.lease.isOver(now),
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -12,8 +12,10 @@
 import type { CellConfig } from '../config/cell-config.js';
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type KnownJob } from '../job/job-view.js';
+import { runnerIdOf } from '../runner/life-name.js';
 import type { Row, RowStore } from '../store/row-store.js';
 import { TableFollower } from '../store/table-follower.js';
+import type { Worker } from '../worker/worker.js';
 import { ordersFor, takeUpContact } from './contact-handler.js';
 import { EndedSweeper } from './ended-sweeper.js';
 import { leaseLengthMs } from './lease-length.js';
@@ -205,6 +207,7 @@
     this.#options.ctx.metrics.count('owner.contact');
     this.#guards.set(vm, peer);
     const worker = this.#book.fleet.get(vm);
+    this.#grantReturned(worker, req);
     if (takeUpContact(this.#book, worker, req)) this.#wantPass();
     const orders = ordersFor(this.#book, worker, req);
     const unconfirmedMs = this.#unconfirmedMs();
@@ -215,6 +218,14 @@
     return { ...told, leaseMs };
   }
 
+  /** Calls that were meant for the life before may have given the one that took its id the longest lease there is. */
+  #grantReturned(worker: Worker, { runner }: CellContact): void {
+    const earlier = worker.runner?.id;
+    if (runner === undefined || earlier === undefined || earlier === runner.id) return;
+    if (runnerIdOf(earlier) !== runnerIdOf(runner.id)) return;
+    worker.grant(this.#book.now(), this.#options.leaseMs);
+  }
+
   #unconfirmedMs(): number {
     return this.#book.now() - this.#options.confirmedAt();
   }
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -193,11 +193,17 @@
   begun.forEach((assignment) => takeUpUntoldCrash(book, worker, assignment));
 }
 
-/** A new life of the runner runs nothing of the one before; without a lease nothing runs. */
-function loseWhatCannotRun(book: RunBook, worker: Worker, { runner }: CellContact): void {
+/**
+ * A new life of the runner runs nothing of the one before; without a lease nothing runs. What the new life tells of may run there
+ * all the same: a start that was on its way reaches whichever life has the runner's id.
+ */
+function loseWhatCannotRun(book: RunBook, worker: Worker, contact: CellContact): void {
+  const { runner, running, inProgress } = contact;
   if (runner === undefined) return;
+  const told = new Set([...running, ...inProgress].map(runKey));
   [...worker.assignments.values()].forEach((assignment) => {
-    if (assignment.runner !== runner.id) book.lose(worker, assignment, 'runner replaced');
+    const isElsewhere = assignment.runner !== runner.id && !told.has(runKey(toRunName(assignment)));
+    if (isElsewhere) book.lose(worker, assignment, 'runner replaced');
     else if (runner.leaseLapsed) book.lose(worker, assignment, 'lease lapsed');
   });
 }
--- a/packages/cell/src/owner/returning-runners.steps.ts
+++ b/packages/cell/src/owner/returning-runners.steps.ts
@@ -28,7 +28,7 @@
   const knows = (): boolean =>
     cellOf(world)
       .logged('runner known')
-      .some(({ vm, bornMs }) => vm === worker.id && bornMs === life?.bornMs);
+      .some(({ vm, runner }) => vm === worker.id && runner === life?.name);
   // Where it never is, the scenario goes on and fails by what callers see.
   await eventually(knows, 2000);
 }
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -324,7 +324,7 @@
 
 function startGuard({ id, store, runner }: Pick<WorkerVm, 'id' | 'store' | 'runner'>): GuardApp {
   const ctx = quietContext({ id, role: 'guard' });
-  const guard = new GuardApp({ ctx, store, runner, linkKey: LINK_KEY });
+  const guard = new GuardApp({ ctx, store, runner, linkKey: LINK_KEY, holdMs: TEST_LEASE_MS });
   guard.start();
   return guard;
 }
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -9,7 +9,7 @@
 
 /** The runner beside a guard, as it describes itself. */
 export const runnerFactsSchema = z.strictObject({
-  /** One life of the runner: a new one for every start. */
+  /** Names one life of the runner: a new one for every start, also where the runner keeps its id. */
   id: z.string(),
   service: z.string(),
   failureDomain: z.string(),
--- a/packages/e2e/src/soak/fault-maker.ts
+++ b/packages/e2e/src/soak/fault-maker.ts
@@ -29,6 +29,9 @@
 const LATE_MS = 2500;
 const EACH = 3;
 
+/** How a runner returns doesn't go with which one it is: that follows from the last digits of a pick. */
+const PICKS_A_RETURN = 1000;
+
 /** A process is started, stopped or frozen by one fault at a time; everything else overlaps. */
 export class FaultMaker {
   readonly made: MadeFault[] = [];
@@ -67,7 +70,7 @@
     };
     this.made.push(made);
     try {
-      const heal = await this.#make(kind, target);
+      const heal = await this.#make(kind, target, pick);
       await hold(forMs);
       await heal();
     } finally {
@@ -89,7 +92,7 @@
     return /^(kill|stop|freeze|reload)-/.test(kind) && target !== undefined ? [target.name] : [];
   }
 
-  async #make(kind: FaultKind, target: FleetProcess | undefined): Promise<Heal> {
+  async #make(kind: FaultKind, target: FleetProcess | undefined, pick: number): Promise<Heal> {
     if (kind === 'kill-everything') return killAll(this.#fleet.processes);
     if (kind === 'kill-all-entries') return killAll(this.#fleet.entries);
     if (target === undefined) return this.#strikeStore(kind);
@@ -98,7 +101,7 @@
     if (kind.startsWith('freeze-')) return freeze(target);
     if (kind === 'reload-process') return reload(target);
     if (FAULTS[kind] === 'process') return strikeStorePath(kind, target);
-    return strikeRunner(kind, target as FleetWorker);
+    return strikeRunner(kind, target as FleetWorker, pick);
   }
 
   #strikeStore(kind: FaultKind): Heal {
@@ -183,7 +186,13 @@
   }
 }
 
-function strikeRunner(kind: FaultKind, { runner, toRunner, toGuard }: FleetWorker): Heal {
+function strikeRunner(
+  kind: FaultKind,
+  { runner, toRunner, toGuard }: FleetWorker,
+  pick: number,
+): Heal {
+  // One in two returns under its old id.
+  const keepsId = Math.floor(pick / PICKS_A_RETURN) % 2 === 0;
   const { faults } = runner;
   const set = (change: Partial<typeof faults>, back: Partial<typeof faults>): Heal => {
     Object.assign(faults, change);
@@ -201,10 +210,10 @@
       toGuard.cutOpen();
       return nothing;
     case 'runner-replaced':
-      runner.replace();
+      runner.replace({ keepsId });
       return nothing;
     case 'runner-drains':
-      void runner.drain();
+      void runner.drain({ keepsId });
       return nothing;
     case 'runner-silent':
       return set({ down: 'silent' }, { down: 'no' });
--- a/packages/stand-ins/src/fleet/runner-model.ts
+++ b/packages/stand-ins/src/fleet/runner-model.ts
@@ -143,6 +143,11 @@
     };
   }
 
+  /** Tells this life from others of its id. */
+  get name(): string {
+    return this.bornMs === undefined ? this.id : `${this.id}@${this.bornMs}`;
+  }
+
   /** The runner's own steady clock, in ms. */
   get clockMs(): number {
     return Math.floor(performance.now() - this.#bornAt) + 1;
@@ -228,7 +233,7 @@
     const { onConfirmed } = this.#options.observer;
     this.#finished
       .filter(({ number }) => number <= confirmed)
-      .forEach((end) => onConfirmed?.(this.id, end));
+      .forEach((end) => onConfirmed?.(this.name, end));
     this.#finished = this.#finished.filter(({ number }) => number > confirmed);
     if (deadlineMs !== undefined && deadlineMs >= this.clockMs) this.#extend(deadlineMs);
     return 'ok';
@@ -264,7 +269,7 @@
     this.#deadlineMs = Math.max(this.#deadlineMs, bounded);
     clearTimeout(this.#leaseTimer);
     this.#leaseTimer = setTimeout(() => {
-      this.#options.observer.onLapse?.(this.id);
+      this.#options.observer.onLapse?.(this.name);
       [...this.#running.values()].forEach((each) => this.#end(each, 'lapsed'));
     }, this.#deadlineMs - this.clockMs);
   }
@@ -349,7 +354,7 @@
   }
 
   #observed({ task, run, spec, checkpoint }: Running): ObservedRun {
-    return { life: this.id, task, run, spec, checkpoint };
+    return { life: this.name, task, run, spec, checkpoint };
   }
 
   #bar(task: string, run: number): void {
--- a/packages/stand-ins/src/fleet/runner-server.ts
+++ b/packages/stand-ins/src/fleet/runner-server.ts
@@ -88,9 +88,15 @@
 export interface FleetRunner extends StandIn<FleetRunnerFaults> {
   readonly life: RunnerModel;
   /** It crashes and comes back as another life. */
-  replace(): void;
+  replace(options?: ReturnOptions): void;
   /** It says that it leaves, goes on a while, and comes back as another life. */
-  drain(): Promise<void>;
+  drain(options?: ReturnOptions): Promise<void>;
+}
+
+/** How a runner comes back. */
+export interface ReturnOptions {
+  /** Under the id that it had: only its birth tells the lives apart. Otherwise under a new one, the default. */
+  keepsId?: boolean;
 }
 
 class RunnerServer implements FleetRunner {
@@ -104,6 +110,11 @@
 
   #lives = 0;
 
+  #lastBornMs = 0;
+
+  /** Crashes that tasks caused. */
+  #crashes = 0;
+
   #address = '';
 
   #sequence = 0;
@@ -130,7 +141,7 @@
       isKnown: () => true,
       ...options,
     };
-    this.#life = this.#newLife();
+    this.#life = this.#newLife({ keepsId: false });
     this.#server = createServer(this.#options.listen, {
       schema: faultsSchema,
       faults: this.faults,
@@ -157,20 +168,21 @@
     await this.#beat();
   }
 
-  replace(): void {
+  replace({ keepsId = false }: ReturnOptions = {}): void {
     this.#life.crash();
     this.#draining = false;
-    this.#life = this.#newLife();
+    this.#sequence = 0;
+    this.#life = this.#newLife({ keepsId });
   }
 
-  async drain(): Promise<void> {
+  async drain(options: ReturnOptions = {}): Promise<void> {
     const { life } = this;
     this.#draining = true;
     await delay(DRAIN_MS);
     // It was replaced meanwhile.
     if (life !== this.#life || this.#closed) return;
     await this.#send('DELETE', life.id);
-    if (life === this.#life) this.replace();
+    if (life === this.#life) this.replace(options);
   }
 
   async close(): Promise<void> {
@@ -184,21 +196,31 @@
     return this.close();
   }
 
-  #newLife(): RunnerModel {
+  #newLife({ keepsId }: Required<ReturnOptions>): RunnerModel {
     const { vm, slots, board, holdMaxMs, observer } = this.#options;
-    this.#lives += 1;
-    const id = `${vm}-life-${this.#lives}`;
-    return new RunnerModel({ id, slots, board, holdMaxMs, observer, onCrash: () => this.#crash() });
+    if (!keepsId) this.#lives += 1;
+    this.#lastBornMs = Math.max(this.#lastBornMs + 1, Date.now());
+    return new RunnerModel({
+      id: `${vm}-life-${this.#lives}`,
+      bornMs: this.#lastBornMs,
+      slots,
+      board,
+      holdMaxMs,
+      observer,
+      onCrash: () => this.#crash(),
+    });
   }
 
   #crash(): void {
     const { life } = this;
+    this.#crashes += 1;
     this.#away = true;
     life.crash();
     setTimeout(() => {
       if (this.#closed) return;
       this.#away = false;
-      if (life === this.#life) this.replace();
+      // By turns under a new id and under the same.
+      if (life === this.#life) this.replace({ keepsId: this.#crashes % 2 === 0 });
     }, AWAY_MS);
   }
 
@@ -219,6 +241,7 @@
         capacity: { cpu: 64_000, mem_mb: 256_000, gpu: slots },
         labels: ['a', rack],
         clock_ms: this.#life.clockMs,
+        born: this.#life.bornMs,
         sequence: this.#sequence,
       });
     }
@@ -279,6 +302,7 @@
     if (this.#life !== life || this.#closed || this.#away) return cutConnection(req, h);
     return {
       clock_ms: life.clockMs,
+      born: life.bornMs,
       running: life
         .running()
         .map(({ task, run, checkpoint, percent, load }) => [task, run, checkpoint, percent, load]),
@@ -300,7 +324,8 @@
     this.#orders += 1;
     if (lateEach > 0 && this.#orders % lateEach === 0) {
       setTimeout(() => {
-        if (this.#life === life) carryOut(life);
+        // Another life may be there by then: it takes what was meant for its id.
+        if (this.#life.id === life.id && !this.#away) carryOut(this.#life);
       }, lateMs);
       return neverAnswer(h);
     }
