Bar a run that its worker tells nothing of once its job or gang is over, so that it doesn't keep its room

Cause: a run in the books of which the worker tells nothing was ordered to start again, or barred where it was to be stopped. Where its job was over neither was so: as a member of a gang that others' ends completed, at 100%, it never stood still either, and kept its room for good, whatever had made its end missed. Its class: a state that only a message from outside ends.

Change: what isn't to start any more is barred at the runner as well, which answers, so that the run is told as refused and given up. A task that is done isn't ordered to start again either, where later steps keep its job open.

--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -108,19 +108,18 @@
   const listed = [...contact.running, ...contact.inProgress].filter(
     (run) => !book.orders.mayGoOn(assignmentOf(worker, run)),
   );
-  noteUnaccounted(book, worker, leftAlone(unstarted, starts));
-  // Not listed and not to start: barred there, so that no late call starts it.
-  const barred = unstarted.filter((assignment) => assignment.stopping !== undefined).map(toRunName);
+  // Not listed and not to start: barred there, so that no late call starts it. Also of a job that is over, as nothing else would
+  // ever ask what became of the run: a member of a gang that others' ends completed kept its room for good.
+  const barred = unstarted.filter((each) => !book.orders.isWanted(each)).map(toRunName);
   const stops = [...listed, ...barred].map(({ task, run }) => ({ task, run }));
+  noteUnaccounted(book, worker, leftAlone(unstarted, [...starts, ...stops]));
   return { runner, starts, stops, confirmedEnd, paces: pacesFor(book, worker, contact) };
 }
 
 /** Of the runs that the worker doesn't tell of: those that it isn't told anything of either. */
-function leftAlone(unstarted: readonly Assignment[], starts: readonly StartOrder[]): Assignment[] {
-  const ordered = new Set(starts.map(runKey));
-  return unstarted.filter(
-    (each) => each.stopping === undefined && !ordered.has(runKey(toRunName(each))),
-  );
+function leftAlone(unstarted: readonly Assignment[], ordered: readonly RunName[]): Assignment[] {
+  const keys = new Set(ordered.map(runKey));
+  return unstarted.filter((each) => !keys.has(runKey(toRunName(each))));
 }
 
 /** Nothing, until something was paced here: a runner lets each run work in full by itself. */
--- a/packages/cell/src/owner/returning-runners.feature
+++ b/packages/cell/src/owner/returning-runners.feature
@@ -80,3 +80,10 @@
     When a job is handed in whose starts are on their way while the runners return
     Then each of them completes
     And no two runs of a task worked at the same time
+
+  # The room of a run whose job is over and of which its worker tells nothing was kept for good, whatever had made its end missed.
+  Scenario: a run of a gang that is done, of which its worker tells nothing, doesn't keep its room
+    Given a cell of 2 entries and 2 workers
+    When a gang of 2 tasks of whole workers, one of them slower, is handed in while a runner forgets its ends
+    And a gang of 2 tasks of whole workers is handed in
+    Then each of them completes
--- a/packages/cell/src/owner/returning-runners.steps.ts
+++ b/packages/cell/src/owner/returning-runners.steps.ts
@@ -88,6 +88,23 @@
   },
 );
 
+When(
+  'a gang of {int} tasks of whole workers, one of them slower, is handed in while a runner forgets its ends',
+  { timeout: 15_000 },
+  async function (this: CellSteps, tasks: number) {
+    const { workers } = cellOf(this);
+    await handInGang(this, tasks, { workMsOf: { [tasks - 1]: 1500 } });
+    const lives = (): Worker['lives'] => workers.flatMap(({ runner }) => runner.life ?? []);
+    assert.ok(await eventually(() => lives().every((life) => life.running().length > 0)));
+    const slow = `.${tasks - 1}`;
+    const quick = lives().find((life) => life.running().every(({ task }) => !task.endsWith(slow)));
+    assert.ok(quick);
+    quick.forgetsEnds = true;
+    await completes(this, this.jobs.at(-1) ?? '', GANG_WITHIN_MS);
+    quick.forgetsEnds = false;
+  },
+);
+
 When('the runners that it was on return', async function (this: CellSteps) {
   const used = cellOf(this).workers.filter(({ lives }) => lives.at(-1)?.starts.length);
   await Promise.all(used.map((worker) => returns(this, worker)));
--- a/packages/cell/src/owner/start-orders.ts
+++ b/packages/cell/src/owner/start-orders.ts
@@ -27,11 +27,17 @@
     this.#now = now;
   }
 
+  /** False of a run that isn't to start any more: its job is over, or another member's end has completed its gang. */
+  isWanted({ jobId, ref, stopping }: Assignment): boolean {
+    const progress = this.#jobs.get(jobId)?.progress;
+    if (stopping !== undefined || progress?.outcome !== 'open') return false;
+    return !progress.findTask(ref)?.done;
+  }
+
   /** True once the order may be given: it is durable, and still wanted. */
   mayStart(assignment: Assignment): boolean {
-    const job = this.#jobs.get(assignment.jobId);
-    if (job === undefined || assignment.stopping !== undefined) return false;
-    return job.progress.outcome === 'open' && job.isDurable(assignment.change);
+    const isDurable = this.#jobs.get(assignment.jobId)?.isDurable(assignment.change) ?? false;
+    return isDurable && this.isWanted(assignment);
   }
 
   /** True if what runs there should go on. */
--- a/packages/stand-ins/src/fleet/runner-model.ts
+++ b/packages/stand-ins/src/fleet/runner-model.ts
@@ -108,6 +108,9 @@
   /** All starts that were carried out, for checks of what ran twice. */
   readonly starts: { task: string; run: number; at: number; checkpoint: string }[] = [];
 
+  /** Ends aren't listed, as if they had been confirmed. */
+  forgetsEnds = false;
+
   readonly #options: Required<Omit<RunnerModelOptions, 'bornMs'>>;
 
   readonly #bornAt = performance.now();
@@ -344,7 +347,7 @@
     this.#ends += 1;
     const checkpoint = checkpointOf(running);
     this.#options.observer.onEnd?.(this.#observed(running), how);
-    this.#finished.push({ number: this.#ends, task, run, how, checkpoint });
+    if (!this.forgetsEnds) this.#finished.push({ number: this.#ends, task, run, how, checkpoint });
     this.#leaveGang(running);
     [...this.#watchers].forEach((wake) => wake());
   }
