--- a/packages/cell/src/owner/returning-runners.feature
+++ b/packages/cell/src/owner/returning-runners.feature
@@ -44,6 +44,29 @@
     Then each of them completes
     And each run was started once
 
+  Scenario Outline: the same while others are lost too
+    Given a cell of 2 entries and 2 workers
+    And runners keep their ids when they start again
+    When 2 jobs that take 2 s are handed in
+    And each runner returns while <something> is lost
+    Then each of them completes
+    And each run was started once
+    And no two runs of a task worked at the same time
+
+    Examples:
+      | something       |
+      | the owner       |
+      | the guard of it |
+
+  Scenario: a new life that was born earlier, by a clock that was set back, is used
+    Given a cell of 2 entries and 1 worker
+    And runners keep their ids when they start again
+    When a job is handed in and completes
+    And the runner returns with a clock that is an hour behind
+    And 3 jobs are handed in
+    Then each of them completes
+    And each task was started once
+
   Scenario: a new life that leaves gets nothing
     Given a cell of 2 entries and 2 workers
     And runners keep their ids when they start again
--- a/packages/cell/src/owner/returning-runners.steps.ts
+++ b/packages/cell/src/owner/returning-runners.steps.ts
@@ -1,9 +1,15 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
-import { sendHeartbeat, eventually, reportOf } from '../testing/cell-world.support.js';
+import {
+  sendHeartbeat,
+  eventually,
+  reportOf,
+  loseEntry,
+  restartGuard,
+} from '../testing/cell-world.support.js';
 import { testStep } from '../testing/test-jobs.support.js';
-import { cellOf, handIn, type CellSteps, type Worker } from './cell-steps.support.js';
+import { cellOf, handIn, ownerOf, type CellSteps, type Worker } from './cell-steps.support.js';
 
 const WHOLE_WORKER = { milliCores: 1000, memoryMb: 100, accelerators: 8 };
 
@@ -13,6 +19,8 @@
 /** A start is carried out this late, in ms: the runner has returned by then, and its guard knows. */
 const LATE_MS = 1200;
 
+const HOUR_MS = 3_600_000;
+
 /** Heartbeats of a life that was long. */
 const LONG_LIFE_BEATS = 1000;
 
@@ -134,6 +142,21 @@
   await Promise.all(cellOf(this).workers.map((worker) => returns(this, worker)));
 });
 
+When('each runner returns while the owner is lost', async function (this: CellSteps) {
+  loseEntry(ownerOf(this));
+  await Promise.all(cellOf(this).workers.map((worker) => returns(this, worker)));
+});
+
+When('each runner returns while the guard of it is lost', async function (this: CellSteps) {
+  cellOf(this).workers.forEach((worker) => restartGuard(worker));
+  await Promise.all(cellOf(this).workers.map((worker) => returns(this, worker)));
+});
+
+When('the runner returns with a clock that is an hour behind', async function (this: CellSteps) {
+  cellOf(this).runnersBehindMs = HOUR_MS;
+  await returns(this, firstWorker(this));
+});
+
 When('the first runner returns and says that it leaves', async function (this: CellSteps) {
   const worker = firstWorker(this);
   // Heartbeats of the new life have lower numbers than those before.
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -88,6 +88,9 @@
   /** A runner that starts again keeps its id, as it may on the platform; otherwise each life has an id of its own. */
   keepsIds = false;
 
+  /** How far the time of day of runners that start is behind, in ms. */
+  runnersBehindMs = 0;
+
   /** Runs that worked at the same time as another run of their task. */
   readonly overlaps: string[] = [];
 
@@ -205,8 +208,7 @@
     if (worker === undefined) return;
     this.crashRunner(worker, AWAY_MS);
     if (!this.crashesTakeGuards || this.#stopped) return;
-    worker.guard.stop();
-    worker.guard = startGuard(worker);
+    restartGuard(worker);
   }
 
   newJobId(): string {
@@ -275,7 +277,7 @@
     this.#lastBornMs = Math.max(this.#lastBornMs + 1, Date.now());
     return new RunnerModel({
       id,
-      bornMs: this.#lastBornMs,
+      bornMs: this.#lastBornMs - this.runnersBehindMs,
       slots: 8,
       board: this.board,
       takesTicket: (step, ticket) => this.advisor?.isValid(step, id, ticket) ?? true,
@@ -322,6 +324,12 @@
   };
 }
 
+/** The guard beside it is lost, and starts anew at once. */
+export function restartGuard(worker: WorkerVm): void {
+  worker.guard.stop();
+  Object.assign(worker, { guard: startGuard(worker) });
+}
+
 function startGuard({ id, store, runner }: Pick<WorkerVm, 'id' | 'store' | 'runner'>): GuardApp {
   const ctx = quietContext({ id, role: 'guard' });
   const guard = new GuardApp({ ctx, store, runner, linkKey: LINK_KEY, holdMs: TEST_LEASE_MS });
