Answer no caller by an older configuration than an earlier caller of the same entry

What callers saw: a queue that had just been added, and 0.3 s later at the same entry one that the same change had removed.

Cause: an entry that doesn't know a queue or key reads the configuration again before it says so. Over a thin link that took half a second: the call that waited was answered by the new configuration, calls that came meanwhile by the old one. The same came of calls that were passed on to another entry with the newer one.

Ruled out: making all calls wait for that read (a caller of queues that don't exist would hold up everybody while the store is slow).

Change: a doubtful call waits 150 ms for the read, ten times what one takes, then others are asked, or the caller is told when to come back. Answers that were passed on say by which version; while the entry's own is older than one by which its callers were answered, it reads again before it answers anything, and passes calls on. Why it holds: from the moment that a newer version has shown, nothing older is said here; before it, no answer takes longer than 150 ms to show one.

--- a/packages/cell/src/config/config-watch.ts
+++ b/packages/cell/src/config/config-watch.ts
@@ -39,6 +39,9 @@
 
   #known: KnownConfig | undefined;
 
+  /** Highest version by which another entry has answered a caller of this one. */
+  #seenVersion = 0;
+
   /** Version of the last row that couldn't be read: it is told of once. */
   #unreadable = 0;
 
@@ -74,6 +77,16 @@
     return this.#known;
   }
 
+  /** A caller of this entry was answered by a newer configuration than the one that is known here. */
+  get isBehind(): boolean {
+    return (this.#known?.config.version ?? 0) < this.#seenVersion;
+  }
+
+  /** Another entry has answered a caller of this one by this version. */
+  noteSeen(version: number): void {
+    this.#seenVersion = Math.max(this.#seenVersion, version);
+  }
+
   get key(): RowKey {
     return this.#source.key;
   }
--- a/packages/cell/src/entry/caller-gate.ts
+++ b/packages/cell/src/entry/caller-gate.ts
@@ -6,6 +6,7 @@
   type CellConfig,
   type Queue,
 } from '../config/cell-config.js';
+import { pause } from '../clock/pause.js';
 import type { ConfigWatch } from '../config/config-watch.js';
 import type { CallRefusal } from './call-result.js';
 import { storeRetryMs } from './store-retry.js';
@@ -13,6 +14,15 @@
 /** Before a queue or key is said to be unknown, the configuration is read again if it is older than this, in ms. */
 const DOUBT_AFTER_MS = 100;
 
+/**
+ * A call waits for that read no longer than this, in ms, ten times what one takes: calls that come meanwhile are answered by the
+ * configuration that is known, and one that was made before them mustn't then be answered here by a newer one.
+ */
+const DOUBT_WAIT_MS = 150;
+
+/** Where the read takes longer and no other entry knows, the caller comes back after this time, in ms: it has most likely ended. */
+const DOUBT_RETRY_MS = 500;
+
 /** A call as it came: `path` with its leading slash, without a query. */
 export interface CallerCall {
   host: string;
@@ -51,11 +61,21 @@
 
   async admit(call: CallerCall): Promise<Admitted | CallRefusal> {
     const first = this.#check(call);
-    const isDoubtful = first.outcome === 'no-such-queue' || first.outcome === 'not-authenticated';
-    if (!isDoubtful || this.#config.ageMs < DOUBT_AFTER_MS) return first;
-    // It may have been added a moment ago.
-    await this.#config.refresh();
-    return this.#check(call);
+    if (!this.#isDoubtful(first)) return first;
+    const isRead = await Promise.race([
+      this.#config.refresh().then(() => true),
+      pause(DOUBT_WAIT_MS).then(() => false),
+    ]);
+    if (isRead && !this.#config.isBehind) return this.#check(call);
+    const detail = 'A newer configuration may be in force: it is being read.';
+    return { outcome: 'not-ready', retryAfterMs: DOUBT_RETRY_MS, detail };
+  }
+
+  /** A queue or key may have been added a moment ago; and what a newer configuration was seen to say isn't taken back. */
+  #isDoubtful({ outcome }: Admitted | CallRefusal): boolean {
+    if (this.#config.isBehind) return true;
+    const isUnknown = outcome === 'no-such-queue' || outcome === 'not-authenticated';
+    return isUnknown && this.#config.ageMs >= DOUBT_AFTER_MS;
   }
 
   #check({ host, path, key }: CallerCall): Admitted | CallRefusal {
--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -148,8 +148,14 @@
     return { outcome: 'waiting', count };
   }
 
-  /** Serves a call that another entry passed on. */
-  async serveForwarded({
+  /** Serves a call that another entry passed on, and says by which configuration. */
+  async serveForwarded(call: ForwardedCall): Promise<ForwardedResult> {
+    const result = await this.#serveForwarded(call);
+    const configVersion = this.#options.config.known?.config.version;
+    return { ...result, ...(configVersion === undefined ? {} : { configVersion }) };
+  }
+
+  async #serveForwarded({
     call,
     job,
     budgetMs,
@@ -235,7 +241,11 @@
       .forward({ ...call, budgetMs })
       .map(async (answer): Promise<T | CallRefusal> => {
         try {
-          return schema.parse(await answer);
+          const { configVersion, ...result } = await answer;
+          const parsed = schema.parse(result);
+          // What this one answers later mustn't be by an older one.
+          if (configVersion !== undefined) this.#options.config.noteSeen(configVersion);
+          return parsed;
         } catch (err) {
           const { ctx, config } = this.#options;
           ctx.metrics.count('call.forward-failed');
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -150,5 +150,9 @@
 export type JobNews = z.infer<typeof jobNewsSchema>;
 
 /** What the caller is to be told. */
-export const forwardedResultSchema = z.looseObject({ outcome: z.string() });
+export const forwardedResultSchema = z.looseObject({
+  outcome: z.string(),
+  /** Of the configuration by which it was served. */
+  configVersion: z.optional(z.int()),
+});
 export type ForwardedResult = z.infer<typeof forwardedResultSchema>;
