--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -2,7 +2,6 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
 import {
-  sendHeartbeat,
   CellWorld,
   callOf,
   eventually,
@@ -10,6 +9,7 @@
   loseEntry,
   loseEntryAtWrite,
 } from '../testing/cell-world.support.js';
+import { sendHeartbeat } from '../testing/worker-vm.support.js';
 import { TEST_QUEUE, testSubmission } from '../testing/test-jobs.support.js';
 import { OWNER_KEY } from './owner-row.js';
 import { entryRowKey } from '../entry/entry-row.js';
--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -3,13 +3,8 @@
 import { SLOW_CLOCK } from '../clock/lease-margin.js';
 import { pause } from '../clock/pause.js';
 import type { Step } from '../job/submission.js';
-import {
-  CellWorld,
-  TEST_LEASE_MS,
-  callOf,
-  eventually,
-  submit,
-} from '../testing/cell-world.support.js';
+import { CellWorld, callOf, eventually, submit } from '../testing/cell-world.support.js';
+import { TEST_LEASE_MS } from '../testing/worker-vm.support.js';
 import { testStep } from '../testing/test-jobs.support.js';
 import {
   cellOf,
--- a/packages/cell/src/owner/changing-room.steps.ts
+++ b/packages/cell/src/owner/changing-room.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
-import { sendHeartbeat, eventually } from '../testing/cell-world.support.js';
+import { eventually } from '../testing/cell-world.support.js';
+import { sendHeartbeat } from '../testing/worker-vm.support.js';
 import { testStep } from '../testing/test-jobs.support.js';
 import { cellOf, handIn, jobOf, type CellSteps } from './cell-steps.support.js';
 
--- a/packages/cell/src/owner/returning-runners.steps.ts
+++ b/packages/cell/src/owner/returning-runners.steps.ts
@@ -1,13 +1,8 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
-import {
-  sendHeartbeat,
-  eventually,
-  reportOf,
-  loseEntry,
-  restartGuard,
-} from '../testing/cell-world.support.js';
+import { eventually, loseEntry } from '../testing/cell-world.support.js';
+import { sendHeartbeat, reportOf, restartGuard } from '../testing/worker-vm.support.js';
 import { testStep } from '../testing/test-jobs.support.js';
 import { cellOf, handIn, ownerOf, type CellSteps, type Worker } from './cell-steps.support.js';
 
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -5,8 +5,6 @@
 import type { Advisor } from '../advice/advisor.js';
 import type { CellConfig } from '../config/cell-config.js';
 import { EntryApp } from '../entry/entry-app.js';
-import { GuardApp } from '../guard/guard-app.js';
-import type { RunnerReport } from '../guard/runner-port.js';
 import { jobRowKey, unpackProgress, unpackSubmission } from '../job/job-rows.js';
 import type { JobProgress } from '../job/progress.js';
 import type { JobRequest, Step } from '../job/submission.js';
@@ -16,10 +14,17 @@
 import { LogKeeper, type LoggedLine } from './log-keeper.support.js';
 import { MemoryRowStore } from './memory-row-store.support.js';
 import { MemoryRunner } from './memory-runner.support.js';
+import {
+  LINK_KEY,
+  TEST_LEASE_MS,
+  restartGuard,
+  sendHeartbeat,
+  startGuard,
+  type WorkerVm,
+} from './worker-vm.support.js';
 import { pause } from '../clock/pause.js';
 
 const CONFIG_KEY = { table: 'operator', part: '', key: 'configuration' };
-const LINK_KEY = '0'.repeat(64);
 const HEARTBEAT_MS = 300;
 
 /** Of a worker, unless a test says otherwise. */
@@ -31,9 +36,6 @@
 /** An answer of the emulated advisor takes this long. */
 const ADVICE_MS = 20;
 
-/** Lease of tests: longer than an owner takes to be replaced, as the real one is. */
-export const TEST_LEASE_MS = 4000;
-
 interface EntryVm {
   id: string;
   app: EntryApp;
@@ -41,21 +43,6 @@
   metrics: CountingMetrics;
 }
 
-interface WorkerVm {
-  id: string;
-  guard: GuardApp;
-  runner: MemoryRunner;
-  store: MemoryRowStore;
-  lives: RunnerModel[];
-  beat: NodeJS.Timeout;
-  /** Its runner leaves after at least this long, in ms. */
-  remainingMs: number | undefined;
-  /** Heartbeats of its runner's present life. */
-  beats: number;
-  /** What its runner says of its room; the emulated runner takes more all the same. */
-  accelerators: number;
-}
-
 /** The host's clocks, with a time of day that can be made to jump. */
 class SteppedClock extends SystemClock {
   aheadMs = 0;
@@ -296,47 +283,6 @@
   }
 }
 
-/** The runner reports to its guard. */
-export function sendHeartbeat(worker: WorkerVm, rack = 'r1'): void {
-  const { life, dark } = worker.runner;
-  if (life === undefined || dark) return;
-  Object.assign(worker, { beats: worker.beats + 1 });
-  worker.guard.noteReport(reportOf(worker, life, rack));
-}
-
-/** What a life of the runner says of itself. */
-export function reportOf(
-  { remainingMs, accelerators, beats }: WorkerVm,
-  { id, bornMs }: RunnerModel,
-  rack = 'r1',
-): RunnerReport {
-  return {
-    id,
-    address: '127.0.0.1:1',
-    service: 'render',
-    failureDomain: 'hall',
-    labels: ['a', rack],
-    capacity: { milliCores: 64_000, memoryMb: 64_000, accelerators },
-    draining: remainingMs !== undefined,
-    bornMs,
-    ...(remainingMs === undefined ? {} : { remainingMs }),
-    sequence: beats,
-  };
-}
-
-/** The guard beside it is lost, and starts anew at once. */
-export function restartGuard(worker: WorkerVm): void {
-  worker.guard.stop();
-  Object.assign(worker, { guard: startGuard(worker) });
-}
-
-function startGuard({ id, store, runner }: Pick<WorkerVm, 'id' | 'store' | 'runner'>): GuardApp {
-  const ctx = quietContext({ id, role: 'guard' });
-  const guard = new GuardApp({ ctx, store, runner, linkKey: LINK_KEY, holdMs: TEST_LEASE_MS });
-  guard.start();
-  return guard;
-}
-
 /** The emulated advisor as an owner calls it. */
 function memoryAdvisor(model: AdvisorModel): Advisor {
   return {
--- a/packages/stand-ins/src/fleet/runner-model.ts
+++ b/packages/stand-ins/src/fleet/runner-model.ts
@@ -4,7 +4,18 @@
  */
 import type { GangBoard } from './gang-board.js';
 import { waitFor } from './wait-for.js';
-import { readScript, type TaskScript } from './task-script.js';
+import {
+  FULL,
+  checkpointOf,
+  crashes,
+  gangOf,
+  isOfGang,
+  percentOf,
+  stepOf,
+  workMsOf,
+  type Running,
+} from './running-task.js';
+import { readScript } from './task-script.js';
 
 /** How a run ended. */
 export type EndWord = 'done' | 'failed' | 'stopped' | 'lapsed' | 'broken' | 'alone';
@@ -39,22 +50,6 @@
 
 export type StartWord = 'ok' | 'fence' | 'old' | 'late' | 'room' | 'ticket';
 
-interface Running {
-  task: string;
-  run: number;
-  spec: string;
-  checkpoint: string;
-  script: TaskScript;
-  startedAt: number;
-  /** When it began to work; undefined while a gang waits. */
-  workingAt: number | undefined;
-  /** Share at which it works, in percent. */
-  pace: number;
-  /** Work that was saved before this run, in ms. */
-  resumedMs: number;
-  timer: NodeJS.Timeout | undefined;
-}
-
 /** A run as an observer is told of it. */
 export interface ObservedRun {
   /** The life that ran it. */
@@ -97,8 +92,6 @@
 /** From the start of a task that crashes its runner to the crash, in ms: the start is answered before. */
 const CRASH_AFTER_MS = 10;
 
-const FULL = 100;
-
 /** One life. */
 export class RunnerModel {
   readonly id: string;
@@ -364,47 +357,3 @@
     this.#barred.set(task, Math.max(run, this.#barred.get(task) ?? 0));
   }
 }
-
-function crashes({ task, run, script: { crashRuns, crashTasks } }: Running): boolean {
-  return run <= crashRuns && (crashTasks?.includes(Number(indexOf(task))) ?? true);
-}
-
-function workMsOf({ task, script: { workMs, workMsOf: own } }: Running): number {
-  return own[indexOf(task)] ?? workMs;
-}
-
-function isOfGang({ task, script }: Running): boolean {
-  return script.gangs[stepOf(task)] !== undefined;
-}
-
-function workedMs({ workingAt, resumedMs }: Running): number {
-  return resumedMs + (workingAt === undefined ? 0 : performance.now() - workingAt);
-}
-
-function percentOf(running: Running): number {
-  const { script, workingAt } = running;
-  if (script.servesMs !== undefined) return workingAt === undefined ? 0 : FULL;
-  return Math.min(FULL, Math.floor((FULL * workedMs(running)) / Math.max(1, workMsOf(running))));
-}
-
-/** The work that was saved, in ms, as a text; empty if none was. */
-function checkpointOf(running: Running): string {
-  const { checkpointMs } = running.script;
-  if (checkpointMs === 0) return '';
-  const saved = Math.floor(workedMs(running) / checkpointMs) * checkpointMs;
-  return saved > 0 ? `${saved}` : '';
-}
-
-/** Its place in its step. */
-function indexOf(task: string): string {
-  return task.slice(task.lastIndexOf('.') + 1);
-}
-
-function stepOf(task: string): string {
-  return task.split('.')[2] ?? '';
-}
-
-/** Job, occurrence, step and run. */
-function gangOf({ task, run }: Running): string {
-  return `${task.split('.').slice(0, 3).join('.')}#${run}`;
-}
