--- a/packages/cell/src/owner/returning-runners.feature
+++ b/packages/cell/src/owner/returning-runners.feature
@@ -104,6 +104,15 @@
     Then each of them completes
     And no two runs of a task worked at the same time
 
+  Scenario: runners that return again and again, under gangs and single tasks
+    Given a cell of 2 entries and 6 workers
+    And runners keep their ids when they start again
+    When gangs and single tasks are handed in for 10 s, and each 1.5 s two runners crash and return
+    Then each of them completes
+    And each run was started once
+    And no two runs of a task worked at the same time
+    And no end was skipped
+
   # The room of a run whose job is over and of which its worker tells nothing was kept for good, whatever had made its end missed.
   Scenario: a run of a gang that is done, of which its worker tells nothing, doesn't keep its room
     Given a cell of 2 entries and 2 workers
--- a/packages/cell/src/owner/returning-runners.steps.ts
+++ b/packages/cell/src/owner/returning-runners.steps.ts
@@ -16,6 +16,9 @@
 
 const HOUR_MS = 3_600_000;
 
+/** A runner that crashed is back after this time, in ms. */
+const AWAY_MS = 400;
+
 /** Heartbeats of a life that was long. */
 const LONG_LIFE_BEATS = 1000;
 
@@ -196,6 +199,28 @@
   },
 );
 
+When(
+  /^gangs and single tasks are handed in for (\d+) s, and each (\d\.\d) s two runners crash and return$/,
+  { timeout: 30_000 },
+  async function (this: CellSteps, seconds: string, everySeconds: string) {
+    const { workers } = cellOf(this);
+    const rounds = Number(seconds) / Number(everySeconds);
+    for (let round = 0; round < rounds; round++) {
+      await handInGang(this, 2 + (round % 2), { workMs: 500, workMsOf: { 0: 900 } });
+      await handIn(this, { steps: [testStep({ tasks: 3 })], spec: { workMs: 700 } });
+      await pause(Number(everySeconds) * 1000);
+      [round, round + 3].forEach((each) => {
+        const worker = workers[each % workers.length];
+        if (worker !== undefined) cellOf(this).crashRunner(worker, AWAY_MS);
+      });
+    }
+  },
+);
+
+Then('no end was skipped', function (this: CellSteps) {
+  assert.deepEqual(cellOf(this).logged('end skipped'), []);
+});
+
 Then('each task was started once', function (this: CellSteps) {
   assertOnce(countStarts(this, ({ task }) => task));
 });
