--- a/packages/cell/src/owner/returning-runners.feature
+++ b/packages/cell/src/owner/returning-runners.feature
@@ -104,6 +104,16 @@
     Then each of them completes
     And no two runs of a task worked at the same time
 
+  Scenario: all machines lose power at once
+    Given a cell of 3 entries and 4 workers
+    And runners keep their ids when they start again
+    When a gang of 3 tasks of whole workers is handed in and completes
+    And 6 jobs that take 2 s are handed in
+    And all entries and guards are lost, and all runners return
+    Then each of them completes
+    And each run was started once
+    And no two runs of a task worked at the same time
+
   Scenario: runners that return again and again, under gangs and single tasks
     Given a cell of 2 entries and 6 workers
     And runners keep their ids when they start again
--- a/packages/cell/src/owner/returning-runners.steps.ts
+++ b/packages/cell/src/owner/returning-runners.steps.ts
@@ -217,6 +217,21 @@
   },
 );
 
+When(
+  'all entries and guards are lost, and all runners return',
+  { timeout: 20_000 },
+  async function (this: CellSteps) {
+    const cell = cellOf(this);
+    cell.entries.splice(0).forEach((entry) => loseEntry(entry));
+    cell.workers.forEach((worker) => {
+      cell.replaceRunner(worker);
+      restartGuard(worker);
+    });
+    for (let each = 0; each < 3; each++) await cell.addEntry();
+    assert.ok(await eventually(() => cell.entries.every(({ app }) => app.isReady)));
+  },
+);
+
 Then('no end was skipped', function (this: CellSteps) {
   assert.deepEqual(cellOf(this).logged('end skipped'), []);
 });
