--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -109,7 +109,7 @@
     (run) => !book.orders.mayGoOn(assignmentOf(worker, run)),
   );
   // Not listed and not to start: barred there, so that no late call starts it. Also of a job that is over, as nothing else would
-  // ever ask what became of the run: a member of a gang that others' ends completed kept its room for good.
+  // ever ask what became of the run: a member of a gang that others' ends completed would keep its room for good.
   const barred = unstarted.filter((each) => !book.orders.isWanted(each)).map(toRunName);
   const stops = [...listed, ...barred].map(({ task, run }) => ({ task, run }));
   noteUnaccounted(book, worker, leftAlone(unstarted, [...starts, ...stops]));
