Sort a worker's unlisted runs once, and let starts and barred runs share what keeps them in progress

Found in reading the whole change again; behaviour stays as it is.

- Orders of a contact: runs that aren't listed are sorted once into those to start, those that wait for their write and those to bar; before, a set of all orders was built at each contact to find again which had got none.
- What the present life tells of is looked up only for runs of another life, no longer indexed at each contact.
- A start and the barring of a run keep themselves in progress through one method.
Unanswered starts expire in one place.
- A listing's birth is compared directly, not by an identity that was made for it.
- Tests: a worker's heartbeats can be silenced, instead of a timer that is cleared and set again; a life's name comes from lifeName.

--- a/packages/cell/src/guard/run-orders.ts
+++ b/packages/cell/src/guard/run-orders.ts
@@ -106,8 +106,8 @@
 
   /** Starts that a life which follows under the same id may still be told to carry out. */
   unsettled(): RunName[] {
-    const late = this.#lateAt(this.#now());
-    const runs = new Map([...late, ...this.#starting.values()].map((run) => [runKey(run), run]));
+    this.#dropExpired();
+    const runs = new Map([...this.#unanswered, ...this.#starting]);
     return [...runs.values()].map(({ task, run }) => ({ task, run }));
   }
 
@@ -115,27 +115,15 @@
    * Sees to it that a run which the life before was told to start doesn't start here. In progress until the runner has taken a
    * stop of it, and then told as refused, or as running if a call had started it before.
    */
-  bar({ task, run }: RunName, { target, isOver }: BarContext): void {
-    const key = runKey({ task, run });
-    this.#starting.set(key, { task, run, at: this.#now() });
-    void this.#bar({ task, run }, { target, isOver })
-      .catch((err: unknown) => {
-        this.#ctx.metrics.count('order.failed');
-        this.#ctx.log.error({ err, task, run }, 'barring a run failed');
-      })
-      .finally(() => this.#starting.delete(key));
+  bar({ task, run }: RunName, context: BarContext): void {
+    this.#keepInProgress({ task, run }, 'barring a run failed', () =>
+      this.#bar({ task, run }, context),
+    );
   }
 
   start(order: StartOrder, target: OrderContext): void {
-    const key = runKey(order);
-    if (this.#starting.has(key)) return;
-    this.#starting.set(key, { task: order.task, run: order.run, at: this.#now() });
-    void this.#start(order, target)
-      .catch((err: unknown) => {
-        this.#ctx.metrics.count('order.failed');
-        this.#ctx.log.error({ err, task: order.task, run: order.run }, 'a start failed');
-      })
-      .finally(() => this.#starting.delete(key));
+    if (this.#starting.has(runKey(order))) return;
+    this.#keepInProgress(order, 'a start failed', () => this.#start(order, target));
   }
 
   stop(run: RunName, target: OrderContext): void {
@@ -254,17 +242,29 @@
     }
   }
 
+  /** Tells of the run as in progress until the work on it has ended. */
+  #keepInProgress({ task, run }: RunName, failure: string, work: () => Promise<void>): void {
+    const key = runKey({ task, run });
+    this.#starting.set(key, { task, run, at: this.#now() });
+    void work()
+      .catch((err: unknown) => {
+        this.#ctx.metrics.count('order.failed');
+        this.#ctx.log.error({ err, task, run }, failure);
+      })
+      .finally(() => this.#starting.delete(key));
+  }
+
   #noteUnanswered({ task, run }: RunName): void {
-    const at = this.#now();
-    this.#unanswered.set(runKey({ task, run }), { task, run, at });
-    const late = new Set(this.#lateAt(at));
-    this.#unanswered.forEach((each, key) => {
-      if (!late.has(each)) this.#unanswered.delete(key);
-    });
+    this.#dropExpired();
+    this.#unanswered.set(runKey({ task, run }), { task, run, at: this.#now() });
   }
 
-  #lateAt(now: number): TimedRun[] {
-    return [...this.#unanswered.values()].filter(({ at }) => now - at < LATE_WITHIN_MS);
+  /** Drops calls that can't be carried out any more. */
+  #dropExpired(): void {
+    const now = this.#now();
+    this.#unanswered.forEach(({ at }, key) => {
+      if (now - at >= LATE_WITHIN_MS) this.#unanswered.delete(key);
+    });
   }
 
   /** Repeats a stop until it is answered. False if the runner's life or the term ended before. */
--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -323,13 +323,12 @@
   }
 }
 
-/** The listing, if it is this life's: its runner's id alone doesn't say so. */
+/** The listing, if it is this life's: that the runner answered under its id doesn't say so. */
 function listingOf(
   answer: RunnerAnswer<Listing>,
-  { id, bornMs }: LifeIdentity,
+  { bornMs }: LifeIdentity,
 ): (Listing & { clockMs: number }) | undefined {
-  if (answer.outcome !== 'ok') return undefined;
-  return isSameLife({ id, bornMs: answer.bornMs }, { id, bornMs }) ? answer : undefined;
+  return answer.outcome === 'ok' && answer.bornMs === bornMs ? answer : undefined;
 }
 
 /** Runs that were there when the runner fell silent, for a log line: the youngest, as one of them may have been its end. */
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -102,26 +102,25 @@
   unstarted
     .filter((assignment) => book.orders.lacksTicket(assignment))
     .forEach((assignment) => book.stop(assignment, 'ticket expired'));
-  const starts = unstarted
-    .filter((assignment) => book.orders.mayStart(assignment))
-    .map((assignment): StartOrder => book.orders.orderFor(assignment));
   const listed = [...contact.running, ...contact.inProgress].filter(
     (run) => !book.orders.mayGoOn(assignmentOf(worker, run)),
   );
+  const wanted = unstarted.filter((assignment) => book.orders.isWanted(assignment));
+  const durable = wanted.filter((assignment) => book.orders.isDurable(assignment));
+  const starts = durable.map((assignment): StartOrder => book.orders.orderFor(assignment));
   // Not listed and not to start: barred there, so that no late call starts it. Also of a job that is over, as nothing else would
   // ever ask what became of the run: a member of a gang that others' ends completed would keep its room for good.
-  const barred = unstarted.filter((each) => !book.orders.isWanted(each)).map(toRunName);
+  const barred = unstarted.filter((each) => !wanted.includes(each)).map(toRunName);
   const stops = [...listed, ...barred].map(({ task, run }) => ({ task, run }));
-  noteUnaccounted(book, worker, leftAlone(unstarted, [...starts, ...stops]));
+  // Neither told of nor ordered anything.
+  noteUnaccounted(
+    book,
+    worker,
+    wanted.filter((each) => !durable.includes(each)),
+  );
   return { runner, starts, stops, confirmedEnd, paces: pacesFor(book, worker, contact) };
 }
 
-/** Of the runs that the worker doesn't tell of: those that it isn't told anything of either. */
-function leftAlone(unstarted: readonly Assignment[], ordered: readonly RunName[]): Assignment[] {
-  const keys = new Set(ordered.map(runKey));
-  return unstarted.filter((each) => !keys.has(runKey(toRunName(each))));
-}
-
 /** Nothing, until something was paced here: a runner lets each run work in full by itself. */
 function pacesFor(book: RunBook, worker: Worker, { running }: CellContact): PaceOrder[] {
   const { isPacing, percent } = worker.pacer;
@@ -199,10 +198,12 @@
 function loseWhatCannotRun(book: RunBook, worker: Worker, contact: CellContact): void {
   const { runner, running, inProgress } = contact;
   if (runner === undefined) return;
-  const told = new Set([...running, ...inProgress].map(runKey));
+  const isTold = (assignment: Assignment): boolean =>
+    [...running, ...inProgress].some((run) => assignmentOf(worker, run) === assignment);
   [...worker.assignments.values()].forEach((assignment) => {
-    const isElsewhere = assignment.runner !== runner.id && !told.has(runKey(toRunName(assignment)));
-    if (isElsewhere) book.lose(worker, assignment, 'runner replaced');
+    // Nearly always all are of the present life, and nothing is looked up.
+    const isOver = assignment.runner !== runner.id && !isTold(assignment);
+    if (isOver) book.lose(worker, assignment, 'runner replaced');
     else if (runner.leaseLapsed) book.lose(worker, assignment, 'lease lapsed');
   });
 }
--- a/packages/cell/src/owner/returning-runners.steps.ts
+++ b/packages/cell/src/owner/returning-runners.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
+import { lifeName } from '../runner/life-name.js';
 import { eventually, loseEntry } from '../testing/cell-world.support.js';
 import { sendHeartbeat, reportOf, restartGuard } from '../testing/worker-vm.support.js';
 import { testStep } from '../testing/test-jobs.support.js';
@@ -34,7 +35,9 @@
   const knows = (): boolean =>
     cellOf(world)
       .logged('runner known')
-      .some(({ vm, runner }) => vm === worker.id && runner === life?.name);
+      .some(
+        ({ vm, runner }) => vm === worker.id && life !== undefined && runner === lifeName(life),
+      );
   // Where it never is, the scenario goes on and fails by what callers see.
   await eventually(knows, 2000);
 }
@@ -44,9 +47,10 @@
   await isKnown(world, worker);
 }
 
-async function completes(world: CellSteps, job: string, limitMs: number): Promise<void> {
+async function lastCompletes(world: CellSteps): Promise<void> {
+  const job = world.jobs.at(-1) ?? '';
   const isOver = async (): Promise<boolean> => (await cellOf(world).state(job)) === 'completed';
-  assert.ok(await eventually(isOver, limitMs));
+  assert.ok(await eventually(isOver, GANG_WITHIN_MS));
 }
 
 /** Starts of all jobs, as `<task>` or `<task>#<run>`, and how often each came. */
@@ -72,7 +76,7 @@
 
 When('a job is handed in and completes', async function (this: CellSteps) {
   await handIn(this, { spec: { workMs: 100 } });
-  await completes(this, this.jobs.at(-1) ?? '', GANG_WITHIN_MS);
+  await lastCompletes(this);
 });
 
 When('{int} jobs are handed in', async function (this: CellSteps, count: number) {
@@ -90,7 +94,7 @@
   async function (this: CellSteps, tasks: number) {
     // The quick ones are at 100% when the last look sees them.
     await handInGang(this, tasks, { workMsOf: { [tasks - 1]: 1500 } });
-    await completes(this, this.jobs.at(-1) ?? '', GANG_WITHIN_MS);
+    await lastCompletes(this);
   },
 );
 
@@ -106,7 +110,7 @@
     const quick = lives().find((life) => life.running().every(({ task }) => !task.endsWith(slow)));
     assert.ok(quick);
     quick.forgetsEnds = true;
-    await completes(this, this.jobs.at(-1) ?? '', GANG_WITHIN_MS);
+    await lastCompletes(this);
     quick.forgetsEnds = false;
   },
 );
@@ -121,7 +125,7 @@
   { timeout: 15_000 },
   async function (this: CellSteps, tasks: number) {
     await handInGang(this, tasks);
-    await completes(this, this.jobs.at(-1) ?? '', GANG_WITHIN_MS);
+    await lastCompletes(this);
   },
 );
 
@@ -223,7 +227,7 @@
   async function (this: CellSteps) {
     const worker = firstWorker(this);
     const { runner } = worker;
-    clearInterval(worker.beat);
+    worker.mute = true;
     runner.dark = true;
     await handIn(this, { spec: { failRuns: 99 } });
     assert.ok(await eventually(() => runner.startsWithoutAnswer > 0));
@@ -233,8 +237,7 @@
     assert.ok(await eventually(reaches));
     // Looks of the life before come to the new one until its heartbeat does.
     await pause(1500);
-    sendHeartbeat(worker);
-    Object.assign(worker, { beat: setInterval(() => sendHeartbeat(worker), 300) });
+    worker.mute = false;
   },
 );
 
--- a/packages/cell/src/owner/start-orders.ts
+++ b/packages/cell/src/owner/start-orders.ts
@@ -34,10 +34,9 @@
     return !progress.findTask(ref)?.done;
   }
 
-  /** True once the order may be given: it is durable, and still wanted. */
-  mayStart(assignment: Assignment): boolean {
-    const isDurable = this.#jobs.get(assignment.jobId)?.isDurable(assignment.change) ?? false;
-    return isDurable && this.isWanted(assignment);
+  /** True once its start is written down: before, no order may be given. */
+  isDurable({ jobId, change }: Assignment): boolean {
+    return this.#jobs.get(jobId)?.isDurable(change) ?? false;
   }
 
   /** True if what runs there should go on. */
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -162,6 +162,7 @@
       lives: [life],
       beat: setInterval(() => sendHeartbeat(worker, rack), HEARTBEAT_MS),
       remainingMs: undefined,
+      mute: false,
       beats: 0,
       accelerators: ACCELERATORS,
     };
--- a/packages/cell/src/testing/worker-vm.support.ts
+++ b/packages/cell/src/testing/worker-vm.support.ts
@@ -22,6 +22,8 @@
   beat: NodeJS.Timeout;
   /** Its runner leaves after at least this long, in ms. */
   remainingMs: number | undefined;
+  /** Heartbeats of its runner don't come. */
+  mute: boolean;
   /** Heartbeats of its runner's present life. */
   beats: number;
   /** What its runner says of its room; the emulated runner takes more all the same. */
@@ -31,7 +33,7 @@
 /** The runner reports to its guard. */
 export function sendHeartbeat(worker: WorkerVm, rack = 'r1'): void {
   const { life, dark } = worker.runner;
-  if (life === undefined || dark) return;
+  if (life === undefined || dark || worker.mute) return;
   Object.assign(worker, { beats: worker.beats + 1 });
   worker.guard.noteReport(reportOf(worker, life, rack));
 }
