--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -10,7 +10,7 @@
 import type { JobRequest, Step } from '../job/submission.js';
 import { OWNER_KEY, unpackOwner } from '../owner/owner-row.js';
 import { HOST, KEY, PREFIX, TEST_QUEUE, testStep } from './test-jobs.support.js';
-import type { Transaction } from '../store/row-store.js';
+import type { RowKey, Transaction } from '../store/row-store.js';
 import { LogKeeper, type LoggedLine } from './log-keeper.support.js';
 import { MemoryRowStore } from './memory-row-store.support.js';
 import { MemoryRunner } from './memory-runner.support.js';
@@ -27,6 +27,12 @@
 const CONFIG_KEY = { table: 'operator', part: '', key: 'configuration' };
 const HEARTBEAT_MS = 300;
 
+/** Rows of the operator's evacuations: this and the name of the failure domain. */
+const EVACUATION_PREFIX = 'evacuation/';
+
+/** Of a worker, unless a test says otherwise. */
+const FAILURE_DOMAIN = 'hall';
+
 /** Of a worker, unless a test says otherwise. */
 const ACCELERATORS = 8;
 
@@ -111,6 +117,17 @@
     this.tables.transact({ expected: [], set: [{ ...CONFIG_KEY, value }], remove: [] });
   }
 
+  /** The operator asks for nothing more to start in a failure domain. */
+  evacuate(failureDomain: string): void {
+    const row = { ...evacuationKey(failureDomain), value: Buffer.from('{}') };
+    this.tables.transact({ expected: [], set: [row], remove: [] });
+  }
+
+  /** The operator takes a failure domain back. */
+  takeBack(failureDomain: string): void {
+    this.tables.transact({ expected: [], set: [], remove: [evacuationKey(failureDomain)] });
+  }
+
   async addEntry({ processorShare = 1 } = {}): Promise<EntryVm> {
     const id = `entry-${this.#nextEntry()}`;
     const store = new MemoryRowStore(this.tables);
@@ -148,7 +165,7 @@
     throw new Error('the cell of a test is not ready');
   }
 
-  addWorker({ rack = 'r1' } = {}): WorkerVm {
+  addWorker({ rack = 'r1', failureDomain = FAILURE_DOMAIN } = {}): WorkerVm {
     const id = `worker-${this.workers.length + 1}`;
     const store = new MemoryRowStore(this.tables);
     const life = this.#newLife(id, `${id}-runner`);
@@ -165,6 +182,7 @@
       mute: false,
       beats: 0,
       accelerators: ACCELERATORS,
+      failureDomain,
     };
     this.workers.push(worker);
     sendHeartbeat(worker, rack);
@@ -284,6 +302,10 @@
   }
 }
 
+function evacuationKey(failureDomain: string): RowKey {
+  return { ...CONFIG_KEY, key: `${EVACUATION_PREFIX}${failureDomain}` };
+}
+
 /** The emulated advisor as an owner calls it. */
 function memoryAdvisor(model: AdvisorModel): Advisor {
   return {
--- a/packages/cell/src/testing/memory-row-store.support.ts
+++ b/packages/cell/src/testing/memory-row-store.support.ts
@@ -24,6 +24,9 @@
   /** Feeds fail although everything else is answered. */
   feedStandsStill = false;
 
+  /** Reads of ranges that begin with this key fail although everything else is answered. */
+  unreadableFrom: string | undefined;
+
   /** Calls so far: what they were, and on which table. */
   readonly calls: { kind: 'read' | 'feed' | 'transact'; table: string }[] = [];
 
@@ -56,6 +59,9 @@
     this.calls.push({ kind: 'read', table: range.table });
     if (this.fault === 'silent') return silence(timeoutMs, { outcome: 'failed', detail: 'silent' });
     if (this.fault === 'refuse') return { outcome: 'failed', detail: 'told to refuse' };
+    if (range.from === this.unreadableFrom && range.from !== undefined) {
+      return { outcome: 'failed', detail: 'told not to answer' };
+    }
     await pause(ANSWER_MS);
     const { version } = this.#tables;
     return { outcome: 'read', ...this.#tables.read(range), version };
--- a/packages/cell/src/testing/worker-vm.support.ts
+++ b/packages/cell/src/testing/worker-vm.support.ts
@@ -28,6 +28,7 @@
   beats: number;
   /** What its runner says of its room; the emulated runner takes more all the same. */
   accelerators: number;
+  failureDomain: string;
 }
 
 /** The runner reports to its guard. */
@@ -40,7 +41,7 @@
 
 /** What a life of the runner says of itself. */
 export function reportOf(
-  { remainingMs, accelerators, beats }: WorkerVm,
+  { remainingMs, accelerators, beats, failureDomain }: WorkerVm,
   { id, bornMs }: RunnerModel,
   rack = 'r1',
 ): RunnerReport {
@@ -48,7 +49,7 @@
     id,
     address: '127.0.0.1:1',
     service: 'render',
-    failureDomain: 'hall',
+    failureDomain,
     labels: ['a', rack],
     capacity: { milliCores: 64_000, memoryMb: 64_000, accelerators },
     draining: remainingMs !== undefined,
