Start nothing in a failure domain that the operator has evacuated

What callers and operators saw: tasks went on starting in an evacuated failure domain until it was taken back. Cause: nothing in the cell read the operator's evacuations. Change: the write that makes a run durable names the operator's row of the failure domain as absent, beside the owner's row. So an owner that is frozen, cut off, replaced or slow makes no start durable there, whatever it believes, and it costs no call. A start that is durable already is ordered only while the evacuations were known within the bound less what an order takes (contact, repeated start); what hasn't begun is withdrawn and placed elsewhere. What has begun goes on to its end. Nothing waits for a rack in an evacuated failure domain. Ruled out: (1) reading within a bound of its own and checking in memory only: a frozen or cut-off owner keeps starting for up to the age of its knowledge plus a write, and an owner of a new term has none; (2) following the operator's table by its feed: it can be behind, or gone, and a read of a few rows is as cheap; (3) a bound on the age alone for durable starts without the condition: the store's late write would make a run durable after the evacuation. Why it holds: the store serializes both writes. After the evacuation's acknowledgement no run there becomes durable; what was durable before is ordered on knowledge younger than `evacuate_ms` less 3.4 s, and an order ends within 3.4 s.

--- a/packages/bench/src/cell/simulated-cell.ts
+++ b/packages/bench/src/cell/simulated-cell.ts
@@ -1,5 +1,6 @@
 /** A cell's owner and its workers in virtual time: the owner's own scheduler decides, everything else is simulated. */
 import {
+  Evacuations,
   Scheduler,
   acceleratorsOf,
   ordersFor,
@@ -49,6 +50,14 @@
   passMs: number[];
 }
 
+/** Nothing is evacuated on any day. */
+function noEvacuations(): Evacuations {
+  const source = { table: 'operator', part: '', keyPrefix: 'evacuation/' };
+  const evacuations = new Evacuations({ source, staleAfterMs: Infinity });
+  evacuations.noteRead([], 0);
+  return evacuations;
+}
+
 /** One day. */
 export class SimulatedCell {
   readonly #workers: SimulatedWorker[];
@@ -89,6 +98,7 @@
       leaseMs: LEASE_MS,
       earlierGrantMs: EARLIER_GRANT_MS,
       reclaim,
+      evacuations: noEvacuations(),
       config: () => undefined,
       events: {
         onChanged: (job) => this.#dirty.add(job),
--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -5,7 +5,7 @@
 import { ConfigWatch, type ConfigSource } from '../config/config-watch.js';
 import { LINK_HEARTBEAT } from '../guard/owner-link.js';
 import { JOB_TABLE } from '../job/job-rows.js';
-import { CellOwner, notOwner } from '../owner/cell-owner.js';
+import { CellOwner, notOwner, type EvacuationBounds } from '../owner/cell-owner.js';
 import { Ownership } from '../owner/ownership.js';
 import type { ReclaimBounds } from '../owner/placing-pass.js';
 import type { Row, RowStore } from '../store/row-store.js';
@@ -38,6 +38,7 @@
   /** Longest authority that a contact may give, in ms. */
   leaseMs: number;
   reclaim: ReclaimBounds;
+  evacuation: EvacuationBounds;
   /** Ended jobs are shown for this long, in ms. */
   keepEndedMs: number;
   /** A key that was taken away must not work any more after this long, in ms. */
@@ -158,7 +159,7 @@
   }
 
   #open(term: number, ownerVersion: number): void {
-    const { ctx, store, advisor, leaseMs, reclaim, keepEndedMs } = this.#options;
+    const { ctx, store, advisor, leaseMs, reclaim, evacuation, keepEndedMs } = this.#options;
     this.#owner = new CellOwner({
       ctx,
       store,
@@ -167,6 +168,7 @@
       ownerVersion,
       leaseMs,
       reclaim,
+      evacuation,
       keepEndedMs,
       config: () => this.#config.known?.config,
       confirmedAt: () => this.#ownership.held?.confirmedAt ?? -Infinity,
--- a/packages/cell/src/evacuation/evacuated-cell.steps.ts
+++ b/packages/cell/src/evacuation/evacuated-cell.steps.ts
@@ -163,7 +163,11 @@
 );
 
 Then('all of its tasks ran in hall west at last', function (this: EvacuationSteps) {
-  const last = Math.max(...cellOf(this).starts(jobOf(this)).map(({ run }) => run));
+  const last = Math.max(
+    ...cellOf(this)
+      .starts(jobOf(this))
+      .map(({ run }) => run),
+  );
   const lastRuns = cellOf(this)
     .starts(jobOf(this))
     .filter(({ run }) => run === last);
--- a/packages/cell/src/guard/guard-app.ts
+++ b/packages/cell/src/guard/guard-app.ts
@@ -24,7 +24,7 @@
 const CONTACTS_PER_LEASE = 4;
 
 /** A contact may take this long, in ms. */
-const CONTACT_TIMEOUT_MS = 1200;
+export const CONTACT_TIMEOUT_MS = 1200;
 
 /** An answer that takes longer says that the owner may be gone, in ms: many times what a contact takes under load. */
 const CONTACT_LATE_MS = 500;
--- a/packages/cell/src/guard/run-orders.ts
+++ b/packages/cell/src/guard/run-orders.ts
@@ -17,6 +17,9 @@
 /** A start without an answer is repeated for this long, in ms, less than a gang waits for its members. */
 const START_FOR_MS = 1600;
 
+/** From an order to start to its last call, in ms. */
+export const START_TAKES_MS = START_FOR_MS + RETRY_PAUSE_MS + CALL_TIMEOUT_MS;
+
 /** A stop that was answered isn't repeated for this long, in ms: a runner takes about as long to stop. */
 const STOP_AGAIN_MS = 1000;
 
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -7,6 +7,7 @@
 export * from './entry/caller-gate.js';
 export * from './entry/entry-app.js';
 export * from './entry/job-calls.js';
+export * from './evacuation/evacuations.js';
 export * from './guard/guard-app.js';
 export * from './guard/runner-port.js';
 export * from './job/job-rows.js';
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -10,12 +10,20 @@
 import { AdviceDesk } from '../advice/advice-desk.js';
 import type { Advisor } from '../advice/advisor.js';
 import type { CellConfig } from '../config/cell-config.js';
+import { EvacuationWatch } from '../evacuation/evacuation-watch.js';
+import {
+  Evacuations,
+  type EvacuationChange,
+  type EvacuationSource,
+} from '../evacuation/evacuations.js';
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type KnownJob } from '../job/job-view.js';
 import { runnerIdOf } from '../runner/life-name.js';
 import type { Row, RowStore } from '../store/row-store.js';
 import { TableFollower } from '../store/table-follower.js';
 import type { Worker } from '../worker/worker.js';
+import { CONTACT_TIMEOUT_MS } from '../guard/guard-app.js';
+import { START_TAKES_MS } from '../guard/run-orders.js';
 import { ordersFor, takeUpContact } from './contact-handler.js';
 import { EndedSweeper } from './ended-sweeper.js';
 import { leaseLengthMs } from './lease-length.js';
@@ -50,6 +58,19 @@
 /** A guard is given this long to take a poke, in ms. */
 const POKE_TIMEOUT_MS = 1000;
 
+/** From the order in an owner's answer to its last try at a runner, in ms: the contact's time, and the guard's for a start. */
+const ORDER_TAKES_MS = CONTACT_TIMEOUT_MS + START_TAKES_MS;
+
+/** What is known of evacuations is good for this long at least, in ms: two reads of them. */
+const LEAST_STALE_MS = 900;
+
+/** The operator's evacuations. */
+export interface EvacuationBounds {
+  source: EvacuationSource;
+  /** Nothing may start in an evacuated failure domain after this time, in ms. */
+  applyMs: number;
+}
+
 /** What an owner is made of. */
 export interface CellOwnerOptions {
   ctx: ProcessContext;
@@ -61,6 +82,7 @@
   /** Longest authority that a contact gives, in ms. */
   leaseMs: number;
   reclaim: ReclaimBounds;
+  evacuation: EvacuationBounds;
   /** Ended jobs are shown for this long, in ms. */
   keepEndedMs: number;
   config: () => CellConfig | undefined;
@@ -87,6 +109,8 @@
 
   readonly #sweeper: EndedSweeper;
 
+  readonly #evacuationWatch: EvacuationWatch;
+
   readonly #adviceDesk: AdviceDesk | undefined;
 
   /** Links to guards, by VM. */
@@ -107,6 +131,9 @@
   constructor(options: CellOwnerOptions) {
     this.#options = options;
     const { ctx, store, ownerVersion, leaseMs, reclaim, config, keepEndedMs, advisor } = options;
+    const { source, applyMs } = options.evacuation;
+    const staleAfterMs = Math.max(LEAST_STALE_MS, applyMs - ORDER_TAKES_MS);
+    const evacuations = new Evacuations({ source, staleAfterMs });
     const view = new JobView({ ctx });
     view.subscribe((known) => this.#noteJob(known));
     this.#view = view;
@@ -122,12 +149,19 @@
       leaseMs,
       earlierGrantMs: UNCONFIRMED_MS,
       reclaim,
+      evacuations,
       config,
       events: {
         onChanged: (job) => this.#writer.mark(job),
         onNews: (vm) => this.#poke(vm),
       },
     });
+    this.#evacuationWatch = new EvacuationWatch({
+      ctx,
+      store,
+      evacuations,
+      onChanges: (changes) => this.#noteEvacuations(changes),
+    });
     if (advisor !== undefined) {
       this.#adviceDesk = new AdviceDesk({
         ctx,
@@ -148,7 +182,10 @@
       ctx,
       store,
       ownerVersion,
+      evacuations,
       events: {
+        onEvacuationConflict: (named, rows, sentAt) =>
+          this.#noteEvacuations(evacuations.noteConflict(named, rows, sentAt)),
         onDurable: (jobs) => this.#noteDurable(jobs),
         onCancelled: (job) => this.#book.cancel(job),
         onRemoved: (job) => this.#book.jobs.delete(job.id),
@@ -164,12 +201,14 @@
 
   start(): void {
     this.#follower.start();
+    this.#evacuationWatch.start();
     this.#sweeper.start();
   }
 
   stop(): void {
     this.#stopped = true;
     this.#follower.stop();
+    this.#evacuationWatch.stop();
     this.#sweeper.stop();
     this.#writer.stop();
     clearTimeout(this.#passTimer);
@@ -239,6 +278,12 @@
     this.#pass();
   }
 
+  #noteEvacuations(changes: readonly EvacuationChange[]): void {
+    if (this.#stopped) return;
+    this.#scheduler.noteEvacuations(changes);
+    if (changes.length > 0) this.#wantPass();
+  }
+
   #wantPass(): void {
     if (this.#passDue || this.#stopped) return;
     this.#passDue = true;
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@zincspan/core';
 import { LEASE_SLACK_MS, SLOW_CLOCK } from '../clock/lease-margin.js';
 import { FRESH_RUNNER_MS } from '../job/crash-record.js';
+import type { Evacuations } from '../evacuation/evacuations.js';
 import { Worker, type Assignment } from '../worker/worker.js';
 import { Room } from '../placing/room.js';
 
@@ -14,20 +15,25 @@
 
   readonly #clock: Clock;
 
+  readonly #evacuations: Evacuations;
+
   /** Until then a worker that hasn't been in contact may keep tasks by an earlier owner's authority. */
   readonly #earlierGrantsEndAt: number;
 
   constructor({
     clock,
+    evacuations,
     leaseMs,
     earlierGrantMs,
   }: {
     clock: Clock;
+    evacuations: Evacuations;
     leaseMs: number;
     /** How long an earlier owner may still have given authority. */
     earlierGrantMs: number;
   }) {
     this.#clock = clock;
+    this.#evacuations = evacuations;
     this.#earlierGrantsEndAt = clock.now() + earlierGrantMs + leaseMs * SLOW_CLOCK + LEASE_SLACK_MS;
   }
 
@@ -66,14 +72,25 @@
 
   /** It may be given something now. */
   isPlaceable(worker: Worker): boolean {
-    return isPlaceable(worker, this.#clock.now());
+    return !this.isEvacuated(worker) && isPlaceable(worker, this.#clock.now());
+  }
+
+  /** The operator wants nothing more to start in its failure domain. */
+  isEvacuated({ runner }: Worker): boolean {
+    return runner !== undefined && this.#evacuations.isEvacuated(runner.failureDomain);
+  }
+
+  /** Racks in evacuated failure domains. */
+  evacuatedRacks(): Set<string> {
+    const evacuated = [...this.#workers.values()].filter((worker) => this.isEvacuated(worker));
+    return new Set(evacuated.map(({ rack }) => rack));
   }
 
   /** Room on all workers that may be given something now. */
   rooms(): Room[] {
     const now = this.#clock.now();
     return [...this.#workers.values()]
-      .filter((worker) => isPlaceable(worker, now))
+      .filter((worker) => !this.isEvacuated(worker) && isPlaceable(worker, now))
       .map((worker) => toRoom(worker, now));
   }
 }
--- a/packages/cell/src/owner/occupants.steps.ts
+++ b/packages/cell/src/owner/occupants.steps.ts
@@ -8,6 +8,7 @@
 import { Fleet } from './fleet.js';
 import { findOccupants } from './occupants.js';
 import { RunBook } from './run-book.js';
+import { noEvacuations } from '../testing/test-evacuations.support.js';
 
 interface OccupantSteps {
   book: RunBook;
@@ -18,9 +19,11 @@
 
 function newBook(): RunBook {
   const ctx = quietContext({ id: 'entry-1', role: 'entry' });
+  const evacuations = noEvacuations();
   return new RunBook({
     ctx,
-    fleet: new Fleet({ clock: ctx.clock, leaseMs: 6000, earlierGrantMs: 0 }),
+    fleet: new Fleet({ clock: ctx.clock, evacuations, leaseMs: 6000, earlierGrantMs: 0 }),
+    evacuations,
     advice: new AdviceBook(),
     durations: new DurationBook(),
     events: { onChanged: () => undefined, onNews: () => undefined },
--- a/packages/cell/src/owner/owned-job.ts
+++ b/packages/cell/src/owner/owned-job.ts
@@ -41,6 +41,9 @@
   /** How long tasks of each step took that ran from their beginning, in ms: the newest. */
   readonly #tookMs = new Map<Step, number>();
 
+  /** Failure domains in which runs start by changes that aren't durable yet, with the last such change of each. */
+  readonly #startsIn = new Map<string, number>();
+
   #change = 0;
 
   #durable = 0;
@@ -127,6 +130,21 @@
     return this.#change;
   }
 
+  /** A run starts there by this change. */
+  noteStart(failureDomain: string, change: number): void {
+    this.#startsIn.set(failureDomain, change);
+  }
+
+  /** No run starts there any more. */
+  forgetStarts(failureDomain: string): void {
+    this.#startsIn.delete(failureDomain);
+  }
+
+  /** Failure domains in which something starts once all changes so far are durable. */
+  startsIn(): string[] {
+    return [...this.#startsIn.keys()];
+  }
+
   isDurable(change: number): boolean {
     return change <= this.#durable;
   }
@@ -135,5 +153,8 @@
   wrote(change: number, version: number): void {
     this.#durable = Math.max(this.#durable, change);
     this.progressVersion = version;
+    this.#startsIn.forEach((last, failureDomain) => {
+      if (this.isDurable(last)) this.#startsIn.delete(failureDomain);
+    });
   }
 }
--- a/packages/cell/src/owner/placing-pass.steps.ts
+++ b/packages/cell/src/owner/placing-pass.steps.ts
@@ -147,6 +147,7 @@
     jobs,
     claims,
     rooms,
+    evacuatedRacks: new Set(),
     occupants,
     means: new QueueMeans(),
     durations: new DurationBook(),
--- a/packages/cell/src/owner/placing-pass.ts
+++ b/packages/cell/src/owner/placing-pass.ts
@@ -28,6 +28,8 @@
   jobs: readonly OwnedJob[];
   claims: ReadonlySet<OwnedJob>;
   rooms: readonly Room[];
+  /** Nothing starts on these for now. */
+  evacuatedRacks: ReadonlySet<string>;
   occupants: readonly Occupant[];
   means: QueueMeans;
   durations: DurationBook;
@@ -94,13 +96,14 @@
 }
 
 function candidates(input: PassInput): Candidate[] {
-  const { jobs, claims, means, durations, now, wallMs } = input;
+  const { jobs, claims, evacuatedRacks, means, durations, now, wallMs } = input;
   const busy = busyServices(input.rooms);
   return jobs
     .flatMap((job) =>
       wantedGroups(job, now, {
         isBusy: busy.has(job.terms.service),
         claim: claims.has(job),
+        evacuatedRacks,
         expectedMs: durationsOf(job, durations),
       }),
     )
--- a/packages/cell/src/owner/progress-writer.steps.ts
+++ b/packages/cell/src/owner/progress-writer.steps.ts
@@ -5,6 +5,7 @@
 import { pause } from '../clock/pause.js';
 import { jobRowKey, packSubmission, unpackProgress } from '../job/job-rows.js';
 import { eventually } from '../testing/cell-world.support.js';
+import { noEvacuations } from '../testing/test-evacuations.support.js';
 import { testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
 import { MemoryRowStore } from '../testing/memory-row-store.support.js';
 import type { OwnedJob } from './owned-job.js';
@@ -56,7 +57,9 @@
     ctx: quietContext({ id: 'entry-1', role: 'entry' }),
     store: this.store,
     ownerVersion: put(this.tables, OWNER_KEY, Buffer.from('owner')),
+    evacuations: noEvacuations(),
     events: {
+      onEvacuationConflict: () => undefined,
       onDurable: () => undefined,
       onCancelled: () => undefined,
       onConfirmed: () => undefined,
--- a/packages/cell/src/owner/progress-writer.ts
+++ b/packages/cell/src/owner/progress-writer.ts
@@ -3,6 +3,7 @@
  * is unchanged, that nobody else has changed the progress, and that the jobs weren't cancelled meanwhile.
  */
 import type { ProcessContext } from '@zincspan/core';
+import type { Evacuations } from '../evacuation/evacuations.js';
 import { jobRowKey, packProgress, type JobRowKind } from '../job/job-rows.js';
 import { sameRow, type Row, type RowStore, type Transaction } from '../store/row-store.js';
 import type { OwnedJob } from './owned-job.js';
@@ -24,6 +25,12 @@
   onDurable: (jobs: readonly OwnedJob[]) => void;
   /** A job was cancelled before its change was written. */
   onCancelled: (job: OwnedJob) => void;
+  /** These failure domains were expected not to be evacuated; the rows that are there say what is so. */
+  onEvacuationConflict: (
+    failureDomains: readonly string[],
+    rows: readonly Row[],
+    at: number,
+  ) => void;
   /** A job's rows are gone: it was over, and was removed. */
   onRemoved: (job: OwnedJob) => void;
   /** Another entry owns the cell, or the books of this term aren't what the store holds. */
@@ -38,6 +45,13 @@
   value: Buffer;
 }
 
+/** One write: progress of some jobs, and the failure domains in which something starts by it. */
+interface Batch {
+  jobs: readonly Pending[];
+  startsIn: readonly string[];
+  sentAt: number;
+}
+
 /** One writer for one term. */
 export class ProgressWriter {
   readonly #ctx: ProcessContext;
@@ -46,6 +60,8 @@
 
   readonly #ownerVersion: number;
 
+  readonly #evacuations: Evacuations;
+
   readonly #events: ProgressWriterEvents;
 
   readonly #dirty = new Set<OwnedJob>();
@@ -61,16 +77,19 @@
     ctx,
     store,
     ownerVersion,
+    evacuations,
     events,
   }: {
     ctx: ProcessContext;
     store: RowStore;
     ownerVersion: number;
+    evacuations: Evacuations;
     events: ProgressWriterEvents;
   }) {
     this.#ctx = ctx;
     this.#store = store;
     this.#ownerVersion = ownerVersion;
+    this.#evacuations = evacuations;
     this.#events = events;
   }
 
@@ -107,12 +126,8 @@
   }
 
   async #write(): Promise<void> {
-    const batch = [...this.#dirty].slice(0, JOBS_PER_WRITE).map((job): Pending => ({
-      job,
-      change: job.change,
-      value: packProgress(job.progress),
-    }));
-    const sentAt = this.#ctx.clock.now();
+    const batch = this.#nextBatch();
+    const { jobs, startsIn, sentAt } = batch;
     const result = await this.#store.transact(this.#transaction(batch), {
       timeoutMs: WRITE_TIMEOUT_MS,
     });
@@ -120,16 +135,26 @@
     this.#ctx.metrics.timing('progress.write', this.#ctx.clock.now() - sentAt);
     if (result.outcome === 'done') {
       this.#events.onConfirmed(sentAt);
-      this.#noteWritten(batch, () => result.version);
+      this.#evacuations.noteConfirmed(startsIn, sentAt);
+      this.#noteWritten(jobs, () => result.version);
     } else if (result.outcome === 'conflict') {
       this.#noteConflict(batch, result.rows);
     } else {
       this.#ctx.metrics.count(`progress.write-${result.outcome}`);
-      if (result.outcome === 'unknown') this.#noteUnanswered(batch);
+      if (result.outcome === 'unknown') this.#noteUnanswered(jobs);
       await pause(RETRY_PAUSE_MS);
     }
   }
 
+  #nextBatch(): Batch {
+    const jobs = [...this.#dirty].slice(0, JOBS_PER_WRITE);
+    return {
+      jobs: jobs.map((job) => ({ job, change: job.change, value: packProgress(job.progress) })),
+      startsIn: [...new Set(jobs.flatMap((job) => job.startsIn()))],
+      sentAt: this.#ctx.clock.now(),
+    };
+  }
+
   #noteUnanswered(batch: readonly Pending[]): void {
     batch.forEach(({ job, value }) => {
       const earlier = this.#unanswered.get(job) ?? [];
@@ -138,8 +163,8 @@
     });
   }
 
-  #transaction(batch: readonly Pending[]): Transaction {
-    const expected = batch.flatMap(({ job }) => [
+  #transaction({ jobs, startsIn }: Batch): Transaction {
+    const expected = jobs.flatMap(({ job }) => [
       { ...jobRowKey(job.id, 'progress'), version: job.progressVersion },
       // A job whose rows were removed is over, whatever a feed that is behind tells of it.
       ...(job.progressVersion > 0
@@ -148,8 +173,12 @@
       ...(job.cancelled ? [] : [{ ...jobRowKey(job.id, 'cancellation'), version: 0 }]),
     ]);
     return {
-      expected: [{ ...OWNER_KEY, version: this.#ownerVersion }, ...expected],
-      set: batch.map(({ job, value }) => ({ ...jobRowKey(job.id, 'progress'), value })),
+      expected: [
+        { ...OWNER_KEY, version: this.#ownerVersion },
+        ...startsIn.map((failureDomain) => this.#evacuations.expectedRow(failureDomain)),
+        ...expected,
+      ],
+      set: jobs.map(({ job, value }) => ({ ...jobRowKey(job.id, 'progress'), value })),
     };
   }
 
@@ -166,15 +195,16 @@
    * Nobody but the owner writes progress: a row with another version holds an earlier write of our own whose answer was
    * lost, and the next write starts from there. If it holds anything else, the books are wrong and are read anew.
    */
-  #noteConflict(batch: readonly Pending[], rows: readonly Row[]): void {
+  #noteConflict({ jobs, startsIn, sentAt }: Batch, rows: readonly Row[]): void {
     const owner = rows.find((row) => sameRow(row, OWNER_KEY));
     if (owner?.version !== this.#ownerVersion) {
       this.#depose('a write found another owner');
       return;
     }
     this.#ctx.metrics.count('progress.conflict');
+    if (startsIn.length > 0) this.#events.onEvacuationConflict(startsIn, rows, sentAt);
     const written: Pending[] = [];
-    for (const pending of batch) {
+    for (const pending of jobs) {
       const { job, value } = pending;
       const rowOf = (kind: JobRowKind): Row | undefined =>
         rows.find((each) => sameRow(each, jobRowKey(job.id, kind)));
--- a/packages/cell/src/owner/run-book.ts
+++ b/packages/cell/src/owner/run-book.ts
@@ -5,6 +5,7 @@
 import type { RunCrash, RunEnd } from '../job/progress.js';
 import type { Step } from '../job/submission.js';
 import { taskName } from '../job/task-name.js';
+import type { Evacuations } from '../evacuation/evacuations.js';
 import type { DurationBook } from '../placing/duration-book.js';
 import { FleetHealth } from '../worker/fleet-health.js';
 import type { Assignment, Worker } from '../worker/worker.js';
@@ -54,18 +55,25 @@
     ctx,
     fleet,
     advice,
+    evacuations,
     durations,
     events,
   }: {
     ctx: ProcessContext;
     fleet: Fleet;
     advice: AdviceBook;
+    evacuations: Evacuations;
     durations: DurationBook;
     events: RunBookEvents;
   }) {
     this.#ctx = ctx;
     this.fleet = fleet;
-    this.orders = new StartOrders({ jobs: this.jobs, advice, now: () => this.now() });
+    this.orders = new StartOrders({
+      jobs: this.jobs,
+      advice,
+      evacuations,
+      now: () => this.now(),
+    });
     this.#durations = durations;
     this.#health = new FleetHealth(() => [...fleet.all()].map(({ health }) => health));
     this.#events = events;
@@ -124,6 +132,7 @@
       runs.forEach(({ ref, vm, runner }) => {
         const checkpoint = job.progress.findTask(ref)?.active?.checkpoint ?? '';
         this.#assign(job, { ref, run, vm, runner, checkpoint, change });
+        job.noteStart(this.fleet.get(vm).runner?.failureDomain ?? '', change);
       });
       this.log('run assigned', {
         job: job.id,
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -4,6 +4,8 @@
 import type { AdviceQuestion } from '../advice/advice-desk.js';
 import type { CellConfig } from '../config/cell-config.js';
 import type { KnownJob } from '../job/job-view.js';
+import type { EvacuationChange, Evacuations } from '../evacuation/evacuations.js';
+import { withdrawStarts } from '../evacuation/withdrawal.js';
 import { DurationBook } from '../placing/duration-book.js';
 import { Fleet } from './fleet.js';
 import { findOccupants } from './occupants.js';
@@ -36,6 +38,7 @@
   /** How long an earlier owner may still have given authority, in ms. */
   earlierGrantMs: number;
   reclaim: ReclaimBounds;
+  evacuations: Evacuations;
   config: () => CellConfig | undefined;
   events: RunBookEvents;
 }
@@ -58,13 +61,14 @@
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
-    const { ctx, leaseMs, earlierGrantMs, events } = options;
+    const { ctx, leaseMs, earlierGrantMs, evacuations, events } = options;
     this.#startedAt = ctx.clock.now();
     this.book = new RunBook({
       ctx,
       advice: this.advice,
+      evacuations,
       durations: this.#durations,
-      fleet: new Fleet({ clock: ctx.clock, leaseMs, earlierGrantMs }),
+      fleet: new Fleet({ clock: ctx.clock, evacuations, leaseMs, earlierGrantMs }),
       events,
     });
   }
@@ -92,11 +96,18 @@
     });
   }
 
+  /** Failure domains were evacuated or taken back. */
+  noteEvacuations(changes: readonly EvacuationChange[]): void {
+    changes.forEach((change) => this.#noteEvacuation(change));
+  }
+
   /** One look over everything. Answers what the placement advisor is to be asked, the most urgent first. */
   pass(): AdviceQuestion[] {
     this.book.loseUnreachable();
     stopStandstills(this.book);
     evacuate(this.book);
+    // Also of workers that were not in contact when it was evacuated, as after a change of owner.
+    this.#options.evacuations.all.forEach((each) => withdrawStarts(this.book, each));
     this.book.keepCheckpoints();
     this.book.openDue(this.#options.ctx.clock.wall());
     this.#refreshTerms();
@@ -107,6 +118,19 @@
     return questions;
   }
 
+  #noteEvacuation({ failureDomain, isEvacuated, version }: EvacuationChange): void {
+    const { ctx, evacuations } = this.#options;
+    const knownForMs = Math.round(evacuations.ageMs(this.book.now()));
+    ctx.metrics.gauge(`evacuated.${failureDomain}`, isEvacuated ? 1 : 0);
+    if (!isEvacuated) {
+      this.book.log('failure domain taken back', { failureDomain, version, knownForMs });
+      return;
+    }
+    this.book.jobs.forEach((job) => job.forgetStarts(failureDomain));
+    const runs = withdrawStarts(this.book, failureDomain);
+    this.book.log('failure domain evacuated', { failureDomain, version, knownForMs, ...runs });
+  }
+
   #refreshTerms(): void {
     const queues = new Map(this.#options.config()?.queues.map((queue) => [queue.name, queue]));
     this.book.jobs.forEach((job) => {
@@ -126,6 +150,7 @@
       jobs,
       claims,
       rooms: this.book.fleet.rooms(),
+      evacuatedRacks: this.book.fleet.evacuatedRacks(),
       occupants: findOccupants(this.book, claims),
       means: this.#means,
       durations: this.#durations,
--- a/packages/cell/src/owner/start-orders.ts
+++ b/packages/cell/src/owner/start-orders.ts
@@ -1,6 +1,7 @@
 /** What a guard may be told to start, and what may go on: only what is durable, still wanted, and has its ticket. */
 import type { StartOrder } from '@zincspan/core';
 import type { AdviceBook } from '../advice/advice-book.js';
+import type { Evacuations } from '../evacuation/evacuations.js';
 import { stepName } from '../job/task-name.js';
 import type { Assignment } from '../worker/worker.js';
 import type { OwnedJob } from './owned-job.js';
@@ -11,19 +12,24 @@
 
   readonly #advice: AdviceBook;
 
+  readonly #evacuations: Evacuations;
+
   readonly #now: () => number;
 
   constructor({
     jobs,
     advice,
+    evacuations,
     now,
   }: {
     jobs: ReadonlyMap<string, OwnedJob>;
     advice: AdviceBook;
+    evacuations: Evacuations;
     now: () => number;
   }) {
     this.#jobs = jobs;
     this.#advice = advice;
+    this.#evacuations = evacuations;
     this.#now = now;
   }
 
@@ -39,6 +45,11 @@
     return this.#jobs.get(jobId)?.isDurable(change) ?? false;
   }
 
+  /** True if its start may be ordered now on a worker of this failure domain. */
+  mayOrder(assignment: Assignment, failureDomain: string): boolean {
+    return this.isDurable(assignment) && this.#evacuations.mayOrder(failureDomain, this.#now());
+  }
+
   /** True if what runs there should go on. */
   mayGoOn(assignment: Assignment | undefined): boolean {
     if (assignment === undefined || assignment.stopping !== undefined) return false;
--- a/packages/cell/src/owner/waiting-report.ts
+++ b/packages/cell/src/owner/waiting-report.ts
@@ -76,6 +76,7 @@
   return {
     workers: workers.length,
     usable: usable.length,
+    evacuated: workers.filter((worker) => book.fleet.isEvacuated(worker)).length,
     draining: workers.filter(({ runner }) => runner?.draining).length,
     unreachable: workers.filter(({ runner }) => runner?.reachable === false).length,
     closed: workers.filter(({ health }) => health.isClosed(book.now())).length,
--- a/packages/cell/src/owner/wanted-groups.feature
+++ b/packages/cell/src/owner/wanted-groups.feature
@@ -23,3 +23,8 @@
   Scenario: a task that is done makes no others wait
     Given a step of 4 tasks, under the second of which a runner crashed and which is done
     Then the groups that may crash their runner are none, and the others 0, 2, 3
+
+  Scenario: nothing waits for a rack that is evacuated
+    Given a task that wants the rack of its data and has just become ready
+    Then it waits for that rack while rack r2 is evacuated
+    And it doesn't wait for that rack while rack r1 is evacuated
--- a/packages/cell/src/owner/wanted-groups.steps.ts
+++ b/packages/cell/src/owner/wanted-groups.steps.ts
@@ -19,11 +19,37 @@
   { job, now, expectedMs }: WantedSteps,
   patience: Pick<RackPatience, 'isBusy' | 'claim'>,
 ): boolean {
-  const [wanted] = wantedGroups(job, now, { ...patience, expectedMs: () => expectedMs });
+  const [wanted] = wantedGroups(job, now, {
+    ...patience,
+    evacuatedRacks: new Set(),
+    expectedMs: () => expectedMs,
+  });
   assert.ok(wanted);
   return wanted.group.oneRack;
 }
 
+Given(
+  'a task that wants the rack of its data and has just become ready',
+  function (this: WantedSteps) {
+    this.job = newJob(testStep({ preferredRack: 'r1' }));
+    this.now = 0;
+    this.expectedMs = 5000;
+  },
+);
+
+Then(
+  /^it (waits|doesn't wait) for that rack while rack (\w+) is evacuated$/,
+  function (this: WantedSteps, verdict: string, rack: string) {
+    const [wanted] = wantedGroups(this.job, this.now, {
+      isBusy: false,
+      claim: false,
+      evacuatedRacks: new Set([rack]),
+      expectedMs: () => this.expectedMs,
+    });
+    assert.equal(wanted?.group.rack, verdict === 'waits' ? 'r1' : undefined);
+  },
+);
+
 Given(
   'a gang expected to take {int} s that has waited {int} s for its rack',
   function (this: WantedSteps, expectedS: number, waitedS: number) {
@@ -57,7 +83,12 @@
 Then(
   /^the groups that may crash their runner are (.*), and the others (.*)$/,
   function (this: WantedSteps, suspects: string, others: string) {
-    const patience = { isBusy: false, claim: false, expectedMs: () => this.expectedMs };
+    const patience = {
+      isBusy: false,
+      claim: false,
+      evacuatedRacks: new Set<string>(),
+      expectedMs: () => this.expectedMs,
+    };
     const groups = wantedGroups(this.job, this.now, patience).map(({ group }) => group);
     const list = (isSuspect: boolean): string =>
       groups
--- a/packages/cell/src/owner/wanted-groups.ts
+++ b/packages/cell/src/owner/wanted-groups.ts
@@ -26,6 +26,8 @@
   /** More than half of the service is in use. */
   isBusy: boolean;
   claim: boolean;
+  /** Room there comes back at the operator's time: nothing waits for it. */
+  evacuatedRacks: ReadonlySet<string>;
   expectedMs: (step: Step) => number;
 }
 
@@ -70,6 +72,7 @@
   const readySince = job.readySince.get(key) ?? now;
   job.readySince.set(key, readySince);
   const waitsForRack = now - readySince < rackWaitMs(step, patience);
+  const isAway = patience.evacuatedRacks.has(step.preferredRack ?? '');
   const common = {
     jobId: job.id,
     occurrence: occurrence.index,
@@ -78,7 +81,7 @@
     demand: roomDemand(step),
     gang: step.gang,
     oneRack: step.rackSensitive && waitsForRack,
-    rack: waitsForRack ? step.preferredRack : undefined,
+    rack: waitsForRack && !isAway ? step.preferredRack : undefined,
     label: step.requiredLabel,
     maxPerWorker: step.maxPerWorker,
     present: tasksByWorker(progress),
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -145,6 +145,10 @@
       processorShare,
       leaseMs: TEST_LEASE_MS,
       reclaim: { reclaimMs: 2700, stopMs: 200 },
+      evacuation: {
+        source: { table: CONFIG_KEY.table, part: CONFIG_KEY.part, keyPrefix: EVACUATION_PREFIX },
+        applyMs: 5000,
+      },
       keepEndedMs: this.keepEndedMs,
       revokeMs: 5000,
       configApplyMs: 2000,
