Leave the turns of a slow store to acceptances and progress

What callers saw: while the store was 48 times slower than usual, submissions got 504 after 3 s or were accepted after a second or more, and small urgent jobs were late. Cause: all our rows share one part, which carries out one transaction after the other. Slowed 48 times it has about seven turns a second. The owner's heartbeats alone asked for five of them, and each submission that took over 0.3 s was sent to the store by two or three entries. Ruled out: rows of jobs in parts of their own (acceptances name the operator's configuration and progress names the owner, so both would be in two parts and take two turns); heartbeats in a part of their own (they would no longer be conditional, and the owner would need a read beside each); several progress writes at once (they are grouped as it is, and would take more turns). Change: each write of progress carries the owner's heartbeat; one is sent by itself only when the last one done is old: 0.1 s, or twice what it took. Other entries are asked for an answer after 0.3 s, or after four reads' time (0.9 s at most). Also at most 20 jobs in a transaction instead of 24: with the rows of evacuated failure domains 101 entries were possible, and the store takes 100.

--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -173,6 +173,7 @@
       config: () => this.#config.known?.config,
       confirmedAt: () => this.#ownership.held?.confirmedAt ?? -Infinity,
       onConfirmed: (sentAt) => this.#ownership.confirm(sentAt),
+      nextBeat: () => this.#ownership.nextBeat(),
       onDeposed: (reason) => this.#ownership.lose(reason),
     });
     this.#owner.start();
--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -19,7 +19,7 @@
 } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
 import type { FindResult, JobLookup } from './job-lookup.js';
-import { isOutOfReach, settleCall } from './settled-call.js';
+import { askOthersAfterMs, isOutOfReach, settleCall } from './settled-call.js';
 
 /** Kept back from a caller's time for the answer's way, in ms. */
 const ANSWER_RESERVE_MS = 150;
@@ -92,6 +92,7 @@
     if (isForwarded) return this.#log('submit', call, await own);
     const result = await settleCall({
       own,
+      askAfterMs: askOthersAfterMs(this.#options.store.lastReadMs),
       askOthers: () => {
         const decoded = decode();
         if ('fault' in decoded) return [];
@@ -113,6 +114,7 @@
     let isPassedOn = false;
     const settled = await settleCall({
       own,
+      askAfterMs: askOthersAfterMs(this.#options.store.lastReadMs),
       askOthers: () => {
         isPassedOn = true;
         return this.#forward(stateResultSchema, { call: 'state', ...call, until });
@@ -133,6 +135,7 @@
     if (isForwarded) return this.#log('cancel', call, await own);
     const result = await settleCall({
       own,
+      askAfterMs: askOthersAfterMs(this.#options.store.lastReadMs),
       askOthers: () => this.#forward(cancelResultSchema, { call: 'cancel', ...call, until }),
     });
     return this.#log('cancel', call, result);
--- /dev/null
+++ b/packages/cell/src/entry/slow-store.steps.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { pause } from '../clock/pause.js';
+import { JOB_TABLE } from '../job/job-rows.js';
+import { cellOf, handIn, jobOf, type CellSteps } from '../owner/cell-steps.support.js';
+import { OWNER_KEY } from '../owner/owner-row.js';
+import { submit } from '../testing/cell-world.support.js';
+import type { Transaction } from '../store/row-store.js';
+
+interface SlowSteps extends CellSteps {
+  /** When each job was handed in, and how long its acceptance took, in ms. */
+  handedIn: Map<string, { at: number; tookMs: number }>;
+  /** All transactions that were asked for. */
+  transactions: Transaction[];
+}
+
+/** Reads know of the slow store by then, in ms. */
+const NOTICED_MS = 1500;
+
+Given(
+  'a store that answers after {int} ms and carries out one transaction after the other, each in {int} ms',
+  async function (this: SlowSteps, answerMs: number, turnMs: number) {
+    const cell = cellOf(this);
+    this.handedIn = new Map();
+    this.transactions = [];
+    this.ownerRow = cell.tables.get(OWNER_KEY)?.value;
+    const stores = [...cell.entries, ...cell.workers].map(({ store }) => store);
+    stores.forEach((store) => {
+      const transact = store.transact.bind(store);
+      const watched: typeof transact = (tx, options) => {
+        this.transactions.push(tx);
+        return transact(tx, options);
+      };
+      Object.assign(store, { answerMs, turnMs, transact: watched });
+    });
+    await pause(NOTICED_MS);
+  },
+);
+
+When(
+  '{int} jobs are handed in {int} ms apart, at different entries',
+  async function (this: SlowSteps, count: number, apartMs: number) {
+    const { entries } = cellOf(this);
+    const accepted = Array.from({ length: count }, async (_, index) => {
+      await pause(index * apartMs);
+      const entry = entries[index % entries.length];
+      assert.ok(entry);
+      const id = cellOf(this).newJobId();
+      this.jobs.push(id);
+      const at = performance.now();
+      assert.equal(await submit(entry, id, { spec: { workMs: 100 } }), 'accepted');
+      this.handedIn.set(id, { at, tookMs: performance.now() - at });
+    });
+    await Promise.all(accepted);
+  },
+);
+
+When('nothing is handed in for {int} s', async function (this: SlowSteps, seconds: number) {
+  this.transactions = [];
+  await pause(seconds * 1000);
+});
+
+When('a job is handed in', async function (this: SlowSteps) {
+  await handIn(this, { spec: { workMs: 100 } });
+});
+
+Then('each was accepted within {int} ms', function (this: SlowSteps, withinMs: number) {
+  this.handedIn.forEach(({ tookMs }) => assert.ok(tookMs < withinMs, `took ${tookMs} ms`));
+});
+
+Then('each had begun within {int} ms', function (this: SlowSteps, withinMs: number) {
+  this.handedIn.forEach(({ at }, id) => {
+    const [first] = cellOf(this).starts(id);
+    assert.ok(first !== undefined && first.at - at < withinMs, `began after ${first?.at} - ${at}`);
+  });
+});
+
+Then(
+  'no more than {int} transactions were asked for in this time',
+  function (this: SlowSteps, most: number) {
+    assert.ok(this.transactions.length <= most, `${this.transactions.length} transactions`);
+  },
+);
+
+Then('the cell has the owner that it had', function (this: SlowSteps) {
+  assert.deepEqual(cellOf(this).tables.get(OWNER_KEY)?.value, this.ownerRow);
+});
+
+Then('the store was asked to accept it once', function (this: SlowSteps) {
+  const acceptances = this.transactions.filter(({ set }) =>
+    set.some(({ table, key }) => table === JOB_TABLE && key === `${jobOf(this)}/s`),
+  );
+  assert.equal(acceptances.length, 1);
+});
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -19,7 +19,7 @@
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type KnownJob } from '../job/job-view.js';
 import { runnerIdOf } from '../runner/life-name.js';
-import type { Row, RowStore } from '../store/row-store.js';
+import type { Row, RowKey, RowStore } from '../store/row-store.js';
 import { TableFollower } from '../store/table-follower.js';
 import type { Worker } from '../worker/worker.js';
 import { CONTACT_TIMEOUT_MS } from '../guard/guard-app.js';
@@ -89,6 +89,8 @@
   /** When the store last confirmed this owner, on the monotonic clock. */
   confirmedAt: () => number;
   onConfirmed: (sentAt: number) => void;
+  /** The next heartbeat of this owner. */
+  nextBeat: () => RowKey & { value: Buffer };
   /** This term is over, for the reason given. */
   onDeposed: (reason: string) => void;
 }
@@ -191,6 +193,7 @@
         onRemoved: (job) => this.#book.jobs.delete(job.id),
         onDeposed: options.onDeposed,
         onConfirmed: options.onConfirmed,
+        nextBeat: options.nextBeat,
       },
     });
   }
--- a/packages/cell/src/owner/ownership.ts
+++ b/packages/cell/src/owner/ownership.ts
@@ -3,7 +3,7 @@
  * replaced, paused or cut off changes nothing any more. The heartbeat beside it is for liveness only.
  */
 import type { ProcessContext } from '@zincspan/core';
-import type { Row, RowStore } from '../store/row-store.js';
+import type { Row, RowKey, RowStore } from '../store/row-store.js';
 import {
   CELL_TABLE,
   OWNER_BEAT_KEY,
@@ -72,8 +72,18 @@
   version: number;
   /** When the last write or read that confirmed it was sent, on the monotonic clock. */
   confirmedAt: number;
+  /** When the last heartbeat was sent, by itself or with a write that was done. */
+  beatAt: number;
+  /** What the last heartbeat that was done took, in ms. */
+  beatTookMs: number;
 }
 
+/**
+ * Heartbeats are this many of their own durations apart, if that is longer: where transactions take their turns, those of a slow
+ * store would leave no turn to anything else. Others wait for twice as many answers before they take the cell.
+ */
+const BEAT_APART = 2;
+
 /** Takes the cell when nobody lives who owns it, and keeps it. */
 export class Ownership {
   readonly #options: OwnershipOptions;
@@ -134,18 +144,26 @@
     this.#options.events.onLost(reason);
   }
 
-  /** A write that named the owner's row succeeded; it was sent at `sentAt`. */
+  /** The next heartbeat, for a write of the owner to carry along. */
+  nextBeat(): RowKey & { value: Buffer } {
+    this.#beats += 1;
+    return { ...OWNER_BEAT_KEY, value: Buffer.from(`${this.#held?.term}:${this.#beats}`) };
+  }
+
+  /** A write that named the owner's row and carried a heartbeat succeeded; it was sent at `sentAt`. */
   confirm(sentAt: number): void {
-    if (this.#held !== undefined) {
-      this.#held.confirmedAt = Math.max(this.#held.confirmedAt, sentAt);
-    }
+    const held = this.#held;
+    if (held === undefined) return;
+    held.confirmedAt = Math.max(held.confirmedAt, sentAt);
+    held.beatAt = Math.max(held.beatAt, sentAt);
+    held.beatTookMs = this.#options.ctx.clock.now() - sentAt;
   }
 
   async #tick(): Promise<void> {
     if (this.#stopping) return;
     try {
       if (this.#held === undefined) await this.#look();
-      else this.#sendBeat(this.#held);
+      else if (this.#isBeatDue(this.#held)) this.#sendBeat(this.#held);
     } catch (err) {
       this.#options.ctx.metrics.count('owner.tick-failed');
       this.#options.ctx.log.error({ err }, 'looking after the ownership failed');
@@ -162,6 +180,12 @@
     return LINKED_TICK_MS;
   }
 
+  #isBeatDue({ beatAt, beatTookMs }: Held): boolean {
+    // A timer may fire a little early.
+    const apartMs = Math.max(TICK_MS / 2, BEAT_APART * beatTookMs);
+    return this.#options.ctx.clock.now() - beatAt >= apartMs;
+  }
+
   /**
    * Not awaited: the next one goes out in time although the answer to this one is lost, which takes a whole call's time to
    * show. Otherwise a store that loses answers made the cell change hands about once a second.
@@ -175,11 +199,11 @@
 
   async #beat(held: Held): Promise<void> {
     const sentAt = this.#options.ctx.clock.now();
-    this.#beats += 1;
+    Object.assign(held, { beatAt: sentAt });
     const result = await this.#options.store.transact(
       {
         expected: [{ ...OWNER_KEY, version: held.version }],
-        set: [{ ...OWNER_BEAT_KEY, value: Buffer.from(`${held.term}:${this.#beats}`) }],
+        set: [this.nextBeat()],
       },
       { timeoutMs: CALL_TIMEOUT_MS },
     );
@@ -257,7 +281,13 @@
       this.#options.ctx.metrics.count(`owner.take-${result.outcome}`);
       return;
     }
-    this.#held = { term: row.term, version: result.version, confirmedAt: sentAt };
+    this.#held = {
+      term: row.term,
+      version: result.version,
+      confirmedAt: sentAt,
+      beatAt: -Infinity,
+      beatTookMs: 0,
+    };
     this.#options.events.onHolder(this.#options.self);
     this.#options.ctx.metrics.count('owner.taken');
     this.#options.ctx.log.info(
--- a/packages/cell/src/owner/progress-writer.ts
+++ b/packages/cell/src/owner/progress-writer.ts
@@ -5,13 +5,22 @@
 import type { ProcessContext } from '@zincspan/core';
 import type { Evacuations } from '../evacuation/evacuations.js';
 import { jobRowKey, packProgress, type JobRowKind } from '../job/job-rows.js';
-import { sameRow, type Row, type RowStore, type Transaction } from '../store/row-store.js';
+import {
+  sameRow,
+  type Row,
+  type RowKey,
+  type RowStore,
+  type Transaction,
+} from '../store/row-store.js';
 import type { OwnedJob } from './owned-job.js';
 import { OWNER_KEY } from './owner-row.js';
 import { pause } from '../clock/pause.js';
 
-/** Jobs in one transaction: four entries each at most, and the store takes 100. */
-const JOBS_PER_WRITE = 24;
+/**
+ * Jobs in one transaction: four entries each at most, beside the owner's row, its heartbeat and eighteen failure domains; the
+ * store takes 100.
+ */
+const JOBS_PER_WRITE = 20;
 
 /** One write may take this long, in ms: several times a slow store's answer. */
 const WRITE_TIMEOUT_MS = 1500;
@@ -37,6 +46,8 @@
   onDeposed: (reason: string) => void;
   /** The owner's row was confirmed by a write sent at this time (monotonic clock). */
   onConfirmed: (sentAt: number) => void;
+  /** The owner's next heartbeat, which each write carries along: a slow store has few turns to give. */
+  nextBeat: () => RowKey & { value: Buffer };
 }
 
 interface Pending {
@@ -178,7 +189,10 @@
         ...startsIn.map((failureDomain) => this.#evacuations.expectedRow(failureDomain)),
         ...expected,
       ],
-      set: jobs.map(({ job, value }) => ({ ...jobRowKey(job.id, 'progress'), value })),
+      set: [
+        this.#events.nextBeat(),
+        ...jobs.map(({ job, value }) => ({ ...jobRowKey(job.id, 'progress'), value })),
+      ],
     };
   }
 
--- a/packages/cell/src/store/watched-store.ts
+++ b/packages/cell/src/store/watched-store.ts
@@ -22,6 +22,8 @@
 
   #failingSince = 0;
 
+  #lastReadMs = 0;
+
   constructor({ store, clock }: { store: RowStore; clock: Clock }) {
     this.#store = store;
     this.#clock = clock;
@@ -32,6 +34,11 @@
     return this.#failures >= LEAST_FAILURES && this.#clock.now() - this.#failingSince >= LEAST_MS;
   }
 
+  /** What the last read took that was answered, in ms. */
+  get lastReadMs(): number {
+    return this.#lastReadMs;
+  }
+
   async transact(tx: Transaction, options: { timeoutMs: number }): Promise<TransactResult> {
     const result = await this.#store.transact(tx, options);
     this.#note(result.outcome === 'done' || result.outcome === 'conflict');
@@ -42,7 +49,9 @@
     range: Parameters<RowStore['read']>[0],
     options: { timeoutMs: number },
   ): Promise<ReadResult> {
+    const sentAt = this.#clock.now();
     const result = await this.#store.read(range, options);
+    if (result.outcome === 'read') this.#lastReadMs = this.#clock.now() - sentAt;
     this.#note(result.outcome === 'read');
     return result;
   }
--- a/packages/cell/src/testing/memory-row-store.support.ts
+++ b/packages/cell/src/testing/memory-row-store.support.ts
@@ -17,6 +17,9 @@
 /** A feed that stands still fails after this long, in ms. */
 const FROZEN_FEED_MS = 500;
 
+/** When the last transaction that takes its turn on these tables is done. */
+const turns = new WeakMap<RowTables, Promise<void>>();
+
 /** One process's way to the tables that all share. */
 export class MemoryRowStore implements RowStore {
   fault: StoreFault = 'none';
@@ -24,6 +27,12 @@
   /** Feeds fail although everything else is answered. */
   feedStandsStill = false;
 
+  /** Time of a call, in ms. */
+  answerMs = ANSWER_MS;
+
+  /** Transactions of all processes are done one after another, each in this time, in ms; 0: at once. */
+  turnMs = 0;
+
   /** Reads of ranges that begin with this key fail although everything else is answered. */
   unreadableFrom: string | undefined;
 
@@ -45,13 +54,20 @@
     if (this.fault === 'silent') {
       return silence(timeoutMs, { outcome: 'unknown', detail: 'silent' });
     }
-    await pause(ANSWER_MS);
+    await pause(this.answerMs);
+    if (this.turnMs > 0) await this.#takeTurn();
     const result = this.#tables.transact({ ...tx, remove: tx.remove ?? [] });
     if (result.outcome === 'done') this.onDone(tx);
     if (this.fault === 'lost') return silence(timeoutMs, { outcome: 'unknown', detail: 'lost' });
     return result;
   }
 
+  async #takeTurn(): Promise<void> {
+    const turn = (turns.get(this.#tables) ?? Promise.resolve()).then(() => pause(this.turnMs));
+    turns.set(this.#tables, turn);
+    await turn;
+  }
+
   async read(
     range: { table: string; part: string; from?: string; to?: string },
     { timeoutMs }: { timeoutMs: number },
@@ -62,7 +78,7 @@
     if (range.from === this.unreadableFrom && range.from !== undefined) {
       return { outcome: 'failed', detail: 'told not to answer' };
     }
-    await pause(ANSWER_MS);
+    await pause(this.answerMs);
     const { version } = this.#tables;
     return { outcome: 'read', ...this.#tables.read(range), version };
   }
