Keep urgent work off runners that say they are cold while others have room

Cause: heartbeats say how much longer a runner works slowly after its start; that was not read at all. Work that has time takes it as before, so that it warms up; urgent work takes it where nothing else has room. Ruled out: to leave cold workers out for urgent work: it would wait for room that is there.

--- a/packages/cell/src/guard/runner-port.ts
+++ b/packages/cell/src/guard/runner-port.ts
@@ -16,6 +16,8 @@
   draining: boolean;
   /** Least time until a draining runner ends, in ms. */
   remainingMs?: number;
+  /** How much longer it works slowly after its start, in ms. */
+  coldMs?: number;
   /** Rises with each heartbeat of one life. */
   sequence: number;
 }
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -185,7 +185,7 @@
 
   /** All that the owner should know, but for the orders in progress. */
   contact(now: number, inProgress: readonly RunName[]): CellContact {
-    const { service, failureDomain, labels, capacity, remainingMs } = this.#report;
+    const { service, failureDomain, labels, capacity, remainingMs, coldMs } = this.#report;
     const reachable = this.isReachable(now);
     const refused = [...this.#refused.values()];
     return {
@@ -197,6 +197,7 @@
         capacity,
         draining: this.isLeaving,
         ...(remainingMs === undefined ? {} : { remainingMs }),
+        ...(coldMs === undefined ? {} : { coldMs }),
         reachable,
         leaseLapsed: !reachable && inProgress.length === 0 && this.lease.isOver(now),
       },
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -115,6 +115,7 @@
     suspicion: worker.health.suspicion(now),
     youngJobs: new Set(young.map(({ jobId }) => jobId)),
     trialOf: young.find(({ isOnTrial }) => isOnTrial)?.jobId,
+    isCold: worker.isCold(now),
     isFresh: now - worker.lifeSince < FRESH_RUNNER_MS,
   });
 }
--- a/packages/cell/src/owner/wanted-groups.ts
+++ b/packages/cell/src/owner/wanted-groups.ts
@@ -84,6 +84,7 @@
     rack: waitsForRack && !isAway ? step.preferredRack : undefined,
     label: step.requiredLabel,
     maxPerWorker: step.maxPerWorker,
+    isUrgent: job.terms.priority === 0,
     present: tasksByWorker(progress),
     avoided: job.avoided({ occurrence: occurrence.index, step: stepIndex }, now),
   };
--- a/packages/cell/src/placing/fit.ts
+++ b/packages/cell/src/placing/fit.ts
@@ -24,7 +24,7 @@
   if (group.gang && totalThatFit(group, rooms) < group.indexes.length) return [];
   const waiting = [...group.indexes];
   const placed: Placed[] = [];
-  const ordered = group.isSuspect ? emptiestFirst(rooms) : tightestFirst(rooms);
+  const ordered = group.isSuspect ? emptiestFirst(rooms) : tightestFirst(rooms, group.isUrgent);
   ordered.forEach((room) => {
     const count = Math.min(tasksThatFit(group, room), waiting.length);
     room.place(group, count);
@@ -33,11 +33,12 @@
   return placed;
 }
 
-/** Sound workers first; among them those with the least free. */
-function tightestFirst(rooms: readonly Room[]): Room[] {
+/** Sound workers first, for urgent work also those that aren't slow for now; among them those with the least free. */
+function tightestFirst(rooms: readonly Room[], isUrgent: boolean): Room[] {
   return [...rooms].sort(
     (a, b) =>
       a.suspicion - b.suspicion ||
+      (isUrgent ? Number(a.isCold) - Number(b.isCold) : 0) ||
       a.free.accelerators - b.free.accelerators ||
       a.free.milliCores - b.free.milliCores,
   );
--- a/packages/cell/src/placing/placing-steps.support.ts
+++ b/packages/cell/src/placing/placing-steps.support.ts
@@ -55,6 +55,7 @@
     maxPerWorker: undefined,
     present: new Map(),
     avoided: new Set(),
+    isUrgent: false,
     isSuspect: false,
     startsAlone: false,
     ...change,
--- a/packages/cell/src/placing/placing.feature
+++ b/packages/cell/src/placing/placing.feature
@@ -5,6 +5,24 @@
     When 2 tasks of 1 accelerator are placed
     Then they go to worker 2
 
+  Scenario: urgent tasks keep off a worker that is slow after its start while another has room
+    Given workers with 8, 3 and 8 free accelerators
+    And worker 2 is cold
+    When 2 urgent tasks of 1 accelerator are placed
+    Then they go to worker 1
+
+  Scenario: urgent tasks take a worker that is slow after its start rather than wait
+    Given workers with 0, 3 and 0 free accelerators
+    And worker 2 is cold
+    When 2 urgent tasks of 1 accelerator are placed
+    Then they go to worker 2
+
+  Scenario: tasks that have time go to a worker that is slow after its start
+    Given workers with 8, 3 and 8 free accelerators
+    And worker 2 is cold
+    When 2 tasks of 1 accelerator are placed
+    Then they go to worker 2
+
   Scenario: a gang is placed whole or not at all
     Given workers with 8, 3 and 8 free accelerators
     When a gang of 3 tasks of 8 accelerators is placed
--- a/packages/cell/src/placing/room.ts
+++ b/packages/cell/src/placing/room.ts
@@ -19,6 +19,8 @@
   trialOf?: string | undefined;
   /** The runner has only just come back. */
   isFresh?: boolean;
+  /** It works slowly for now. */
+  isCold?: boolean;
 }
 
 /** Room on one worker, as a pass uses it up. */
@@ -39,6 +41,8 @@
 
   readonly isFresh: boolean;
 
+  readonly isCold: boolean;
+
   #free: Demand;
 
   #youngJobs: ReadonlySet<string>;
@@ -57,6 +61,7 @@
     youngJobs = new Set(),
     trialOf,
     isFresh = false,
+    isCold = false,
   }: RoomOptions) {
     this.vm = vm;
     this.runner = runner;
@@ -66,6 +71,7 @@
     this.capacity = capacity;
     this.suspicion = suspicion;
     this.isFresh = isFresh;
+    this.isCold = isCold;
     this.#free = free;
     this.#youngJobs = youngJobs;
     this.#trialOf = trialOf;
@@ -138,6 +144,8 @@
   /** At most this many on one worker, and how many tasks of the step are there already. */
   maxPerWorker: number | undefined;
   present: ReadonlyMap<string, number>;
+  /** It has no time to lose on a worker that is slow for now. */
+  isUrgent: boolean;
   /** Workers where the step's runs went wrong lately. */
   avoided: ReadonlySet<string>;
   /** A runner crashed right after it had started one of the tasks. */
--- a/packages/cell/src/placing/trial.steps.ts
+++ b/packages/cell/src/placing/trial.steps.ts
@@ -31,6 +31,17 @@
   },
 );
 
+Given('worker {int} is cold', function (this: PlacingSteps, worker: number) {
+  change(this, worker, { isCold: true });
+});
+
+When(
+  '{int} urgent tasks of 1 accelerator are placed',
+  function (this: PlacingSteps, tasks: number) {
+    place(this, tasks, { isUrgent: true });
+  },
+);
+
 When('a suspect task is placed', function (this: PlacingSteps) {
   place(this, 1, SUSPECT);
 });
--- a/packages/cell/src/worker/worker.ts
+++ b/packages/cell/src/worker/worker.ts
@@ -69,6 +69,8 @@
 
   #drainEndsAt = Infinity;
 
+  #coldUntil = -Infinity;
+
   #confirmedEnd = 0;
 
   #runner: RunnerFacts | undefined;
@@ -117,6 +119,11 @@
     return this.#drainEndsAt;
   }
 
+  /** Its runner has started lately and works slowly. */
+  isCold(now: number): boolean {
+    return now < this.#coldUntil;
+  }
+
   avoid(until: number): void {
     this.#avoidUntil = Math.max(this.#avoidUntil, until);
   }
@@ -132,6 +139,7 @@
       this.#lifeSince = now;
     }
     this.#runner = runner;
+    this.#coldUntil = now + (runner.coldMs ?? 0);
     // What it last said may be as old as a heartbeat: the earliest moment that follows from it stands.
     if (runner.draining && runner.remainingMs !== undefined) {
       this.#drainEndsAt = Math.min(this.#drainEndsAt, now + runner.remainingMs);
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -24,6 +24,8 @@
   draining: z.boolean(),
   /** Least time until a draining runner ends, in ms. */
   remainingMs: z.optional(z.number()),
+  /** It works slowly for this long after its start, in ms; absent once it is warm. */
+  coldMs: z.optional(z.number()),
   /** It answered the guard's last call. */
   reachable: z.boolean(),
   /** No lease can be left on it: nothing that ran there runs any more. */
