--- a/packages/bench/src/cell/cell-bench.ts
+++ b/packages/bench/src/cell/cell-bench.ts
@@ -36,7 +36,8 @@
 
 /** Plays one day. */
 export function playDay(load: CellLoad, scenario: CellScenario, seed: number): DayResult {
-  const jobs = drawDay({ seed, kinds: load.kinds, lengthMs: DAY_MS, bursts: scenario.bursts });
+  const { kinds, shape } = load;
+  const jobs = drawDay({ seed, kinds, shape, lengthMs: DAY_MS, bursts: scenario.bursts });
   const random = new RandomSource(seed);
   const faults = new Map<number, WorkerFault[]>();
   scenario.faults.forEach(({ workers, ...fault }) => {
--- a/packages/bench/src/cell/cell-load.ts
+++ b/packages/bench/src/cell/cell-load.ts
@@ -1,5 +1,5 @@
 /** What callers hand in on one day: kinds of job as users describe them, drawn from a seed. */
-import { submissionSchema, type Submission } from '@zincspan/cell';
+import { submissionSchema, type Demand, type Submission } from '@zincspan/cell';
 import { RandomSource } from '../route/random-source.js';
 
 /** A kind of job. Durations in ms. */
@@ -54,9 +54,30 @@
 /** The service that all workers of a simulated cell belong to. */
 export const SIMULATED_SERVICE = 'service';
 
-/** Accelerators of a gang at most, and of one that should lie on a rack: larger ones never find their room. */
-const LARGEST_GANG = 40;
-const LARGEST_ON_A_RACK = 16;
+/** A gang takes at most this share of what all workers, or those of a rack, could take: larger ones hardly ever find room. */
+const LARGEST_SHARE = 0.46;
+const LARGEST_SHARE_OF_RACK = 0.67;
+
+/** The workers that a day is drawn for. */
+export interface DrawnFor {
+  workers: number;
+  workersPerRack: number;
+  capacity: Demand;
+}
+
+function mostTasks(
+  { workers, workersPerRack, capacity }: DrawnFor,
+  demand: Demand,
+  onRack: boolean,
+): number {
+  const perWorker = Math.min(
+    Math.floor(capacity.accelerators / demand.accelerators),
+    Math.floor(capacity.milliCores / demand.milliCores),
+    Math.floor(capacity.memoryMb / demand.memoryMb),
+  );
+  const most = onRack ? LARGEST_SHARE_OF_RACK * workersPerRack : LARGEST_SHARE * workers;
+  return Math.max(1, Math.floor(most * perWorker));
+}
 
 /** Steps of the search for arrivals, in ms. */
 const STEP_MS = 20;
@@ -65,11 +86,13 @@
 export function drawDay({
   seed,
   kinds,
+  shape,
   lengthMs,
   bursts,
 }: {
   seed: number;
   kinds: readonly JobKind[];
+  shape: DrawnFor;
   lengthMs: number;
   bursts: readonly Burst[];
 }): DrawnJob[] {
@@ -82,13 +105,16 @@
         .filter(({ fromMs, forMs }) => atMs >= fromMs && atMs < fromMs + forMs)
         .reduce((factor, each) => factor * each.factor, 1);
       const isDue = random.uniform() < (kind.perSecond * burst * STEP_MS) / 1000;
-      if (isDue) jobs.push(drawJob(random, kind, atMs, jobs.length + 1));
+      if (isDue) jobs.push(drawJob(random, { kind, shape, atMs, number: jobs.length + 1 }));
     }
   }
   return jobs;
 }
 
-function drawJob(random: RandomSource, kind: JobKind, atMs: number, number: number): DrawnJob {
+function drawJob(
+  random: RandomSource,
+  { kind, shape, atMs, number }: { kind: JobKind; shape: DrawnFor; atMs: number; number: number },
+): DrawnJob {
   const around = ({ mean, spread, max }: { mean: number; spread: number; max: number }): number =>
     Math.min(max, random.logNormal(mean * Math.exp((-spread * spread) / 2), spread));
   const accelerators = random.pick(kind.accelerators);
@@ -96,8 +122,9 @@
   const jobWorkMs = around(kind.workMs);
   const gang = drawn > 1 && random.uniform() < kind.gang;
   const rackSensitive = gang && random.uniform() < kind.oneRack;
-  const largest = rackSensitive ? LARGEST_ON_A_RACK : LARGEST_GANG;
-  const tasks = gang ? Math.min(drawn, Math.floor(largest / accelerators)) : drawn;
+  const { milliCores, memoryMb } = kind;
+  const demand = { milliCores, memoryMb, accelerators };
+  const tasks = gang ? Math.min(drawn, mostTasks(shape, demand, rackSensitive)) : drawn;
   const workMs = Array.from({ length: tasks }, () =>
     gang ? jobWorkMs : jobWorkMs * random.logNormal(1, kind.uneven),
   );
@@ -120,11 +147,7 @@
     steps: [
       {
         tasks,
-        demand: {
-          milliCores: kind.milliCores,
-          memoryMb: kind.memoryMb,
-          accelerators,
-        },
+        demand,
         estimateMs: Math.round(jobWorkMs * random.logNormal(1, kind.estimateError)),
         after: [],
         gang,
--- a/packages/bench/src/cell/cell-scenarios.ts
+++ b/packages/bench/src/cell/cell-scenarios.ts
@@ -1,4 +1,4 @@
-/** Loads of three customers as they describe them, and what goes wrong on their days. */
+/** Loads of customers as they describe them, and what goes wrong on their days. */
 import type { Demand } from '@zincspan/cell';
 import type { Burst, JobKind } from './cell-load.js';
 import type { CellShape } from './simulated-cell.js';
@@ -91,21 +91,36 @@
   return { milliCores: cores * 1000, memoryMb: memoryGb * 1024, accelerators: 8 };
 }
 
-/** The three. */
+/** All of them. */
 export const CELL_LOADS: readonly CellLoad[] = [
   {
     name: 'ledgers',
-    shape: { workers: 11, capacity: worker(64, 128), reclaim: { reclaimMs: 2900, stopMs: 400 } },
+    shape: {
+      workers: 11,
+      workersPerRack: 3,
+      capacity: worker(64, 128),
+      reclaim: { reclaimMs: 2900, stopMs: 400 },
+    },
     kinds: [LARGE, URGENT, SMALL],
   },
   {
     name: 'rentals',
-    shape: { workers: 11, capacity: worker(64, 256), reclaim: { reclaimMs: 2700, stopMs: 200 } },
+    shape: {
+      workers: 11,
+      workersPerRack: 3,
+      capacity: worker(64, 256),
+      reclaim: { reclaimMs: 2700, stopMs: 200 },
+    },
     kinds: [LARGE, { ...URGENT, perSecond: 0.209 }, SMALL],
   },
   {
     name: 'registry',
-    shape: { workers: 11, capacity: worker(32, 64), reclaim: { reclaimMs: 3400, stopMs: 900 } },
+    shape: {
+      workers: 11,
+      workersPerRack: 3,
+      capacity: worker(32, 64),
+      reclaim: { reclaimMs: 3400, stopMs: 900 },
+    },
     kinds: [
       { ...LARGE, perSecond: 0.255, milliCores: 13_000, memoryMb: 34_000 },
       { ...URGENT, perSecond: 0.333, milliCores: 3700, memoryMb: 7500 },
@@ -126,6 +141,50 @@
       { ...SMALL, perSecond: 0.559, tasks: { mean: 38, spread: 0.8, max: 230 } },
     ],
   },
+  {
+    name: 'studios',
+    shape: {
+      workers: 77,
+      workersPerRack: 9,
+      capacity: worker(32, 128),
+      reclaim: { reclaimMs: 2700, stopMs: 200 },
+    },
+    kinds: [
+      {
+        ...LARGE,
+        perSecond: 0.264,
+        maxAttempts: 4,
+        tasks: { mean: 8, spread: 0.8, max: 48 },
+        workMs: { mean: 15_700, spread: 0.3, max: 15_700 },
+        milliCores: 13_000,
+        memoryMb: 38_000,
+        estimateError: 0.5,
+        uneven: 0.15,
+        gang: 1,
+        fails: 0.05,
+      },
+      {
+        ...URGENT,
+        perSecond: 1.49,
+        maxAttempts: 3,
+        tasks: { mean: 5.4, spread: 0.8, max: 32 },
+        workMs: { mean: 3570, spread: 0.5, max: 11_400 },
+        milliCores: 3700,
+        estimateError: 0.9,
+        gang: 1,
+        oneRack: 0.8,
+      },
+      {
+        ...SMALL,
+        perSecond: 0.249,
+        tasks: { mean: 39, spread: 0.8, max: 230 },
+        workMs: { mean: 8700, spread: 0.3, max: 15_700 },
+        milliCores: 2800,
+        estimateError: 0.9,
+        fails: 0.05,
+      },
+    ],
+  },
 ];
 
 const CALM: CellScenario = { name: 'ordinary day', bursts: [], faults: [] };
--- a/packages/bench/src/cell/simulated-cell.ts
+++ b/packages/bench/src/cell/simulated-cell.ts
@@ -30,13 +30,11 @@
 
 const LEASE_MS = 6000;
 const EARLIER_GRANT_MS = 0;
-const WORKERS_PER_RACK = 3;
 
 /** The workers of a cell. */
 export interface CellShape {
   workers: number;
-  /** 3 unless said. */
-  workersPerRack?: number;
+  workersPerRack: number;
   capacity: Demand;
   reclaim: { reclaimMs: number; stopMs: number };
 }
@@ -82,7 +80,7 @@
 
   readonly #passMs: number[] = [];
 
-  constructor({ workers, workersPerRack = WORKERS_PER_RACK, capacity, reclaim }: CellShape) {
+  constructor({ workers, workersPerRack, capacity, reclaim }: CellShape) {
     this.#workers = Array.from(
       { length: workers },
       (_, index) =>
