Await that the owner has named its successors before it is lost in a test, and log who told an entry its rank

In the failing run the owner was lost while all entries still knew the list of one weak entry, which then rightly took the cell after 0.9 s. Ruled out: a takeover out of order (each entry acted by the rank that it had been told). Change: the test awaits the event, for 4 s at most, which is the time that follows from the design, and says who knew what when it fails. So that the event shows, an entry logs its rank also when another owner tells it for the first time.

--- a/packages/cell/src/entry/entry-load.steps.ts
+++ b/packages/cell/src/entry/entry-load.steps.ts
@@ -17,11 +17,40 @@
 /** Links beside the owner's that each entry keeps. */
 const NEIGHBOURS = 2;
 
+/** Whether the owner has told each entry that the last two that joined take the cell before all others. */
+function areNamedFirst(world: CellSteps): boolean {
+  const owner = ownerOf(world);
+  const strong = cellOf(world).entries.slice(-2);
+  const told = cellOf(world).logged('rank among successors changed');
+  return entriesButOwner(world).every((entry) => {
+    const last = told.findLast(({ by }) => by === entry.id);
+    if (last?.toldBy !== owner.id) return false;
+    const rank = typeof last.rank === 'number' ? last.rank : Infinity;
+    return strong.includes(entry) === rank < strong.length;
+  });
+}
+
+/** Who was to take the cell, as the entries saw it, and who did: for a scenario that fails. */
+function describeSuccession(world: CellSteps): string {
+  const cell = cellOf(world);
+  const ranks = cell
+    .logged('rank among successors changed')
+    .map(({ at, by, rank, toldBy }) => JSON.stringify({ at, by, rank, toldBy }));
+  const taken = cell.logged('ownership taken').map(({ at, by }) => JSON.stringify({ at, by }));
+  return ['ranks', ...ranks, 'taken', ...taken].join('\n');
+}
+
 function entriesButOwner(world: CellSteps): Entry[] {
   const owner = ownerOf(world);
   return cellOf(world).entries.filter((entry) => entry !== owner);
 }
 
+/**
+ * Each entry knows who takes the cell by then, in ms: a heartbeat tells the owner of an entry, another is sent by a list that is as old,
+ * a third brings it, and those that aren't named look once a second.
+ */
+const NAMED_WITHIN_MS = 4000;
+
 /** Links that an entry has dialled and that are up. */
 function dialled({ app }: Entry): string[] {
   return app.peers.map(({ process }) => process.id);
@@ -64,8 +93,10 @@
     await cell.addEntry({ processorShare: 2 });
     await cell.addEntry({ processorShare: 2 });
     assert.ok(await areLinked(this));
-    // The owner's next heartbeat names them.
-    await pause(1500);
+    assert.ok(
+      await eventually(() => areNamedFirst(this), NAMED_WITHIN_MS),
+      describeSuccession(this),
+    );
   },
 );
 
@@ -137,7 +168,7 @@
 Then('one of the last two owns the cell soon after', async function (this: CellSteps) {
   const strong = cellOf(this).entries.slice(-2);
   const isTaken = (): boolean => strong.includes(cellOf(this).owner() as Entry);
-  assert.ok(await eventually(isTaken, 3000));
+  assert.ok(await eventually(isTaken, 3000), describeSuccession(this));
 });
 
 Then(/^every entry says that it is (completed|running)$/, async function (this: CellSteps, state) {
--- a/packages/cell/src/entry/peer-entries.ts
+++ b/packages/cell/src/entry/peer-entries.ts
@@ -87,6 +87,9 @@
 
   #rank: number | undefined;
 
+  /** The owner that told it; undefined if it follows from the entries' rows. */
+  #rankToldBy: string | undefined;
+
   #timer: NodeJS.Timeout | undefined;
 
   #registered = false;
@@ -120,11 +123,12 @@
     const successors = this.#successors ?? successorsAnnounced(self, this.#rows);
     const index = successors.indexOf(self.id);
     const rank = index < 0 ? undefined : index;
-    if (rank !== this.#rank) {
-      const toldBy = this.#successors && this.#owner?.id;
+    const toldBy = this.#successors && this.#owner?.id;
+    if (rank !== this.#rank || toldBy !== this.#rankToldBy) {
       this.#options.ctx.log.info({ rank, successors, toldBy }, 'rank among successors changed');
     }
     this.#rank = rank;
+    this.#rankToldBy = toldBy;
     return rank;
   }
 
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -131,7 +131,7 @@
   async addEntry({ processorShare = 1 } = {}): Promise<EntryVm> {
     const id = `entry-${this.#nextEntry()}`;
     const store = new MemoryRowStore(this.tables);
-    const ctx = quietContext({ id, role: 'entry', clock: this.clock, log: this.#log.log });
+    const ctx = quietContext({ id, role: 'entry', clock: this.clock, log: this.#log.logOf(id) });
     const app = new EntryApp({
       ctx,
       store,
--- a/packages/cell/src/testing/log-keeper.support.ts
+++ b/packages/cell/src/testing/log-keeper.support.ts
@@ -1,17 +1,17 @@
 /** Keeps what the processes of a test log. */
 import type { Log } from '@zincspan/core';
 
-/** A line's fields, with its message. */
-export type LoggedLine = Record<string, unknown> & { msg: string };
+/** A line's fields, with its message, the process that wrote it, and when, on the host's monotonic clock in ms. */
+export type LoggedLine = Record<string, unknown> & { msg: string; by: string; at: number };
 
 /** Lines of all processes that were given its logger. */
 export class LogKeeper {
   readonly lines: LoggedLine[] = [];
 
-  /** For a process's context. */
-  get log(): Log {
+  /** For the context of the process with this name. */
+  logOf(by: string): Log {
     const keep = (fields: object, msg: string): void => {
-      this.lines.push({ ...fields, msg });
+      this.lines.push({ ...fields, msg, by, at: performance.now() });
     };
     return { info: keep, warn: keep, error: keep };
   }
