Ask a slow store once and patiently, and keep the cell when it is fast again

Cause: (1) two or three entries asked for the same submission, tries were given up after 0.9 s though they take their turn all the same, and a second refusal within 60 ms ended the call, though the store refuses what would wait for more than a second. Change: with a store whose reads take 0.1 s or more, other entries are asked only if the own try has failed; tries last 1.8 s, pauses 0.35 s, and refusals are asked again until the caller's deadline. A heartbeat waits only while another one is on its way. Others reckon with the slowest answer since they saw the last heartbeat. The owner's writes go through one door, which carries the heartbeat.

--- a/packages/cell/src/entry/acceptance.ts
+++ b/packages/cell/src/entry/acceptance.ts
@@ -13,13 +13,19 @@
 /** One try at the store within a caller's time, in ms. */
 const TRY_TIMEOUT_MS = 900;
 
+/** With a slow store, in ms: a try that is given up takes its turn there all the same. */
+const SLOW_TRY_TIMEOUT_MS = 1800;
+
 /** Pause between tries, in ms. */
 const RETRY_PAUSE_MS = 60;
 
+/** With a slow store, in ms: it refuses what would wait for more than a second, and a turn takes about a third of one. */
+const SLOW_RETRY_PAUSE_MS = 350;
+
 /** After a try without an answer another entry is asked once reads have failed for this long, in ms. */
 const STORE_SILENT_MS = 900;
 
-/** Refusals in a row, without any sign that the store acted, after which the try is given up. */
+/** Refusals in a row, without any sign that the store acted, after which the try is given up. A slow store is asked again. */
 const REFUSALS_TO_GIVE_UP = 2;
 
 /** A job on its way in. `until`: on the monotonic clock. */
@@ -74,7 +80,7 @@
     let refusals = 0;
     let detail = 'no time left';
     for (;;) {
-      const timeoutMs = Math.min(TRY_TIMEOUT_MS, until - this.#ctx.clock.now());
+      const timeoutMs = this.#tryTimeoutMs(until);
       if (timeoutMs <= 0) break;
       const tx = this.#submission(admitted, id, job);
       const result = await this.#store.transact(tx, { timeoutMs });
@@ -99,9 +105,10 @@
       detail = result.detail;
       if (result.outcome === 'unknown') maybeDone = true;
       else refusals += 1;
-      if (!maybeDone && refusals >= REFUSALS_TO_GIVE_UP) return this.#storeAway(detail);
+      const mayWait = this.#store.isSlow && !this.#store.isAway;
+      if (!maybeDone && refusals >= REFUSALS_TO_GIVE_UP && !mayWait) return this.#storeAway(detail);
       if (maybeDone && this.#isStoreAway()) break;
-      await pause(RETRY_PAUSE_MS);
+      await pause(this.#retryPauseMs());
     }
     return maybeDone ? this.#unanswered(detail) : this.#storeAway(detail);
   }
@@ -110,7 +117,7 @@
   async cancel(id: string, until: number): Promise<CancelResult> {
     const key = jobRowKey(id, 'cancellation');
     for (;;) {
-      const timeoutMs = Math.min(TRY_TIMEOUT_MS, until - this.#ctx.clock.now());
+      const timeoutMs = this.#tryTimeoutMs(until);
       if (timeoutMs <= 0) return this.#unanswered('no time left');
       const tx = { expected: [{ ...key, version: 0 }], set: [{ ...key, value: Buffer.from('1') }] };
       const result = await this.#store.transact(tx, { timeoutMs });
@@ -118,10 +125,19 @@
       const isThere = result.outcome === 'done' || result.outcome === 'conflict';
       if (isThere) return { outcome: 'cancelled' };
       if (this.#isStoreAway()) return this.#unanswered(result.detail);
-      await pause(RETRY_PAUSE_MS);
+      await pause(this.#retryPauseMs());
     }
   }
 
+  #tryTimeoutMs(until: number): number {
+    const mostMs = this.#store.isSlow ? SLOW_TRY_TIMEOUT_MS : TRY_TIMEOUT_MS;
+    return Math.min(mostMs, until - this.#ctx.clock.now());
+  }
+
+  #retryPauseMs(): number {
+    return this.#store.isSlow ? SLOW_RETRY_PAUSE_MS : RETRY_PAUSE_MS;
+  }
+
   #isStoreAway(): boolean {
     return this.#store.isAway || this.#config.ageMs > STORE_SILENT_MS;
   }
--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -172,8 +172,7 @@
       keepEndedMs,
       config: () => this.#config.known?.config,
       confirmedAt: () => this.#ownership.held?.confirmedAt ?? -Infinity,
-      onConfirmed: (sentAt) => this.#ownership.confirm(sentAt),
-      nextBeat: () => this.#ownership.nextBeat(),
+      transact: (tx, callOptions) => this.#ownership.transact(tx, callOptions),
       onDeposed: (reason) => this.#ownership.lose(reason),
     });
     this.#owner.start();
--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -19,7 +19,7 @@
 } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
 import type { FindResult, JobLookup } from './job-lookup.js';
-import { askOthersAfterMs, isOutOfReach, settleCall } from './settled-call.js';
+import { isOutOfReach, settleCall } from './settled-call.js';
 
 /** Kept back from a caller's time for the answer's way, in ms. */
 const ANSWER_RESERVE_MS = 150;
@@ -92,7 +92,7 @@
     if (isForwarded) return this.#log('submit', call, await own);
     const result = await settleCall({
       own,
-      askAfterMs: askOthersAfterMs(this.#options.store.lastReadMs),
+      isStoreSlow: this.#options.store.isSlow,
       askOthers: () => {
         const decoded = decode();
         if ('fault' in decoded) return [];
@@ -114,7 +114,7 @@
     let isPassedOn = false;
     const settled = await settleCall({
       own,
-      askAfterMs: askOthersAfterMs(this.#options.store.lastReadMs),
+      isStoreSlow: this.#options.store.isSlow,
       askOthers: () => {
         isPassedOn = true;
         return this.#forward(stateResultSchema, { call: 'state', ...call, until });
@@ -135,7 +135,7 @@
     if (isForwarded) return this.#log('cancel', call, await own);
     const result = await settleCall({
       own,
-      askAfterMs: askOthersAfterMs(this.#options.store.lastReadMs),
+      isStoreSlow: this.#options.store.isSlow,
       askOthers: () => this.#forward(cancelResultSchema, { call: 'cancel', ...call, until }),
     });
     return this.#log('cancel', call, result);
--- a/packages/cell/src/entry/settled-call.ts
+++ b/packages/cell/src/entry/settled-call.ts
@@ -8,21 +8,6 @@
 /** Others are asked once the own try has taken this long, in ms: an urgent job of 2.5 s has 1.5 s to spare for everything. */
 const ASK_OTHERS_AFTER_MS = 300;
 
-/**
- * And as long as this many reads lately took: from a slow store no entry gets a faster answer, and what they ask for as well
- * only makes it slower.
- */
-const READS_TO_WAIT = 4;
-
-/** But not longer, in ms: a single read may have taken long for another reason. */
-const MOST_ASK_AFTER_MS = 900;
-
-/** When other entries are asked, from the begin of the own try, in ms. */
-export function askOthersAfterMs(lastReadMs: number): number {
-  const waitMs = Math.max(ASK_OTHERS_AFTER_MS, READS_TO_WAIT * lastReadMs);
-  return Math.min(MOST_ASK_AFTER_MS, waitMs);
-}
-
 /** What a call comes to. */
 interface CallOutcome {
   outcome: string;
@@ -37,15 +22,15 @@
 export async function settleCall<T extends CallOutcome>({
   own,
   askOthers,
-  askAfterMs = ASK_OTHERS_AFTER_MS,
+  isStoreSlow = false,
 }: {
   own: Promise<T>;
-  /** In ms. */
-  askAfterMs?: number;
+  /** No entry gets a faster answer from it, and what they ask for as well makes it slower: they are asked only if the own try fails. */
+  isStoreSlow?: boolean;
   /** One answer each of the entries that could be reached; none of them rejects. */
   askOthers: () => Promise<T>[];
 }): Promise<T> {
-  const early = await Promise.race([own, pause(askAfterMs)]);
+  const early = await (isStoreSlow ? own : Promise.race([own, pause(ASK_OTHERS_AFTER_MS)]));
   if (early !== undefined && !isOutOfReach(early)) return early;
   const all = [own, ...askOthers()];
   return (await firstSettling(all)) ?? combine(await Promise.all(all));
--- a/packages/cell/src/entry/slow-store.steps.ts
+++ b/packages/cell/src/entry/slow-store.steps.ts
@@ -64,6 +64,13 @@
   await handIn(this, { spec: { workMs: 100 } });
 });
 
+When('the store is as fast as usual for {int} s', async function (this: SlowSteps, s: number) {
+  const cell = cellOf(this);
+  const stores = [...cell.entries, ...cell.workers].map(({ store }) => store);
+  stores.forEach((store) => Object.assign(store, { answerMs: 2, turnMs: 0 }));
+  await pause(s * 1000);
+});
+
 Then('each was accepted within {int} ms', function (this: SlowSteps, withinMs: number) {
   this.handedIn.forEach(({ tookMs }) => assert.ok(tookMs < withinMs, `took ${tookMs} ms`));
 });
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -19,7 +19,7 @@
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type KnownJob } from '../job/job-view.js';
 import { runnerIdOf } from '../runner/life-name.js';
-import type { Row, RowKey, RowStore } from '../store/row-store.js';
+import type { Row, RowStore } from '../store/row-store.js';
 import { TableFollower } from '../store/table-follower.js';
 import type { Worker } from '../worker/worker.js';
 import { CONTACT_TIMEOUT_MS } from '../guard/guard-app.js';
@@ -29,7 +29,7 @@
 import { leaseLengthMs } from './lease-length.js';
 import type { OwnedJob } from './owned-job.js';
 import type { ReclaimBounds } from './placing-pass.js';
-import { ProgressWriter } from './progress-writer.js';
+import { ProgressWriter, type OwnerTransact } from './progress-writer.js';
 import type { RunBook } from './run-book.js';
 import { Scheduler } from './scheduler.js';
 
@@ -88,9 +88,8 @@
   config: () => CellConfig | undefined;
   /** When the store last confirmed this owner, on the monotonic clock. */
   confirmedAt: () => number;
-  onConfirmed: (sentAt: number) => void;
-  /** The next heartbeat of this owner. */
-  nextBeat: () => RowKey & { value: Buffer };
+  /** Writes in this owner's name. */
+  transact: OwnerTransact;
   /** This term is over, for the reason given. */
   onDeposed: (reason: string) => void;
 }
@@ -182,7 +181,7 @@
     });
     this.#writer = new ProgressWriter({
       ctx,
-      store,
+      transact: options.transact,
       ownerVersion,
       evacuations,
       events: {
@@ -192,8 +191,6 @@
         onCancelled: (job) => this.#book.cancel(job),
         onRemoved: (job) => this.#book.jobs.delete(job.id),
         onDeposed: options.onDeposed,
-        onConfirmed: options.onConfirmed,
-        nextBeat: options.nextBeat,
       },
     });
   }
--- a/packages/cell/src/owner/ownership.ts
+++ b/packages/cell/src/owner/ownership.ts
@@ -3,7 +3,7 @@
  * replaced, paused or cut off changes nothing any more. The heartbeat beside it is for liveness only.
  */
 import type { ProcessContext } from '@zincspan/core';
-import type { Row, RowKey, RowStore } from '../store/row-store.js';
+import type { Row, RowStore, TransactResult, Transaction } from '../store/row-store.js';
 import {
   CELL_TABLE,
   OWNER_BEAT_KEY,
@@ -32,7 +32,10 @@
  */
 const TAKEOVER_AFTER_MS = 700;
 
-/** And this many answers of the store, as long as the last one took: a heartbeat of a slow store comes later. */
+/**
+ * And this many answers of the store, as long as the slowest took since the heartbeat was seen: one of a slow store comes later, also
+ * the last one on its way when the store is fast again.
+ */
 const TAKEOVER_ANSWERS = 4;
 
 /**
@@ -72,15 +75,18 @@
   version: number;
   /** When the last write or read that confirmed it was sent, on the monotonic clock. */
   confirmedAt: number;
-  /** When the last heartbeat was sent, by itself or with a write that was done. */
+  /** When the last heartbeat was sent by itself, or with a write that was done. */
   beatAt: number;
   /** What the last heartbeat that was done took, in ms. */
   beatTookMs: number;
+  /** Heartbeats without an answer so far. */
+  beatsInFlight: number;
 }
 
 /**
- * Heartbeats are this many of their own durations apart, if that is longer: where transactions take their turns, those of a slow
- * store would leave no turn to anything else. Others wait for twice as many answers before they take the cell.
+ * While a heartbeat is on its way the next one waits for this many durations of the last one, if that is longer than a tick: where
+ * transactions take their turns, those of a slow store would leave no turn to anything else. Others wait for as many answers
+ * before they take the cell.
  */
 const BEAT_APART = 2;
 
@@ -96,7 +102,9 @@
   #vacantSince: number | undefined;
 
   /** The owner's heartbeat as last seen, and since when it hasn't changed. */
-  #seen: { beatVersion: number; ownerVersion: number; since: number } | undefined;
+  #seen:
+    | { beatVersion: number; ownerVersion: number; since: number; slowestAnswerMs: number }
+    | undefined;
 
   #timer: NodeJS.Timeout | undefined;
 
@@ -144,19 +152,29 @@
     this.#options.events.onLost(reason);
   }
 
-  /** The next heartbeat, for a write of the owner to carry along. */
-  nextBeat(): RowKey & { value: Buffer } {
+  /** Sends a write that names the owner's row. It carries a heartbeat along: a slow store has few turns to give. */
+  async transact(tx: Transaction, options: { timeoutMs: number }): Promise<TransactResult> {
+    const held = this.#held;
+    const sentAt = this.#now();
     this.#beats += 1;
-    return { ...OWNER_BEAT_KEY, value: Buffer.from(`${this.#held?.term}:${this.#beats}`) };
+    const beat = { ...OWNER_BEAT_KEY, value: Buffer.from(`${held?.term}:${this.#beats}`) };
+    if (held !== undefined) held.beatsInFlight += 1;
+    const result = await this.#options.store.transact({ ...tx, set: [...tx.set, beat] }, options);
+    if (held !== undefined) held.beatsInFlight -= 1;
+    if (result.outcome === 'done') this.#confirm(sentAt);
+    return result;
   }
 
-  /** A write that named the owner's row and carried a heartbeat succeeded; it was sent at `sentAt`. */
-  confirm(sentAt: number): void {
+  #confirm(sentAt: number): void {
     const held = this.#held;
     if (held === undefined) return;
     held.confirmedAt = Math.max(held.confirmedAt, sentAt);
     held.beatAt = Math.max(held.beatAt, sentAt);
-    held.beatTookMs = this.#options.ctx.clock.now() - sentAt;
+    held.beatTookMs = this.#now() - sentAt;
+  }
+
+  #now(): number {
+    return this.#options.ctx.clock.now();
   }
 
   async #tick(): Promise<void> {
@@ -180,10 +198,10 @@
     return LINKED_TICK_MS;
   }
 
-  #isBeatDue({ beatAt, beatTookMs }: Held): boolean {
+  #isBeatDue({ beatAt, beatTookMs, beatsInFlight }: Held): boolean {
+    const apartMs = beatsInFlight > 0 ? BEAT_APART * beatTookMs : 0;
     // A timer may fire a little early.
-    const apartMs = Math.max(TICK_MS / 2, BEAT_APART * beatTookMs);
-    return this.#options.ctx.clock.now() - beatAt >= apartMs;
+    return this.#now() - beatAt >= Math.max(TICK_MS / 2, apartMs);
   }
 
   /**
@@ -198,23 +216,16 @@
   }
 
   async #beat(held: Held): Promise<void> {
-    const sentAt = this.#options.ctx.clock.now();
-    Object.assign(held, { beatAt: sentAt });
-    const result = await this.#options.store.transact(
-      {
-        expected: [{ ...OWNER_KEY, version: held.version }],
-        set: [this.nextBeat()],
-      },
-      { timeoutMs: CALL_TIMEOUT_MS },
-    );
-    if (this.#held !== held) return;
-    if (result.outcome === 'done') this.confirm(sentAt);
-    else if (result.outcome === 'conflict') this.lose('another entry took it');
+    Object.assign(held, { beatAt: this.#now() });
+    const expected = [{ ...OWNER_KEY, version: held.version }];
+    const result = await this.transact({ expected, set: [] }, { timeoutMs: CALL_TIMEOUT_MS });
+    if (this.#held !== held || result.outcome === 'done') return;
+    if (result.outcome === 'conflict') this.lose('another entry took it');
     else this.#options.ctx.metrics.count('owner.beat-failed');
   }
 
   async #look(): Promise<void> {
-    const now = this.#options.ctx.clock.now();
+    const now = this.#now();
     const result = await this.#options.store.read(
       { table: CELL_TABLE, part: '', from: OWNER_KEY.key, to: `${OWNER_BEAT_KEY.key}\u0000` },
       { timeoutMs: CALL_TIMEOUT_MS },
@@ -229,7 +240,7 @@
     const holder = ownerRow && unpackOwner(ownerRow.value).holder;
     this.#options.events.onHolder(holder);
     const beatVersion = result.rows.find(({ key }) => key === OWNER_BEAT_KEY.key)?.version ?? 0;
-    const answerMs = this.#options.ctx.clock.now() - now;
+    const answerMs = this.#now() - now;
     const mayTake = this.#mayTake({ ownerRow, holder, beatVersion, now, answerMs });
     if (mayTake) await this.#take(ownerRow);
   }
@@ -259,14 +270,17 @@
     if (holder.id === this.#options.self.id) return true;
     const seen = this.#seen;
     if (seen?.beatVersion !== beatVersion || seen.ownerVersion !== ownerRow.version) {
-      this.#seen = { beatVersion, ownerVersion: ownerRow.version, since: now };
+      const { version: ownerVersion } = ownerRow;
+      this.#seen = { beatVersion, ownerVersion, since: now, slowestAnswerMs: answerMs };
       return false;
     }
-    return now - seen.since >= TAKEOVER_AFTER_MS + TAKEOVER_ANSWERS * answerMs + giveWayMs;
+    seen.slowestAnswerMs = Math.max(seen.slowestAnswerMs, answerMs);
+    const answersMs = TAKEOVER_ANSWERS * seen.slowestAnswerMs;
+    return now - seen.since >= TAKEOVER_AFTER_MS + answersMs + giveWayMs;
   }
 
   async #take(ownerRow: Row | undefined): Promise<void> {
-    const sentAt = this.#options.ctx.clock.now();
+    const sentAt = this.#now();
     const previous = ownerRow === undefined ? undefined : unpackOwner(ownerRow.value);
     const row: OwnerRow = { term: (previous?.term ?? 0) + 1, holder: this.#options.self };
     const result = await this.#options.store.transact(
@@ -287,6 +301,7 @@
       confirmedAt: sentAt,
       beatAt: -Infinity,
       beatTookMs: 0,
+      beatsInFlight: 0,
     };
     this.#options.events.onHolder(this.#options.self);
     this.#options.ctx.metrics.count('owner.taken');
--- a/packages/cell/src/owner/progress-writer.steps.ts
+++ b/packages/cell/src/owner/progress-writer.steps.ts
@@ -9,7 +9,7 @@
 import { testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
 import { MemoryRowStore } from '../testing/memory-row-store.support.js';
 import type { OwnedJob } from './owned-job.js';
-import { OWNER_BEAT_KEY, OWNER_KEY } from './owner-row.js';
+import { OWNER_KEY } from './owner-row.js';
 import { ProgressWriter } from './progress-writer.js';
 
 interface WriterSteps {
@@ -55,15 +55,13 @@
   this.deposed = [];
   this.writer = new ProgressWriter({
     ctx: quietContext({ id: 'entry-1', role: 'entry' }),
-    store: this.store,
+    transact: (tx, options) => this.store.transact(tx, options),
     ownerVersion: put(this.tables, OWNER_KEY, Buffer.from('owner')),
     evacuations: noEvacuations(),
     events: {
       onEvacuationConflict: () => undefined,
       onDurable: () => undefined,
       onCancelled: () => undefined,
-      onConfirmed: () => undefined,
-      nextBeat: () => ({ ...OWNER_BEAT_KEY, value: Buffer.from('beat') }),
       onRemoved: (job) => this.removed.push(job),
       onDeposed: (reason) => this.deposed.push(reason),
     },
--- a/packages/cell/src/owner/progress-writer.ts
+++ b/packages/cell/src/owner/progress-writer.ts
@@ -5,13 +5,7 @@
 import type { ProcessContext } from '@zincspan/core';
 import type { Evacuations } from '../evacuation/evacuations.js';
 import { jobRowKey, packProgress, type JobRowKind } from '../job/job-rows.js';
-import {
-  sameRow,
-  type Row,
-  type RowKey,
-  type RowStore,
-  type Transaction,
-} from '../store/row-store.js';
+import { sameRow, type Row, type RowStore, type Transaction } from '../store/row-store.js';
 import type { OwnedJob } from './owned-job.js';
 import { OWNER_KEY } from './owner-row.js';
 import { pause } from '../clock/pause.js';
@@ -44,12 +38,11 @@
   onRemoved: (job: OwnedJob) => void;
   /** Another entry owns the cell, or the books of this term aren't what the store holds. */
   onDeposed: (reason: string) => void;
-  /** The owner's row was confirmed by a write sent at this time (monotonic clock). */
-  onConfirmed: (sentAt: number) => void;
-  /** The owner's next heartbeat, which each write carries along: a slow store has few turns to give. */
-  nextBeat: () => RowKey & { value: Buffer };
 }
 
+/** Sends a write that names the owner's row. */
+export type OwnerTransact = RowStore['transact'];
+
 interface Pending {
   job: OwnedJob;
   change: number;
@@ -67,7 +60,7 @@
 export class ProgressWriter {
   readonly #ctx: ProcessContext;
 
-  readonly #store: RowStore;
+  readonly #transact: OwnerTransact;
 
   readonly #ownerVersion: number;
 
@@ -86,19 +79,19 @@
 
   constructor({
     ctx,
-    store,
+    transact,
     ownerVersion,
     evacuations,
     events,
   }: {
     ctx: ProcessContext;
-    store: RowStore;
+    transact: OwnerTransact;
     ownerVersion: number;
     evacuations: Evacuations;
     events: ProgressWriterEvents;
   }) {
     this.#ctx = ctx;
-    this.#store = store;
+    this.#transact = transact;
     this.#ownerVersion = ownerVersion;
     this.#evacuations = evacuations;
     this.#events = events;
@@ -139,13 +132,12 @@
   async #write(): Promise<void> {
     const batch = this.#nextBatch();
     const { jobs, startsIn, sentAt } = batch;
-    const result = await this.#store.transact(this.#transaction(batch), {
+    const result = await this.#transact(this.#transaction(batch), {
       timeoutMs: WRITE_TIMEOUT_MS,
     });
     if (this.#stopped) return;
     this.#ctx.metrics.timing('progress.write', this.#ctx.clock.now() - sentAt);
     if (result.outcome === 'done') {
-      this.#events.onConfirmed(sentAt);
       this.#evacuations.noteConfirmed(startsIn, sentAt);
       this.#noteWritten(jobs, () => result.version);
     } else if (result.outcome === 'conflict') {
@@ -189,10 +181,7 @@
         ...startsIn.map((failureDomain) => this.#evacuations.expectedRow(failureDomain)),
         ...expected,
       ],
-      set: [
-        this.#events.nextBeat(),
-        ...jobs.map(({ job, value }) => ({ ...jobRowKey(job.id, 'progress'), value })),
-      ],
+      set: jobs.map(({ job, value }) => ({ ...jobRowKey(job.id, 'progress'), value })),
     };
   }
 
--- a/packages/cell/src/store/watched-store.ts
+++ b/packages/cell/src/store/watched-store.ts
@@ -12,6 +12,9 @@
 /** And for this long, in ms: a single lost connection fails all calls that were on it at once. */
 const LEAST_MS = 250;
 
+/** A store whose reads take this long is slow for everybody, in ms: ten times what they usually take. */
+const SLOW_READ_MS = 100;
+
 /** A store that watches how its calls end. */
 export class WatchedStore implements RowStore {
   readonly #store: RowStore;
@@ -34,9 +37,9 @@
     return this.#failures >= LEAST_FAILURES && this.#clock.now() - this.#failingSince >= LEAST_MS;
   }
 
-  /** What the last read took that was answered, in ms. */
-  get lastReadMs(): number {
-    return this.#lastReadMs;
+  /** It answers, but late: what is asked again only waits behind what was asked before. */
+  get isSlow(): boolean {
+    return this.#lastReadMs >= SLOW_READ_MS;
   }
 
   async transact(tx: Transaction, options: { timeoutMs: number }): Promise<TransactResult> {
