--- a/packages/cell/src/entry/slow-store.steps.ts
+++ b/packages/cell/src/entry/slow-store.steps.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
-import { JOB_TABLE } from '../job/job-rows.js';
+import { jobRowKey } from '../job/job-rows.js';
 import { cellOf, handIn, jobOf, type CellSteps } from '../owner/cell-steps.support.js';
 import { OWNER_KEY } from '../owner/owner-row.js';
 import { submit } from '../testing/cell-world.support.js';
-import type { Transaction } from '../store/row-store.js';
+import { sameRow, type Transaction } from '../store/row-store.js';
 
 interface SlowSteps extends CellSteps {
   /** When each job was handed in, and how long its acceptance took, in ms. */
@@ -94,8 +94,9 @@
 });
 
 Then('the store was asked to accept it once', function (this: SlowSteps) {
+  const submission = jobRowKey(jobOf(this), 'submission');
   const acceptances = this.transactions.filter(({ set }) =>
-    set.some(({ table, key }) => table === JOB_TABLE && key === `${jobOf(this)}/s`),
+    set.some((row) => sameRow(row, submission)),
   );
   assert.equal(acceptances.length, 1);
 });
--- a/packages/cell/src/evacuation/evacuated-cell.steps.ts
+++ b/packages/cell/src/evacuation/evacuated-cell.steps.ts
@@ -3,6 +3,7 @@
 import { pause } from '../clock/pause.js';
 import { testStep } from '../testing/test-jobs.support.js';
 import { CellWorld, eventually } from '../testing/cell-world.support.js';
+import { TEST_EVACUATION_SOURCE } from '../testing/test-evacuations.support.js';
 import { restartGuard } from '../testing/worker-vm.support.js';
 import {
   cellOf,
@@ -18,9 +19,6 @@
   evacuatedAt: number;
 }
 
-/** Where the operator's evacuations begin among its rows. */
-const FIRST_KEY = 'evacuation/';
-
 function workersOf(world: EvacuationSteps, hall: string): Worker[] {
   return cellOf(world).workers.filter(({ failureDomain }) => failureDomain === hall);
 }
@@ -38,6 +36,13 @@
   Object.assign(world, { evacuatedAt: performance.now() });
 }
 
+/** Evacuates hall east after the starts there are written down, and waits. */
+async function evacuateOnceWritten(world: EvacuationSteps, laterMs: number): Promise<void> {
+  await pause(300);
+  evacuate(world, 'east');
+  await pause(laterMs);
+}
+
 Given(
   'a cell of {int} entries with {int} workers in each of halls {word} and {word}',
   async function (this: EvacuationSteps, entries: number, each: number, a: string, b: string) {
@@ -63,7 +68,7 @@
 });
 
 Given("an owner that can't read evacuations", function (this: EvacuationSteps) {
-  ownerOf(this).store.unreadableFrom = FIRST_KEY;
+  ownerOf(this).store.unreadableFrom = TEST_EVACUATION_SOURCE.keyPrefix;
 });
 
 Given('guards in hall east that are out of contact', function (this: EvacuationSteps) {
@@ -127,9 +132,7 @@
 When(
   'hall east is evacuated, and its guards are back in contact {int} ms later',
   async function (this: EvacuationSteps, laterMs: number) {
-    await pause(300);
-    evacuate(this, 'east');
-    await pause(laterMs);
+    await evacuateOnceWritten(this, laterMs);
     workersOf(this, 'east').forEach((worker) => restartGuard(worker));
   },
 );
@@ -137,9 +140,7 @@
 When(
   'hall east is evacuated, and its runners answer again {int} ms later',
   async function (this: EvacuationSteps, laterMs: number) {
-    await pause(300);
-    evacuate(this, 'east');
-    await pause(laterMs);
+    await evacuateOnceWritten(this, laterMs);
     workersOf(this, 'east').forEach(({ runner }) => Object.assign(runner, { dark: false }));
   },
 );
--- a/packages/cell/src/evacuation/evacuations.steps.ts
+++ b/packages/cell/src/evacuation/evacuations.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { Row } from '../store/row-store.js';
+import { TEST_EVACUATION_SOURCE } from '../testing/test-evacuations.support.js';
 import { Evacuations } from './evacuations.js';
 
 interface EvacuationsSteps {
@@ -14,8 +15,7 @@
 Given(
   'evacuations that are known for {int} ms',
   function (this: EvacuationsSteps, staleAfterMs: number) {
-    const source = { table: 'operator', part: '', keyPrefix: 'evacuation/' };
-    this.evacuations = new Evacuations({ source, staleAfterMs });
+    this.evacuations = new Evacuations({ source: TEST_EVACUATION_SOURCE, staleAfterMs });
   },
 );
 
--- a/packages/cell/src/testing/cell-world.support.ts
+++ b/packages/cell/src/testing/cell-world.support.ts
@@ -12,6 +12,7 @@
 import { HOST, KEY, PREFIX, TEST_QUEUE, testStep } from './test-jobs.support.js';
 import type { RowKey, Transaction } from '../store/row-store.js';
 import { LogKeeper, type LoggedLine } from './log-keeper.support.js';
+import { TEST_EVACUATION_SOURCE } from './test-evacuations.support.js';
 import { MemoryRowStore } from './memory-row-store.support.js';
 import { MemoryRunner } from './memory-runner.support.js';
 import {
@@ -27,9 +28,6 @@
 const CONFIG_KEY = { table: 'operator', part: '', key: 'configuration' };
 const HEARTBEAT_MS = 300;
 
-/** Rows of the operator's evacuations: this and the name of the failure domain. */
-const EVACUATION_PREFIX = 'evacuation/';
-
 /** Of a worker, unless a test says otherwise. */
 const FAILURE_DOMAIN = 'hall';
 
@@ -146,7 +144,7 @@
       leaseMs: TEST_LEASE_MS,
       reclaim: { reclaimMs: 2700, stopMs: 200 },
       evacuation: {
-        source: { table: CONFIG_KEY.table, part: CONFIG_KEY.part, keyPrefix: EVACUATION_PREFIX },
+        source: TEST_EVACUATION_SOURCE,
         applyMs: 5000,
       },
       keepEndedMs: this.keepEndedMs,
@@ -307,7 +305,8 @@
 }
 
 function evacuationKey(failureDomain: string): RowKey {
-  return { ...CONFIG_KEY, key: `${EVACUATION_PREFIX}${failureDomain}` };
+  const { table, part, keyPrefix } = TEST_EVACUATION_SOURCE;
+  return { table, part, key: `${keyPrefix}${failureDomain}` };
 }
 
 /** The emulated advisor as an owner calls it. */
