Give no job up for crashes that another's task beside it may have caused

Cause: two crashes right after the start gave a task up, whoever else had just been started there. The trial after the first crash keeps others away for 1.5 s of waiting only, so on a full service the second crash has two causes again.

Change: a crash counts towards giving up at the start only where nothing of another job was as young (`alone` in the record; rows without it count as before). Such a task is still tried by itself, and four crashes in all end its job as before, so the bound on starts is the same: a task that crashes its runners costs one crash more where the first came in company.

Ruled out: waiting for an empty worker without a bound, as a busy service may never have one.

--- a/packages/cell/src/job/crash-record.feature
+++ b/packages/cell/src/job/crash-record.feature
@@ -18,6 +18,20 @@
       | lasts         | fresh runners | 10, 10, 10 and 10            | has           |
       | lasts         | runners       | 9000, 9000, 9000, 9000, 9000 | hasn't        |
 
+  # Two jobs were started beside one that crashed its runners, twice each, and were given up with it.
+  Scenario Outline: crashes with tasks of other jobs beside it that are as young
+    Given a task that ends
+    When runners crash under its runs, which were <ages> ms old, beside others as young
+    And runners crash under its runs, which were <ages alone> ms old
+    Then its job <has or hasn't> failed by it
+
+    Examples:
+      | ages              | ages alone | has or hasn't |
+      | 10 and 10         | 5000       | hasn't        |
+      | 10                | 10         | hasn't        |
+      | 10                | 10 and 10  | has           |
+      | 10, 10, 10 and 10 | 10         | has           |
+
   Scenario: a crash that is told again counts once
     Given a task that ends
     When the crash under one run of 10 ms is told 5 times
--- a/packages/cell/src/job/crash-record.steps.ts
+++ b/packages/cell/src/job/crash-record.steps.ts
@@ -47,12 +47,14 @@
 });
 
 When(
-  /^(fresh )?runners crash under its runs, which were ([\d, and]+) ms old$/,
-  function (this: CrashSteps, fresh: string | null, ages: string) {
+  /^(fresh )?runners crash under its runs, which were ([\d, and]+) ms old(, beside others as young)?$/,
+  function (this: CrashSteps, fresh: string | null, ages: string, beside: string | null) {
     const livedMs = fresh === null ? LIVED_MS : FRESH_MS;
+    const isAlone = beside === null;
     numbers(ages).forEach((ranMs) => {
+      if (this.progress.outcome !== 'open') return;
       const run = start(this);
-      assert.ok(this.progress.noteCrash({ ref: REF, run, ranMs, livedMs }));
+      assert.ok(this.progress.noteCrash({ ref: REF, run, ranMs, livedMs, isAlone }));
       lose(this, run);
     });
   },
@@ -63,7 +65,7 @@
   function (this: CrashSteps, ranMs: number, times: number) {
     const run = start(this);
     const told = Array.from({ length: times }, () =>
-      this.progress.noteCrash({ ref: REF, run, ranMs, livedMs: LIVED_MS }),
+      this.progress.noteCrash({ ref: REF, run, ranMs, livedMs: LIVED_MS, isAlone: true }),
     );
     assert.deepEqual(
       told,
@@ -78,7 +80,15 @@
     const run = start(this);
     lose(this, run);
     start(this);
-    assert.ok(this.progress.noteCrash({ ref: REF, run, ranMs: YOUNG_MS, livedMs: LIVED_MS }));
+    assert.ok(
+      this.progress.noteCrash({
+        ref: REF,
+        run,
+        ranMs: YOUNG_MS,
+        livedMs: LIVED_MS,
+        isAlone: true,
+      }),
+    );
   },
 );
 
--- a/packages/cell/src/job/crash-record.ts
+++ b/packages/cell/src/job/crash-record.ts
@@ -9,10 +9,21 @@
   run: number;
   /** Crashes in a row right after the start. */
   atStart: number;
+  /** Those among them with nothing of another job there that was as young; absent in rows of before: all of them. */
+  alone?: number;
   /** Crashes in all. */
   all: number;
 }
 
+/** One crash, as it concerns one run. */
+export interface CountedCrash {
+  run: number;
+  /** How long the run had been there, in ms; undefined: that isn't known, and says nothing of its start. */
+  ranMs: number | undefined;
+  /** Nothing of another job there was as young. */
+  isAlone: boolean;
+}
+
 /**
  * A run this young when its runner crashed may have crashed it, in ms. A task that crashes its runner does so as it starts, and the
  * guard may notice a part of a second late; tasks take several seconds, so that most others on the runner are older.
@@ -23,10 +34,10 @@
 export const FRESH_RUNNER_MS = 10_000;
 
 /**
- * Crashes in a row at the start after which a task is given up: the second comes with nothing else as young beside it. On a
- * runner that had only just come back it decides nothing, as that runner may be what crashes.
+ * Crashes in a row at the start, with nothing of others as young beside it, after which a task is given up: others that are as
+ * young may be the cause. On a runner that had only just come back it decides nothing, as that runner may be what crashes.
  */
-const MOST_AT_START = 2;
+const MOST_ALONE = 2;
 
 /**
  * Crashes in all after which it is given up: of a task that crashes its runner later than at its start, where all runners are
@@ -41,16 +52,16 @@
   return young.length > 0 ? young : runs;
 }
 
-/** With one more crash, under a run that was `ranMs` old; undefined: that isn't known, and says nothing of its start. */
+/** With one more crash. */
 export function withCrash(
   record: CrashRecord | undefined,
-  { run, ranMs }: { run: number; ranMs: number | undefined },
+  { run, ranMs, isAlone }: CountedCrash,
 ): CrashRecord {
-  const { atStart, all } = record ?? { atStart: 0, all: 0 };
-  if (ranMs === undefined) return { run, atStart, all: all + 1 };
-  if (ranMs < SUSPECT_WITHIN_MS) return { run, atStart: atStart + 1, all: all + 1 };
+  const { atStart, all, alone = atStart } = record ?? { atStart: 0, all: 0 };
+  if (ranMs === undefined) return { run, atStart, alone, all: all + 1 };
   // It got past its start: earlier crashes there weren't its doing.
-  return { run, atStart: 0, all: all + 1 };
+  if (ranMs >= SUSPECT_WITHIN_MS) return { run, atStart: 0, alone: 0, all: all + 1 };
+  return { run, atStart: atStart + 1, alone: alone + (isAlone ? 1 : 0), all: all + 1 };
 }
 
 /** The next run shows whether the task crashed its runner. */
@@ -63,9 +74,9 @@
  * count, as in time it meets others that aren't its own.
  */
 export function isGivenUp(
-  { atStart, all }: CrashRecord,
+  { atStart, alone = atStart, all }: CrashRecord,
   { lasting, livedMs }: { lasting: boolean; livedMs: number },
 ): boolean {
   if ((lasting ? atStart : all) >= MOST_IN_ALL) return true;
-  return atStart >= MOST_AT_START && livedMs >= FRESH_RUNNER_MS;
+  return alone >= MOST_ALONE && livedMs >= FRESH_RUNNER_MS;
 }
--- a/packages/cell/src/job/progress.ts
+++ b/packages/cell/src/job/progress.ts
@@ -1,5 +1,5 @@
 /** How far a job has come. Only the owner of its cell changes it, and each change is written before it takes effect. */
-import { isGivenUp, withCrash, type CrashRecord } from './crash-record.js';
+import { isGivenUp, withCrash, type CountedCrash, type CrashRecord } from './crash-record.js';
 import type { Step, Submission } from './submission.js';
 
 /** A run that was given to a runner and isn't known to be over. */
@@ -62,11 +62,8 @@
 }
 
 /** A runner's crash, as it concerns one run. Times in ms. */
-export interface RunCrash {
+export interface RunCrash extends CountedCrash {
   ref: TaskRef;
-  run: number;
-  /** How long the run had been there; undefined if nobody knows. */
-  ranMs: number | undefined;
   /** How long the runner's life had been known. */
   livedMs: number;
 }
@@ -199,12 +196,13 @@
    * A runner crashed under this run. The job fails once that has come to be the task's own fault: without a bound such a task was
    * started 33 times within two minutes, by the logs of one day. False if it says nothing new.
    */
-  noteCrash({ ref, run, ranMs, livedMs }: RunCrash): boolean {
+  noteCrash({ ref, livedMs, ...crash }: RunCrash): boolean {
+    const { run } = crash;
     const task = this.findTask(ref);
     const step = this.#submission.steps[ref.step];
     if (task === undefined || step === undefined || task.done) return false;
     if (this.#outcome !== 'open' || run > task.run || run <= (task.crashes?.run ?? 0)) return false;
-    task.crashes = withCrash(task.crashes, { run, ranMs });
+    task.crashes = withCrash(task.crashes, crash);
     if (isGivenUp(task.crashes, { lasting: step.lasting, livedMs })) this.#outcome = 'failed';
     return true;
   }
--- a/packages/cell/src/owner/crash-report.ts
+++ b/packages/cell/src/owner/crash-report.ts
@@ -8,11 +8,14 @@
 
 /** Takes it up. It may be told again, also of runs that were given up before: each run counts once. */
 export function takeUpCrash(book: RunBook, { vm }: Worker, { runs, livedMs }: RunnerCrash): void {
-  suspectsAmong(runs).forEach(({ task, run, ranMs }) => {
+  const suspects = suspectsAmong(runs).flatMap(({ task, run, ranMs }) => {
     const parsed = parseTaskName(task);
-    if (parsed === undefined) return;
-    const { jobId, ref } = parsed;
-    count(book, jobId, { ref, run, ranMs, livedMs }, { task, vm, runsThere: runs.length });
+    return parsed === undefined ? [] : [{ ...parsed, task, run, ranMs }];
+  });
+  const isAlone = new Set(suspects.map(({ jobId }) => jobId)).size === 1;
+  suspects.forEach(({ jobId, ref, task, run, ranMs }) => {
+    const crash = { ref, run, ranMs, livedMs, isAlone };
+    count(book, jobId, crash, { task, vm, runsThere: runs.length });
   });
 }
 
@@ -22,21 +25,23 @@
   { vm }: Worker,
   { name: task, jobId, ref, run }: Assignment,
 ): void {
-  count(book, jobId, { ref, run, ranMs: undefined, livedMs: 0 }, { task, vm });
+  count(book, jobId, { ref, run, ranMs: undefined, livedMs: 0, isAlone: false }, { task, vm });
 }
 
 function count(book: RunBook, jobId: string, crash: RunCrash, inputs: object): void {
   const job = book.jobs.get(jobId);
   if (job === undefined || !book.noteCrash(job, crash)) return;
-  const { run, ranMs, livedMs } = crash;
-  const { atStart, all } = job.progress.findTask(crash.ref)?.crashes ?? {};
+  const { run, ranMs, livedMs, isAlone } = crash;
+  const { atStart, alone, all } = job.progress.findTask(crash.ref)?.crashes ?? {};
   const { outcome } = job.progress;
   book.log('runner crashed under a run', {
     ...inputs,
     run,
     ranMs,
     livedMs,
+    isAlone,
     atStart,
+    alone,
     all,
     outcome,
   });
--- a/packages/e2e/src/soak/soak.feature
+++ b/packages/e2e/src/soak/soak.feature
@@ -20,8 +20,8 @@
     When the faults of seed 2 strike for 8 s, and each fourth job crashes its runners
     Then no promise is broken
 
-  # 28001: a task went on crashing runners, as crashes before its guard had told of the run weren't counted. 28005: a job was given up
-  # that had just been started beside a crashing one, twice. 28008: an end on a new life was confirmed before it was read.
+  # 28001: a task went on crashing runners, as crashes of lives that weren't known yet weren't counted. 28005: a job was given up that
+  # had just been started beside a crashing one, twice. 28008: an end on a new life was confirmed before it was read.
   Scenario Outline: seeds that failed with tasks that crash their runners
     When the faults of seed <seed> strike for 12 s, and each fifth job crashes its runners
     Then no promise is broken
