Accept jobs with the owner's next write while the store is slow

Cause: all rows of the cell share one part of the store, which carries out one transaction after the other; a slow one does three a second. Each acceptance took a turn of its own, beside the owner's writes: of eight jobs handed in within half a second the first took 1.4 s to be accepted, the last more than two (scenario "jobs that come together are accepted together", which failed first).

Change: while its reads take 100 ms or more, an entry hands a submission that it has let through to the cell's owner, which sends it along with its next write, on the same conditions (the configuration's row as it was, no job of this id), and takes what was accepted up before the write after it. A first try only: an owner that doesn't answer within 1.2 s, or isn't the owner, isn't waited for, and the entry writes itself as before. "Not accepted" is said only if each write that had it was refused or never sent.

Ruled out: always over the owner (a hop more for nothing while the store is fast); acceptance and first runs in one transaction (a job that isn't accepted yet would stand in the books; the pass before the next write gains nearly the same, one turn less than before).

Tests: acceptance-queue.feature (what is told when), six scenarios of slow-store.feature (handed over twice at once, lost answers, an owner that is cut off or lost). 79 scenarios of entry, owner and writer pass.

--- a/packages/cell/src/entry/acceptance.ts
+++ b/packages/cell/src/entry/acceptance.ts
@@ -3,8 +3,9 @@
 import type { ConfigWatch } from '../config/config-watch.js';
 import { jobRowKey, packSubmission } from '../job/job-rows.js';
 import type { JobRequest, Submission } from '../job/submission.js';
-import { sameRow, type Row, type Transaction } from '../store/row-store.js';
+import { sameRow, type Row } from '../store/row-store.js';
 import type { WatchedStore } from '../store/watched-store.js';
+import type { AcceptanceRoute, SubmissionWrite } from './acceptance-route.js';
 import type { CallRefusal, CancelResult, SubmitResult } from './call-result.js';
 import type { Admitted, CallerCall, CallerGate } from './caller-gate.js';
 import { pause } from '../clock/pause.js';
@@ -28,6 +29,9 @@
 /** Refusals in a row, without any sign that the store acted, after which the try is given up. A slow store is asked again. */
 const REFUSALS_TO_GIVE_UP = 2;
 
+/** What the row of a cancellation holds: that it is there says all. */
+const CANCELLED = Buffer.from('1');
+
 /** A job on its way in. `until`: on the monotonic clock. */
 export interface NewJob {
   call: CallerCall;
@@ -47,6 +51,8 @@
 
   readonly #gate: CallerGate;
 
+  readonly #route: AcceptanceRoute;
+
   readonly #onWritten: (row: Row) => void;
 
   constructor({
@@ -54,12 +60,14 @@
     store,
     config,
     gate,
+    route,
     onWritten,
   }: {
     ctx: ProcessContext;
     store: WatchedStore;
     config: ConfigWatch;
     gate: CallerGate;
+    route: AcceptanceRoute;
     /** A row of a job is in the store; its feed may tell of it a second later. */
     onWritten: (row: Row) => void;
   }) {
@@ -67,6 +75,7 @@
     this.#store = store;
     this.#config = config;
     this.#gate = gate;
+    this.#route = route;
     this.#onWritten = onWritten;
   }
 
@@ -82,10 +91,12 @@
     for (;;) {
       const timeoutMs = this.#tryTimeoutMs(until);
       if (timeoutMs <= 0) break;
-      const tx = this.#submission(admitted, id, job);
-      const result = await this.#store.transact(tx, { timeoutMs });
+      const write = this.#submission(admitted, id, job);
+      const isRepeated = maybeDone || refusals > 0;
+      const result = await this.#route.write(write, { timeoutMs, isRepeated });
       if (result.outcome === 'done') {
-        this.#tellWritten(tx, result.version);
+        const { value } = write;
+        this.#onWritten({ ...jobRowKey(id, 'submission'), value, version: result.version });
         return { outcome: 'accepted', again: false };
       }
       if (result.outcome === 'conflict') {
@@ -119,9 +130,11 @@
     for (;;) {
       const timeoutMs = this.#tryTimeoutMs(until);
       if (timeoutMs <= 0) return this.#unanswered('no time left');
-      const tx = { expected: [{ ...key, version: 0 }], set: [{ ...key, value: Buffer.from('1') }] };
+      const tx = { expected: [{ ...key, version: 0 }], set: [{ ...key, value: CANCELLED }] };
       const result = await this.#store.transact(tx, { timeoutMs });
-      if (result.outcome === 'done') this.#tellWritten(tx, result.version);
+      if (result.outcome === 'done') {
+        this.#onWritten({ ...key, value: CANCELLED, version: result.version });
+      }
       const isThere = result.outcome === 'done' || result.outcome === 'conflict';
       if (isThere) return { outcome: 'cancelled' };
       if (this.#isStoreAway()) return this.#unanswered(result.detail);
@@ -150,11 +163,11 @@
     return outcomeUnknown(`The store did not answer: ${detail}.`, this.#config.ageMs);
   }
 
-  #tellWritten({ set }: Transaction, version: number): void {
-    set.forEach((row) => this.#onWritten({ ...row, version }));
-  }
-
-  #submission({ queue, account, rowVersion }: Admitted, id: string, job: JobRequest): Transaction {
+  #submission(
+    { queue, account, rowVersion }: Admitted,
+    id: string,
+    job: JobRequest,
+  ): SubmissionWrite {
     const { service, priority, maxAttempts, stretch, targetLatencyMs, needsAdvice } = queue;
     const submission: Submission = {
       id,
@@ -164,14 +177,7 @@
       ...job,
       acceptedAtMs: this.#ctx.clock.wall(),
     };
-    const key = jobRowKey(id, 'submission');
-    return {
-      expected: [
-        { ...key, version: 0 },
-        { ...this.#config.key, version: rowVersion },
-      ],
-      set: [{ ...key, value: packSubmission(submission) }],
-    };
+    return { jobId: id, value: packSubmission(submission), configVersion: rowVersion };
   }
 }
 
--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -10,6 +10,7 @@
 import type { ReclaimBounds } from '../owner/pass-input.js';
 import type { Row, RowStore } from '../store/row-store.js';
 import { WatchedStore } from '../store/watched-store.js';
+import { AcceptanceRoute } from './acceptance-route.js';
 import { CallerGate } from './caller-gate.js';
 import { JobCalls, STORE_AWAY_MS } from './job-calls.js';
 import { JobLookup } from './job-lookup.js';
@@ -94,6 +95,16 @@
       countWaiting: (queue, limit) => waiting.of(queue, limit),
       canAskAdvice: options.advisor !== undefined,
       forward: (call) => this.#peers.forward(call),
+      route: new AcceptanceRoute({
+        ctx,
+        store,
+        configKey: configSource.key,
+        ownAccept: () => {
+          const owner = this.#owner;
+          return owner && ((call) => owner.accept(call));
+        },
+        ownerLink: () => this.#peers.ownerLink,
+      }),
       onWritten: (row) => this.#noteWritten(row),
     });
     const { id, incarnation, failureDomain } = ctx.self;
@@ -171,6 +182,7 @@
       evacuation,
       keepEndedMs,
       config: () => this.#config.known?.config,
+      configKey: this.#config.key,
       confirmedAt: () => this.#ownership.held?.confirmedAt ?? -Infinity,
       transact: (tx, callOptions) => this.#ownership.transact(tx, callOptions),
       onDeposed: (reason) => this.#ownership.lose(reason),
@@ -201,6 +213,10 @@
         if (this.#owner === undefined) throw notOwner();
         return this.#owner.contact(req, peer);
       },
+      'cell.accept': (req) => {
+        if (this.#owner === undefined) throw notOwner();
+        return this.#owner.accept(req);
+      },
       'caller.forward': (req) => this.calls.serveForwarded(req),
       'cell.waiting': ({ queue }) => {
         const count = this.#owner?.waiting(queue);
--- a/packages/cell/src/entry/job-calls.ts
+++ b/packages/cell/src/entry/job-calls.ts
@@ -7,6 +7,7 @@
 import type { Row } from '../store/row-store.js';
 import type { WatchedStore } from '../store/watched-store.js';
 import { Acceptance, outcomeUnknown, storeAway } from './acceptance.js';
+import type { AcceptanceRoute } from './acceptance-route.js';
 import {
   cancelResultSchema,
   stateResultSchema,
@@ -57,6 +58,8 @@
   /** A placement advisor is known. */
   canAskAdvice: boolean;
   forward: Forward;
+  /** Takes submissions into the store. */
+  route: AcceptanceRoute;
   /** A row of a job was written here. */
   onWritten: (row: Row) => void;
 }
--- a/packages/cell/src/entry/slow-store.steps.ts
+++ b/packages/cell/src/entry/slow-store.steps.ts
@@ -2,9 +2,16 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { pause } from '../clock/pause.js';
 import { jobRowKey } from '../job/job-rows.js';
-import { cellOf, handIn, jobOf, type CellSteps } from '../owner/cell-steps.support.js';
+import {
+  cellOf,
+  handIn,
+  jobOf,
+  otherEntry,
+  ownerOf,
+  type CellSteps,
+} from '../owner/cell-steps.support.js';
 import { OWNER_KEY } from '../owner/owner-row.js';
-import { submit } from '../testing/cell-world.support.js';
+import { loseEntry, submit } from '../testing/cell-world.support.js';
 import { sameRow, type Transaction } from '../store/row-store.js';
 
 interface SlowSteps extends CellSteps {
@@ -55,6 +62,30 @@
   },
 );
 
+When('the same job is handed in at all entries at once', async function (this: SlowSteps) {
+  const { entries } = cellOf(this);
+  const id = cellOf(this).newJobId();
+  this.jobs.push(id);
+  const outcomes = await Promise.all(entries.map((entry) => submit(entry, id)));
+  assert.deepEqual(
+    outcomes,
+    entries.map(() => 'accepted'),
+  );
+});
+
+When(
+  /^the owner (is cut from the store|is lost) and a job is handed in at another entry$/,
+  async function (this: SlowSteps, what: string) {
+    const owner = ownerOf(this);
+    const other = otherEntry(this);
+    if (what === 'is cut from the store') owner.store.fault = 'silent';
+    if (what === 'is lost') loseEntry(owner);
+    const id = cellOf(this).newJobId();
+    this.jobs.push(id);
+    assert.equal(await submit(other, id, { spec: { workMs: 100 } }), 'accepted');
+  },
+);
+
 When('nothing is handed in for {int} s', async function (this: SlowSteps, seconds: number) {
   this.transactions = [];
   await pause(seconds * 1000);
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -2,6 +2,8 @@
 import {
   ProblemError,
   problem,
+  type AcceptanceCall,
+  type AcceptanceResult,
   type CellContact,
   type CellOrders,
   type Peer,
@@ -19,7 +21,7 @@
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type KnownJob } from '../job/job-view.js';
 import { runnerIdOf } from '../runner/life-name.js';
-import type { Row, RowStore } from '../store/row-store.js';
+import type { Row, RowKey, RowStore } from '../store/row-store.js';
 import { TableFollower } from '../store/table-follower.js';
 import type { Worker } from '../worker/worker.js';
 import { CONTACT_TIMEOUT_MS } from '../guard/guard-app.js';
@@ -86,6 +88,8 @@
   /** Ended jobs are shown for this long, in ms. */
   keepEndedMs: number;
   config: () => CellConfig | undefined;
+  /** Where the operator's configuration stands. */
+  configKey: RowKey;
   /** When the store last confirmed this owner, on the monotonic clock. */
   confirmedAt: () => number;
   /** Writes in this owner's name. */
@@ -184,10 +188,12 @@
       transact: options.transact,
       ownerVersion,
       evacuations,
+      configKey: options.configKey,
       events: {
         onEvacuationConflict: (named, rows, sentAt) =>
           this.#noteEvacuations(evacuations.noteConflict(named, rows, sentAt)),
         onDurable: (jobs) => this.#noteDurable(jobs),
+        onAccepted: (rows) => this.#takeUpAccepted(rows),
         onCancelled: (job) => this.#book.cancel(job),
         onRemoved: (job) => this.#book.jobs.delete(job.id),
         onDeposed: options.onDeposed,
@@ -219,6 +225,15 @@
     this.#view.apply({ ...row, deleted: false });
   }
 
+  /** Accepts a job with the owner's next write. Throws ProblemError `not-owner` before the books are read: nothing was done. */
+  async accept(call: AcceptanceCall): Promise<AcceptanceResult> {
+    if (!this.#loaded || this.#stopped) throw notOwner();
+    if (this.#view.get(call.jobId) !== undefined) return { outcome: 'exists' };
+    const result = await this.#writer.accept(call);
+    this.#options.ctx.metrics.count(`owner.accept-${result.outcome}`);
+    return result;
+  }
+
   /** How many jobs of a queue wait; undefined before the books are read. */
   waiting(queue: string): number | undefined {
     return this.#loaded && !this.#stopped ? this.#view.waiting(queue) : undefined;
@@ -265,6 +280,12 @@
     worker.grant(this.#book.now(), this.#options.leaseMs);
   }
 
+  /** At once, so that what starts of them goes with the next write of a slow store, not with the one after. */
+  #takeUpAccepted(rows: readonly Row[]): void {
+    rows.forEach((row) => this.noteWritten(row));
+    this.#pass();
+  }
+
   #unconfirmedMs(): number {
     return this.#book.now() - this.#options.confirmedAt();
   }
--- a/packages/cell/src/owner/progress-writer.steps.ts
+++ b/packages/cell/src/owner/progress-writer.steps.ts
@@ -23,6 +23,7 @@
 
 const SUBMISSION = testSubmission({});
 const PROGRESS_KEY = jobRowKey(SUBMISSION.id, 'progress');
+const CONFIG_KEY = { table: 'operator', part: '', key: 'configuration' };
 const STRANGER = Buffer.from('of a stranger');
 
 function newJob(submissionVersion: number): OwnedJob {
@@ -58,9 +59,11 @@
     transact: (tx, options) => this.store.transact(tx, options),
     ownerVersion: put(this.tables, OWNER_KEY, Buffer.from('owner')),
     evacuations: noEvacuations(),
+    configKey: CONFIG_KEY,
     events: {
       onEvacuationConflict: () => undefined,
       onDurable: () => undefined,
+      onAccepted: () => undefined,
       onCancelled: () => undefined,
       onRemoved: (job) => this.removed.push(job),
       onDeposed: (reason) => this.deposed.push(reason),
--- a/packages/cell/src/owner/progress-writer.ts
+++ b/packages/cell/src/owner/progress-writer.ts
@@ -2,10 +2,17 @@
  * Writes progress ahead of its effects. Changes of many jobs go into one transaction, on condition that the owner's row
  * is unchanged, that nobody else has changed the progress, and that the jobs weren't cancelled meanwhile.
  */
-import type { ProcessContext } from '@zincspan/core';
+import type { AcceptanceCall, AcceptanceResult, ProcessContext } from '@zincspan/core';
 import type { Evacuations } from '../evacuation/evacuations.js';
 import { jobRowKey, packProgress, type JobRowKind } from '../job/job-rows.js';
-import { sameRow, type Row, type RowStore, type Transaction } from '../store/row-store.js';
+import {
+  sameRow,
+  type Row,
+  type RowKey,
+  type RowStore,
+  type Transaction,
+} from '../store/row-store.js';
+import { AcceptanceQueue, type HandedAcceptance } from './acceptance-queue.js';
 import type { OwnedJob } from './owned-job.js';
 import { OWNER_KEY } from './owner-row.js';
 import { pause } from '../clock/pause.js';
@@ -16,6 +23,9 @@
  */
 const JOBS_PER_WRITE = 20;
 
+/** And beside submissions: ten of those take 21 entries. */
+const JOBS_BESIDE_ACCEPTANCES = 14;
+
 /** One write may take this long, in ms: several times a slow store's answer. */
 const WRITE_TIMEOUT_MS = 1500;
 
@@ -26,6 +36,8 @@
 export interface ProgressWriterEvents {
   /** These jobs' changes so far are in the store. */
   onDurable: (jobs: readonly OwnedJob[]) => void;
+  /** Rows of jobs that were accepted by a write: what starts of them may go with the next one. */
+  onAccepted: (rows: readonly Row[]) => void;
   /** A job was cancelled before its change was written. */
   onCancelled: (job: OwnedJob) => void;
   /** These failure domains were expected not to be evacuated; the rows that are there say what is so. */
@@ -49,10 +61,11 @@
   value: Buffer;
 }
 
-/** One write: progress of some jobs, and the failure domains in which something starts by it. */
+/** One write: progress of some jobs, the failure domains in which something starts by it, and submissions that go along. */
 interface Batch {
   jobs: readonly Pending[];
   startsIn: readonly string[];
+  acceptances: readonly HandedAcceptance[];
   sentAt: number;
 }
 
@@ -66,6 +79,10 @@
 
   readonly #evacuations: Evacuations;
 
+  readonly #configKey: RowKey;
+
+  readonly #acceptances: AcceptanceQueue;
+
   readonly #events: ProgressWriterEvents;
 
   readonly #dirty = new Set<OwnedJob>();
@@ -82,25 +99,50 @@
     transact,
     ownerVersion,
     evacuations,
+    configKey,
     events,
   }: {
     ctx: ProcessContext;
     transact: OwnerTransact;
     ownerVersion: number;
     evacuations: Evacuations;
+    /** Where the operator's configuration stands. */
+    configKey: RowKey;
     events: ProgressWriterEvents;
   }) {
     this.#ctx = ctx;
     this.#transact = transact;
     this.#ownerVersion = ownerVersion;
     this.#evacuations = evacuations;
+    this.#configKey = configKey;
+    this.#acceptances = new AcceptanceQueue(() => ctx.clock.now());
     this.#events = events;
   }
 
   /** The job has changes to write. */
   mark(job: OwnedJob): void {
     this.#dirty.add(job);
-    if (this.#running || this.#stopped) return;
+    this.#wake();
+  }
+
+  /** Accepts a job with the next write. */
+  accept(call: AcceptanceCall): Promise<AcceptanceResult> {
+    const result = this.#acceptances.add(call);
+    this.#wake();
+    return result;
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#acceptances.close();
+  }
+
+  get #hasWork(): boolean {
+    return !this.#stopped && (this.#dirty.size > 0 || !this.#acceptances.isEmpty);
+  }
+
+  #wake(): void {
+    if (this.#running || !this.#hasWork) return;
     this.#running = true;
     // Changes of the same turn go together.
     setImmediate(() => {
@@ -108,37 +150,31 @@
     });
   }
 
-  stop(): void {
-    this.#stopped = true;
-  }
-
   async #run(): Promise<void> {
     try {
-      while (this.#dirty.size > 0 && !this.#stopped) await this.#write();
+      while (this.#hasWork) await this.#write();
     } catch (err) {
       this.#ctx.metrics.count('progress.write-failed');
       this.#ctx.log.error({ err }, 'writing progress failed');
     } finally {
       this.#running = false;
     }
-    if (this.#dirty.size > 0 && !this.#stopped) setTimeout(() => this.#resume(), RETRY_PAUSE_MS);
-  }
-
-  #resume(): void {
-    const [first] = this.#dirty;
-    if (first !== undefined) this.mark(first);
+    if (this.#hasWork) setTimeout(() => this.#wake(), RETRY_PAUSE_MS);
   }
 
   async #write(): Promise<void> {
     const batch = this.#nextBatch();
-    const { jobs, startsIn, sentAt } = batch;
+    const { jobs, startsIn, acceptances, sentAt } = batch;
+    if (jobs.length === 0 && acceptances.length === 0) return;
     const result = await this.#transact(this.#transaction(batch), {
       timeoutMs: WRITE_TIMEOUT_MS,
     });
+    this.#acceptances.settle(acceptances, result, this.#configKey);
     if (this.#stopped) return;
     this.#ctx.metrics.timing('progress.write', this.#ctx.clock.now() - sentAt);
     if (result.outcome === 'done') {
       this.#evacuations.noteConfirmed(startsIn, sentAt);
+      this.#noteAccepted(acceptances, result.version);
       this.#noteWritten(jobs, () => result.version);
     } else if (result.outcome === 'conflict') {
       this.#noteConflict(batch, result.rows);
@@ -150,10 +186,13 @@
   }
 
   #nextBatch(): Batch {
-    const jobs = [...this.#dirty].slice(0, JOBS_PER_WRITE);
+    const acceptances = this.#acceptances.take();
+    const mostJobs = acceptances.length > 0 ? JOBS_BESIDE_ACCEPTANCES : JOBS_PER_WRITE;
+    const jobs = [...this.#dirty].slice(0, mostJobs);
     return {
       jobs: jobs.map((job) => ({ job, change: job.change, value: packProgress(job.progress) })),
       startsIn: [...new Set(jobs.flatMap((job) => job.startsIn()))],
+      acceptances,
       sentAt: this.#ctx.clock.now(),
     };
   }
@@ -166,7 +205,7 @@
     });
   }
 
-  #transaction({ jobs, startsIn }: Batch): Transaction {
+  #transaction({ jobs, startsIn, acceptances }: Batch): Transaction {
     const expected = jobs.flatMap(({ job }) => [
       { ...jobRowKey(job.id, 'progress'), version: job.progressVersion },
       // A job whose rows were removed is over, whatever a feed that is behind tells of it.
@@ -180,11 +219,27 @@
         { ...OWNER_KEY, version: this.#ownerVersion },
         ...startsIn.map((failureDomain) => this.#evacuations.expectedRow(failureDomain)),
         ...expected,
+        ...this.#expectedBy(acceptances),
+      ],
+      set: [
+        ...jobs.map(({ job, value }) => ({ ...jobRowKey(job.id, 'progress'), value })),
+        ...acceptances.map(({ key, value }) => ({ ...key, value })),
       ],
-      set: jobs.map(({ job, value }) => ({ ...jobRowKey(job.id, 'progress'), value })),
     };
   }
 
+  #noteAccepted(acceptances: readonly HandedAcceptance[], version: number): void {
+    if (acceptances.length === 0) return;
+    this.#events.onAccepted(acceptances.map(({ key, value }) => ({ ...key, value, version })));
+  }
+
+  /** As for one that an entry writes itself: the configuration that let it through, and no job of this id. */
+  #expectedBy([first, ...others]: readonly HandedAcceptance[]): Transaction['expected'] {
+    if (first === undefined) return [];
+    const config = { ...this.#configKey, version: first.configVersion };
+    return [config, ...[first, ...others].map(({ key }) => ({ ...key, version: 0 }))];
+  }
+
   #noteWritten(batch: readonly Pending[], versionOf: (job: OwnedJob) => number): void {
     batch.forEach(({ job, change }) => {
       job.wrote(change, versionOf(job));
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -151,6 +151,32 @@
 });
 export type JobNews = z.infer<typeof jobNewsSchema>;
 
+/** A submission that an entry has let through, for the next write of the cell's owner. */
+export const acceptanceSchema = z.strictObject({
+  jobId: z.string().max(200),
+  /** The submission's row. */
+  value: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+  /** Of the configuration's row by which it was let through. */
+  configVersion: z.int().min(0),
+  /** It isn't sent to the store after this time, in ms. */
+  timeoutMs: z.number().min(0),
+});
+export type AcceptanceCall = z.infer<typeof acceptanceSchema>;
+
+/** What became of it. */
+export const acceptanceResultSchema = z.discriminatedUnion('outcome', [
+  z.strictObject({ outcome: z.literal('done'), version: z.int().min(1) }),
+  /** The job was accepted before. */
+  z.strictObject({ outcome: z.literal('exists') }),
+  /** Another configuration is in force; nothing was done. */
+  z.strictObject({ outcome: z.literal('config-changed') }),
+  /** Surely not done. */
+  z.strictObject({ outcome: z.literal('refused'), detail: z.string() }),
+  /** It may have been done. */
+  z.strictObject({ outcome: z.literal('unknown'), detail: z.string() }),
+]);
+export type AcceptanceResult = z.infer<typeof acceptanceResultSchema>;
+
 /** What the caller is to be told. */
 export const forwardedResultSchema = z.looseObject({
   outcome: z.string(),
--- a/packages/core/src/message/message.ts
+++ b/packages/core/src/message/message.ts
@@ -9,6 +9,8 @@
 import { timelineEventSchema } from '../timeline/event.js';
 import {
   cellContactSchema,
+  acceptanceResultSchema,
+  acceptanceSchema,
   cellOrdersSchema,
   forwardedCallSchema,
   jobNewsSchema,
@@ -285,6 +287,8 @@
   // Entry to entry, of one cell.
   'caller.forward': { req: forwardedCallSchema, res: forwardedResultSchema },
   'job.news': { req: jobNewsSchema, res: none },
+  /** Refused with `not-owner` by any other entry than the cell's owner: then nothing was done. */
+  'cell.accept': { req: acceptanceSchema, res: acceptanceResultSchema },
   /** How many jobs of a queue wait. Refused with `not-owner` by any other entry than the cell's owner. */
   'cell.waiting': {
     req: z.strictObject({ queue: z.string() }),
