Evacuate failure domains in the soak, and look at what the runners start

Evacuations are drawn apart, so that recorded seeds play what they did; they overlap, also on one failure domain. A start counts from what its runner saw, unless a fault made it late that was ordered in time (a guard that was frozen, a runner that carries orders out late).

--- a/packages/e2e/src/fleet/fleet.ts
+++ b/packages/e2e/src/fleet/fleet.ts
@@ -37,6 +37,7 @@
 
 /** A guard, its runner, and the proxies between the two. */
 export interface FleetWorker extends FleetProcess {
+  failureDomain: string;
   runner: FleetRunner;
   toRunner: LossyProxy;
   toGuard: LossyProxy;
@@ -91,6 +92,18 @@
     this.store.tables.transact({ expected: [], set: [{ ...key, value }], remove: [] });
   }
 
+  /** Writes the operator's evacuation of a failure domain; resolved as the store acknowledges it. */
+  evacuate(failureDomain: string): void {
+    const row = { ...evacuationKey(failureDomain), value: Buffer.from('{}') };
+    this.store.tables.transact({ expected: [], set: [row], remove: [] });
+  }
+
+  /** Takes the failure domain back. */
+  takeBack(failureDomain: string): void {
+    const remove = [evacuationKey(failureDomain)];
+    this.store.tables.transact({ expected: [], set: [], remove });
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.processes.map(({ process }) => process.kill()));
     await Promise.all(this.workers.map(({ runner }) => runner.close()));
@@ -133,7 +146,7 @@
       observer,
       isKnown,
     });
-    this.workers.push({ ...common, runner, toRunner, toGuard });
+    this.workers.push({ ...common, failureDomain, runner, toRunner, toGuard });
   }
 
   async #newProcess(place: Omit<FleetVm, 'store'>): Promise<FleetProcess> {
@@ -154,6 +167,10 @@
   await process.start((line) => line.includes('"msg":"starting"'));
 }
 
+function evacuationKey(failureDomain: string): { table: string; part: string; key: string } {
+  return { table: 'op', part: '', key: `evacuate/${failureDomain}` };
+}
+
 async function startProxy(listen: string, to: string): Promise<LossyProxy> {
   const proxy = new LossyProxy({ listen, to });
   await proxy.start();
--- a/packages/e2e/src/soak/fault-schedule.ts
+++ b/packages/e2e/src/soak/fault-schedule.ts
@@ -46,10 +46,22 @@
   forMs: number;
 }
 
+/** An evacuation of a failure domain. `pick` chooses it, modulo how many there are. */
+export interface ScheduledEvacuation {
+  atMs: number;
+  pick: number;
+  /** Until it is taken back. */
+  forMs: number;
+}
+
 const GAP_MS = { min: 150, max: 1500 };
 const HOLD_MS = { min: 200, max: 4000 };
 const PICKS = 1_000_000;
 
+/** Evacuations come less often than faults, and outlast the time that they have to be in force within. */
+const EVACUATION_GAP_MS = { min: 500, max: 5000 };
+const EVACUATION_HOLD_MS = { min: 6000, max: 10_000 };
+
 /** Faults over `lengthMs`; they come in series and overlap. */
 export function scheduleFaults({
   seed,
@@ -69,3 +81,21 @@
   }
   return faults;
 }
+
+/** Evacuations over `lengthMs`; they overlap, also on one failure domain. Drawn apart, so that a seed's faults stay what they are. */
+export function scheduleEvacuations({
+  seed,
+  lengthMs,
+}: {
+  seed: number;
+  lengthMs: number;
+}): ScheduledEvacuation[] {
+  const rng = xoroshiro128plus(seed);
+  const evacuations: ScheduledEvacuation[] = [];
+  const next = ({ min, max }: { min: number; max: number }): number => uniformInt(rng, min, max);
+  for (let atMs = next(EVACUATION_GAP_MS); atMs < lengthMs; atMs += next(EVACUATION_GAP_MS)) {
+    const pick = uniformInt(rng, 0, PICKS);
+    evacuations.push({ atMs, pick, forMs: next(EVACUATION_HOLD_MS) });
+  }
+  return evacuations;
+}
--- a/packages/e2e/src/soak/soak-run.ts
+++ b/packages/e2e/src/soak/soak-run.ts
@@ -6,10 +6,12 @@
   encodeFleetJob,
   type FleetStep,
   type RowChange,
+  type RunnerObserver,
 } from '@zincspan/stand-ins';
 import { Fleet, SERVICE } from '../fleet/fleet.js';
+import { EvacuationWatch } from './evacuation-watch.js';
 import { FaultMaker, type MadeFault, type SoakOperator } from './fault-maker.js';
-import { scheduleFaults } from './fault-schedule.js';
+import { scheduleEvacuations, scheduleFaults } from './fault-schedule.js';
 import { FleetCaller, SOAK_HOST, type FleetCall } from './fleet-caller.js';
 import { RunWatch } from './run-watch.js';
 import { PREFIX, SoakCallers } from './soak-callers.js';
@@ -49,6 +51,8 @@
   workers?: number;
   /** Each so many jobs crash their runners; 0: none. */
   crashEach?: number;
+  /** Failure domains are evacuated meanwhile. */
+  evacuates?: boolean;
 }
 
 /** What came of it. */
@@ -58,6 +62,7 @@
   accepted: number;
   calls: number;
   faults: MadeFault[];
+  evacuations: number;
   skipped: number;
   /** Last lines of each process, by its name. */
   logs: Map<string, string[]>;
@@ -113,10 +118,22 @@
   entries = 3,
   workers = 5,
   crashEach = 0,
+  evacuates = false,
 }: SoakOptions): Promise<SoakResult> {
   const watch = new RunWatch();
   const caller = new FleetCaller();
-  const fleet = await Fleet.start({ entries, workers, observer: watch, isKnown: watch.isKnown });
+  const evacuations = new EvacuationWatch();
+  const observer: RunnerObserver = {
+    onStart: (run) => {
+      watch.onStart(run);
+      evacuations.noteStart(run);
+    },
+    onEnd: watch.onEnd,
+    onConfirmed: watch.onConfirmed,
+    onLapse: watch.onLapse,
+  };
+  const fleet = await Fleet.start({ entries, workers, observer, isKnown: watch.isKnown });
+  evacuations.watch(fleet);
   try {
     const violations: string[] = [];
     const probes: Promise<void>[] = [];
@@ -129,16 +146,22 @@
     const callers = new SoakCallers({ fleet, watch, caller, key, seed, crashEach });
     const faults = new FaultMaker({ fleet, operator });
     callers.start();
-    await strikeAll(faults, scheduleFaults({ seed, lengthMs }));
+    const evacuated = evacuates ? scheduleEvacuations({ seed, lengthMs }) : [];
+    await Promise.all([
+      strikeAll(faults, scheduleFaults({ seed, lengthMs })),
+      evacuations.evacuateAll(evacuated),
+    ]);
     await callers.finish(SETTLE_MS);
     await Promise.all(probes);
+    const late = evacuations.violations(faults.made);
     const cut = cutInPlannedStops(caller.calls, faults.made);
     return {
-      violations: [...watch.violations, ...callers.violations, ...violations, ...cut],
+      violations: [...watch.violations, ...callers.violations, ...violations, ...late, ...cut],
       jobs: callers.jobs.length,
       accepted: callers.jobs.filter(({ acceptedAt }) => acceptedAt !== undefined).length,
       calls: caller.calls.length,
       faults: faults.made,
+      evacuations: evacuations.count,
       skipped: faults.skipped,
       rows: fleet.store.tables.journal,
       logs: new Map(fleet.processes.map(({ name, process }) => [name, process.lines])),
--- a/packages/e2e/src/soak/soak.feature
+++ b/packages/e2e/src/soak/soak.feature
@@ -6,6 +6,10 @@
     When the faults of seed 1 strike for 8 s
     Then no promise is broken
 
+  Scenario: a short run while failure domains are evacuated
+    When the faults of seed 3 strike for 8 s, while failure domains are evacuated
+    Then no promise is broken
+
   # 236 and 238: jobs that fail wherever they run closed all workers for up to 40 s each: nothing was placed for 45 s.
   Scenario Outline: seeds that failed
     When the faults of seed <seed> strike for 12 s
--- a/packages/e2e/src/soak/soak.steps.ts
+++ b/packages/e2e/src/soak/soak.steps.ts
@@ -14,14 +14,21 @@
 const CRASH_EACH: Record<string, number> = { fourth: 4, fifth: 5 };
 
 When(
-  /^the faults of seed (\d+) strike for (\d+) s(?:, and each (fourth|fifth) job crashes its runners)?$/,
+  /^the faults of seed (\d+) strike for (\d+) s(?:, and each (fourth|fifth) job crashes its runners)?(, while failure domains are evacuated)?$/,
   { timeout: STEP_TIMEOUT_MS },
-  async function (this: SoakSteps, seed: string, seconds: string, crash: string | null) {
+  async function (
+    this: SoakSteps,
+    seed: string,
+    seconds: string,
+    crash: string | null,
+    evacuated: string | null,
+  ) {
     const crashEach = CRASH_EACH[crash ?? ''] ?? 0;
     this.result = await runSoak({
       seed: Number(seed),
       lengthMs: Number(seconds) * 1000,
       crashEach,
+      evacuates: evacuated !== null,
     });
     if (this.result.violations.length > 0) await keepEvidence(Number(seed), this.result);
   },
--- a/packages/e2e/src/soak/soak.ts
+++ b/packages/e2e/src/soak/soak.ts
@@ -1,6 +1,6 @@
 /**
  * Random faults over the platform's program as separate processes: `npm run soak -- --seed N --seeds K --seconds S`.
- * With `--crash-each N` each N-th job crashes the runners that start it.
+ * With `--crash-each N` each N-th job crashes the runners that start it; with `--evacuate` failure domains are evacuated meanwhile.
  * The seed gives jobs, faults, their targets and their times; how the processes interleave can't be repeated.
  */
 import { parseArgs } from 'node:util';
@@ -24,6 +24,7 @@
       entries: { type: 'string', default: '3' },
       workers: { type: 'string', default: '5' },
       'crash-each': { type: 'string', default: '0' },
+      evacuate: { type: 'boolean', default: false },
     },
   });
   const [seed, seeds, seconds, entries, workers] = [
@@ -49,6 +50,7 @@
       entries: entries!,
       workers: workers!,
       crashEach,
+      evacuates: values.evacuate,
     });
     await report(each, result);
     if (result.violations.length > 0) broken += 1;
@@ -58,9 +60,10 @@
 }
 
 async function report(seed: number, result: SoakResult): Promise<void> {
-  const { violations, jobs, accepted, calls, faults, skipped } = result;
+  const { violations, jobs, accepted, calls, faults, evacuations, skipped } = result;
   say(
     `seed ${seed}: jobs ${jobs}, accepted ${accepted}, calls ${calls}, faults ${faults.length}, ` +
+      `evacuations ${evacuations}, ` +
       `left out ${skipped}, violations ${violations.length}`,
   );
   violations.slice(0, SHOWN).forEach((line) => say(`  ${line}`));
--- a/packages/stand-ins/src/fleet/fleet-wire.ts
+++ b/packages/stand-ins/src/fleet/fleet-wire.ts
@@ -78,6 +78,7 @@
   reclaimMs: 2700,
   stopMs: 200,
   cancelMs: 3000,
+  evacuateMs: 5000,
 } as const;
 
 /** One process's place and addresses. */
