Send one submission of a job in a write, whoever hands it over

Found by reading the diff: two entries may hand the same job over at once (a caller that asks again elsewhere), and both went into one transaction, which named the job's row twice; what the store makes of that isn't said, and if it refused, the owner's progress would have waited with it until the submissions' time was over.

Change: of one job the first goes; the second finds the row with the next write and is answered so. What was accepted is taken up after the progress of the same write is noted. The new scenario failed first (two in the write). Ruled out: refusing the second at once, as the first may not be done.

--- a/packages/cell/src/owner/acceptance-queue.feature
+++ b/packages/cell/src/owner/acceptance-queue.feature
@@ -44,6 +44,11 @@
     Then its entry is told config-changed
     And the write has the other one only
 
+  Scenario: one job that two entries have handed over goes once in a write
+    Given the same one handed over by another entry
+    When the next write is made
+    Then the write has 1
+
   Scenario: more than a write takes wait for the next one
     Given 12 others beside it
     When the next write is made
--- a/packages/cell/src/owner/acceptance-queue.steps.ts
+++ b/packages/cell/src/owner/acceptance-queue.steps.ts
@@ -52,6 +52,10 @@
   void add(this, '0000000000000002', CONFIG_VERSION + 1);
 });
 
+Given('the same one handed over by another entry', function (this: QueueSteps) {
+  void add(this, JOB_ID, CONFIG_VERSION);
+});
+
 Given('{int} others beside it', function (this: QueueSteps, count: number) {
   for (let each = 0; each < count; each++) void add(this, `other-${each}`, CONFIG_VERSION);
 });
--- a/packages/cell/src/owner/acceptance-queue.ts
+++ b/packages/cell/src/owner/acceptance-queue.ts
@@ -57,8 +57,11 @@
     this.#drop(({ until }) => until <= this.#now(), unsent('the time for it is over'));
     const newest = Math.max(...this.#waiting.map(({ configVersion }) => configVersion));
     this.#drop(({ configVersion }) => configVersion < newest, { outcome: 'config-changed' });
-    const taken = this.#waiting.slice(0, ACCEPTANCES_PER_WRITE);
-    this.#waiting = this.#waiting.slice(ACCEPTANCES_PER_WRITE);
+    // Two entries may hand the same job over, and a transaction may name a row once: the second one finds it there.
+    const isFirst = ({ key }: HandedAcceptance, index: number): boolean =>
+      this.#waiting.findIndex((other) => sameRow(other.key, key)) === index;
+    const taken = this.#waiting.filter(isFirst).slice(0, ACCEPTANCES_PER_WRITE);
+    this.#waiting = this.#waiting.filter((each) => !taken.includes(each));
     return taken;
   }
 
--- a/packages/cell/src/owner/progress-writer.ts
+++ b/packages/cell/src/owner/progress-writer.ts
@@ -174,8 +174,8 @@
     this.#ctx.metrics.timing('progress.write', this.#ctx.clock.now() - sentAt);
     if (result.outcome === 'done') {
       this.#evacuations.noteConfirmed(startsIn, sentAt);
-      this.#noteAccepted(acceptances, result.version);
       this.#noteWritten(jobs, () => result.version);
+      this.#noteAccepted(acceptances, result.version);
     } else if (result.outcome === 'conflict') {
       this.#noteConflict(batch, result.rows);
     } else {
