Let go of a run that is being barred at a runner which has gone for good

What callers saw: a job shown as running that never ended, while most workers were idle.

The guard sent the start for 1.6 s and then the stop that bars it, which nobody answers, without end. It told of the run as in progress meanwhile, and a lease counted as lapsed only with nothing in progress: so no owner ever gave the run up.

Change: what is only being barred keeps no lease. No start of it is sent any more, each that was sent named a deadline that a lapsed lease is past, and for 15 s after the last unanswered one it is held all the same, as a life that comes under the runner's id might carry it out late (2 to 12 s on the platform) before it is barred there. Ruled out: giving it up with the lease alone, for that reason; giving up runs of an earlier life that are being barred on the next one (held as before).

--- a/packages/cell/src/guard/run-orders.ts
+++ b/packages/cell/src/guard/run-orders.ts
@@ -29,6 +29,9 @@
 /** A call without an answer may be carried out for this long, in ms: runners do so some seconds later. */
 const LATE_WITHIN_MS = 30_000;
 
+/** A run of which a start went unanswered counts as lost with its lease only after this time, in ms: more than the platform names. */
+const HELD_FOR_LATE_MS = 15_000;
+
 /** A run that was refused for good and is barred at the runner. */
 export interface Refused extends RunName {
   reason: StartRefusal;
@@ -72,6 +75,9 @@
 
   readonly #starting = new Map<string, TimedRun>();
 
+  /** Those among them of which no start is sent any more: they are being barred. */
+  readonly #barring = new Set<string>();
+
   /** Starts that were sent at least once without an answer, and when that was: they may be carried out later. */
   readonly #unanswered = new Map<string, TimedRun>();
 
@@ -107,6 +113,14 @@
     return this.sent().map(({ task, run }) => ({ task, run }));
   }
 
+  /** Something may still start by an order that isn't answered: it may be sent again, or be carried out late by the next life. */
+  get mayStart(): boolean {
+    const now = this.#now();
+    const mayBeLate = (key: string): boolean =>
+      now - (this.#unanswered.get(key)?.at ?? -Infinity) < HELD_FOR_LATE_MS;
+    return this.#starting.size > this.#barring.size || [...this.#barring].some(mayBeLate);
+  }
+
   /** Starts that a life which follows under the same id may still be told to carry out. */
   unsettled(): RunName[] {
     this.#dropExpired();
@@ -224,6 +238,7 @@
         await pause(RETRY_PAUSE_MS);
         continue;
       }
+      this.#barring.add(runKey(order));
       // A call without an answer may still be carried out: the runner is told to refuse it.
       if (unanswered && !(await this.#stop({ task, run }, target))) return;
       const reason = toReason(answer);
@@ -254,7 +269,10 @@
         this.#ctx.metrics.count('order.failed');
         this.#ctx.log.error({ err, task, run }, failure);
       })
-      .finally(() => this.#starting.delete(key));
+      .finally(() => {
+        this.#starting.delete(key);
+        this.#barring.delete(key);
+      });
   }
 
   #noteUnanswered({ task, run }: RunName): void {
--- a/packages/cell/src/guard/runner-keeper.ts
+++ b/packages/cell/src/guard/runner-keeper.ts
@@ -118,7 +118,8 @@
     const life = this.#life;
     if (!life?.record.isListed) return SILENT_CONTACT;
     const { record, orders } = life;
-    const contact = record.contact(this.#now(), orders.inProgress());
+    const { mayStart } = orders;
+    const contact = record.contact(this.#now(), orders.inProgress(), { mayStart });
     const running = contact.running.map((status) => {
       const pace = orders.paceOf(status);
       return pace === undefined ? status : { ...status, pace };
--- a/packages/cell/src/guard/runner-record.feature
+++ b/packages/cell/src/guard/runner-record.feature
@@ -39,3 +39,15 @@
     And a call gets no answer at 2010, which isn't the first
     And a call gets no answer at 3000, which isn't the first
     Then 2 runs were there, of 910 and 10 ms
+
+  Scenario Outline: when the lease of a runner that is gone has lapsed
+    Given a runner that lists a run at 100
+    And it was handed a lease until 3000
+    When it gives no answer any more and a start there <is what>
+    Then at <at> its lease <has or hasn't> lapsed
+
+    Examples:
+      | is what           | at   | has or hasn't |
+      | is being barred   | 2900 | hasn't        |
+      | is being barred   | 6000 | has           |
+      | may be sent again | 6000 | hasn't        |
--- a/packages/cell/src/guard/runner-record.steps.ts
+++ b/packages/cell/src/guard/runner-record.steps.ts
@@ -6,6 +6,8 @@
 interface RecordSteps {
   record: RunnerRecord;
   sent?: TimedRun[];
+  /** A start there may be sent again. */
+  mayStart?: boolean;
 }
 
 const RUN = { task: '0000000000000001.0.0.0', run: 1 };
@@ -17,7 +19,8 @@
 const TOLD_AT = 400;
 
 function isRefused({ record }: RecordSteps): boolean {
-  return record.contact(TOLD_AT, []).refused.some(({ task }) => task === RUN.task);
+  const { refused } = record.contact(TOLD_AT, [], { mayStart: false });
+  return refused.some(({ task }) => task === RUN.task);
 }
 
 function newRecord(): RunnerRecord {
@@ -102,6 +105,27 @@
   assert.equal(this.record.silence, undefined);
 });
 
+Given('it was handed a lease until {int}', function (this: RecordSteps, until: number) {
+  this.record.lease.grant(0, until);
+  assert.ok(this.record.lease.deadline(until - 1) !== undefined);
+});
+
+When(
+  /^it gives no answer any more and a start there (is being barred|may be sent again)$/,
+  function (this: RecordSteps, what: string) {
+    this.mayStart = what === 'may be sent again';
+  },
+);
+
+Then(
+  /^at (\d+) its lease (has|hasn't) lapsed$/,
+  function (this: RecordSteps, at: string, what: string) {
+    const mayStart = this.mayStart ?? false;
+    const { runner } = this.record.contact(Number(at), [RUN], { mayStart });
+    assert.equal(runner?.leaseLapsed, what === 'has');
+  },
+);
+
 Given('it was answered again at {int}', function (this: RecordSteps, at: number) {
   this.record.noteStopped(RUN, at);
 });
--- a/packages/cell/src/guard/runner-record.ts
+++ b/packages/cell/src/guard/runner-record.ts
@@ -183,8 +183,15 @@
     return isFirst || hasNewEnd || hasRefused;
   }
 
-  /** All that the owner should know, but for the orders in progress. */
-  contact(now: number, inProgress: readonly RunName[]): CellContact {
+  /**
+   * All that the owner should know, but for the orders in progress. `mayStart`: something may start by those, with a lease of its own.
+   * What is only being barred keeps no lease: a runner that has gone for good never answers that, and the run would be held for good.
+   */
+  contact(
+    now: number,
+    inProgress: readonly RunName[],
+    { mayStart }: { mayStart: boolean },
+  ): CellContact {
     const { service, failureDomain, labels, capacity, remainingMs, coldMs } = this.#report;
     const reachable = this.isReachable(now);
     const refused = [...this.#refused.values()];
@@ -199,7 +206,7 @@
         ...(remainingMs === undefined ? {} : { remainingMs }),
         ...(coldMs === undefined ? {} : { coldMs }),
         reachable,
-        leaseLapsed: !reachable && inProgress.length === 0 && this.lease.isOver(now),
+        leaseLapsed: !reachable && !mayStart && this.lease.isOver(now),
       },
       running: this.#running(),
       ends: this.#listing.ends,
--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -10,7 +10,7 @@
   loseEntryAtWrite,
 } from '../testing/cell-world.support.js';
 import { sendHeartbeat } from '../testing/worker-vm.support.js';
-import { TEST_QUEUE, testSubmission } from '../testing/test-jobs.support.js';
+import { TEST_QUEUE, testStep, testSubmission } from '../testing/test-jobs.support.js';
 import { OWNER_KEY } from './owner-row.js';
 import { entryRowKey } from '../entry/entry-row.js';
 import { jobRowKey, packProgress } from '../job/job-rows.js';
@@ -223,6 +223,19 @@
   },
 );
 
+When(
+  'a runner goes for good, and a job with a task for each worker is handed in at once',
+  async function (this: CellSteps) {
+    const { workers } = cellOf(this);
+    const [first] = workers;
+    assert.ok(first !== undefined);
+    first.runner.life = undefined;
+    const demand = { milliCores: 1000, memoryMb: 100, accelerators: 8 };
+    const steps = [testStep({ tasks: workers.length, demand })];
+    await handIn(this, { steps, spec: { workMs: 300 } });
+  },
+);
+
 When('the owner is lost', function (this: CellSteps) {
   loseEntry(ownerOf(this));
 });
--- a/packages/cell/src/owner/cell.feature
+++ b/packages/cell/src/owner/cell.feature
@@ -176,3 +176,10 @@
   Scenario: a store that drops its history
     When the store drops its history again and again while jobs are handed in
     Then all of them complete
+
+  # The run was ordered before the runner was known to be gone. Its guard then tried to bar it there for good, and told of it as in
+  # progress meanwhile, so that the lease never counted as lapsed: the task didn't run again while other workers were idle.
+  Scenario: a task that is ordered on a runner that has just gone for good runs elsewhere
+    Given a cell of 2 entries and 2 workers
+    When a runner goes for good, and a job with a task for each worker is handed in at once
+    Then it completes
