Measure work by the dominant share of a worker, and add switches for the parts that serve hard load

Cause: work counted 8 cores as one accelerator on every worker. On workers of 128 cores and 8 accelerators a task of one accelerator and 11 cores counted as 2.4, though eight of them fit, so that the loss of a stop was overrated and urgent gangs could stop hardly anything there. Change: FleetProfile measures a task by its dominant share of the service's typical worker. The parts to come are switched by a policy file (ZINCSPAN_POLICY, JSON with comments). A cucumber profile runs single features. Ruled out: a rate per deployment in the settings, as what workers report says it already.

--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -7,6 +7,12 @@
   import: ['packages/!(e2e)/dist/**/*.steps.js', 'platform/dist/**/*.steps.js'],
 };
 
+/** Only the features named on the command line. */
+export const only = {
+  ...common,
+  import: ['packages/!(e2e)/dist/**/*.steps.js', 'platform/dist/**/*.steps.js'],
+};
+
 export const e2e = {
   ...common,
   // Each worker process has loopback addresses of its own.
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -72,6 +72,7 @@
       'packages/stand-ins/**',
       'packages/spec/**',
       'platform/src/settings.ts',
+      'platform/src/cell-policy-file.ts',
     ],
     rules: { 'no-console': 'off', 'n/no-sync': 'off' },
   },
--- a/packages/bench/src/cell/simulated-cell.ts
+++ b/packages/bench/src/cell/simulated-cell.ts
@@ -1,16 +1,18 @@
 /** A cell's owner and its workers in virtual time: the owner's own scheduler decides, everything else is simulated. */
 import {
+  DEFAULT_CELL_POLICY,
   Evacuations,
+  FleetProfile,
   Scheduler,
-  acceleratorEquivalents,
   ordersFor,
   parseTaskName,
   applyContact,
+  type CellPolicy,
   type Demand,
   type OwnedJob,
 } from '@zincspan/cell';
 import { quietContext } from '@zincspan/core';
-import type { DrawnJob } from './cell-load.js';
+import { SIMULATED_SERVICE, type DrawnJob } from './cell-load.js';
 import {
   SimulatedWorker,
   spreadFactor,
@@ -80,7 +82,16 @@
 
   readonly #passMs: number[] = [];
 
-  constructor({ workers, workersPerRack, capacity, reclaim }: CellShape) {
+  readonly #profile: FleetProfile;
+
+  constructor({
+    workers,
+    workersPerRack,
+    capacity,
+    reclaim,
+    policy = DEFAULT_CELL_POLICY,
+  }: CellShape & { policy?: CellPolicy }) {
+    this.#profile = new FleetProfile([{ service: SIMULATED_SERVICE, capacity }]);
     this.#workers = Array.from(
       { length: workers },
       (_, index) =>
@@ -98,6 +109,7 @@
       reclaim,
       evacuations: noEvacuations(),
       config: () => undefined,
+      policy,
       events: {
         onProgressChanged: (job) => this.#dirty.add(job),
         onOrdersChanged: (vm) => this.#news.add(vm),
@@ -259,6 +271,7 @@
   #throwAway(run: SimulatedRun): void {
     const step = run.job.submission.steps[0];
     if (step === undefined || step.checkpointing) return;
-    this.#thrownAway += (acceleratorEquivalents(step.demand) * run.doneMs) / 1000;
+    const equivalents = this.#profile.acceleratorEquivalents(SIMULATED_SERVICE, step.demand);
+    this.#thrownAway += (equivalents * run.doneMs) / 1000;
   }
 }
--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -2,6 +2,7 @@
 import type { Handlers, ProcessContext } from '@zincspan/core';
 import { LinkServer, type Link } from '@zincspan/link';
 import type { Advisor } from '../advice/advisor.js';
+import { DEFAULT_CELL_POLICY, type CellPolicy } from '../config/cell-policy.js';
 import { ConfigWatcher, type ConfigSource } from '../config/config-watcher.js';
 import { LINK_HEARTBEAT } from '../guard/owner-link.js';
 import { JOB_TABLE } from '../job/job-rows.js';
@@ -45,6 +46,8 @@
   revokeMs: number;
   /** Time within which a configuration change must take effect, in ms. */
   configApplyMs: number;
+  /** Which decisions are switched off. */
+  policy?: CellPolicy;
 }
 
 /** One entry of the cell. */
@@ -173,6 +176,7 @@
 
   #startOwner(term: number, ownerVersion: number): void {
     const { ctx, store, advisor, leaseMs, reclaim, evacuation, keepEndedMs } = this.#options;
+    const { policy = DEFAULT_CELL_POLICY } = this.#options;
     this.#owner = new CellOwner({
       ctx,
       store,
@@ -184,6 +188,7 @@
       evacuation,
       keepEndedMs,
       config: () => this.#config.current?.config,
+      policy,
       configKey: this.#config.key,
       confirmedAt: () => this.#ownerElection.held?.confirmedAt ?? -Infinity,
       transact: (tx, callOptions) => this.#ownerElection.transact(tx, callOptions),
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -2,6 +2,7 @@
 export * from './advice/advisor.js';
 export * from './clock/sleep.js';
 export * from './config/cell-config.js';
+export * from './config/cell-policy.js';
 export * from './config/config-watcher.js';
 export * from './entry/call-result.js';
 export * from './entry/call-admission.js';
@@ -21,4 +22,5 @@
 export * from './owner/owner-row.js';
 export * from './owner/scheduler.js';
 export * from './owner/urgency-factors.js';
+export * from './placing/fleet-profile.js';
 export * from './store/row-store.js';
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -12,6 +12,7 @@
 import { ApprovalRequester } from '../advice/approval-requester.js';
 import type { Advisor } from '../advice/advisor.js';
 import type { CellConfig } from '../config/cell-config.js';
+import type { CellPolicy } from '../config/cell-policy.js';
 import { EvacuationPoller } from '../evacuation/evacuation-poller.js';
 import {
   Evacuations,
@@ -88,6 +89,7 @@
   /** Ended jobs stay visible for this long, in ms. */
   keepEndedMs: number;
   config: () => CellConfig | undefined;
+  policy: CellPolicy;
   /** Row of the operator's configuration. */
   configKey: RowKey;
   /** When the store last confirmed this owner, on the monotonic clock. */
@@ -135,7 +137,8 @@
 
   constructor(options: CellOwnerOptions) {
     this.#options = options;
-    const { ctx, store, ownerVersion, leaseMs, reclaim, config, keepEndedMs, advisor } = options;
+    const { ctx, store, ownerVersion, leaseMs, reclaim, config, policy, keepEndedMs, advisor } =
+      options;
     const { source, applyMs } = options.evacuation;
     const staleAfterMs = Math.max(MIN_EVACUATION_VALIDITY_MS, applyMs - ORDER_DELIVERY_MS);
     const evacuations = new Evacuations({ source, staleAfterMs });
@@ -156,6 +159,7 @@
       reclaim,
       evacuations,
       config,
+      policy,
       events: {
         onProgressChanged: (job) => this.#progressWriter.markDirty(job),
         onOrdersChanged: (vm) => this.#notifyGuard(vm),
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -5,6 +5,7 @@
 import type { Evacuations } from '../evacuation/evacuations.js';
 import { Worker, type Assignment } from '../worker/worker.js';
 import { AvailableWorker } from '../placing/available-worker.js';
+import { FleetProfile } from '../placing/fleet-profile.js';
 
 /** Nothing is placed on a worker whose last contact is older: it has missed two. */
 const MAX_CONTACT_AGE_MS = 2200;
@@ -92,6 +93,12 @@
     return new Set(evacuated.map(({ rack }) => rack));
   }
 
+  /** What the workers of each service have, also those that take nothing now. */
+  profile(): FleetProfile {
+    const runners = [...this.#workers.values()].flatMap(({ runner }) => runner ?? []);
+    return new FleetProfile(runners);
+  }
+
   /** Free capacity on all schedulable workers. */
   availableWorkers(): AvailableWorker[] {
     const now = this.#clock.now();
--- a/packages/cell/src/owner/placement-pass.steps.ts
+++ b/packages/cell/src/owner/placement-pass.steps.ts
@@ -2,6 +2,8 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { ApprovalCache } from '../advice/approval-cache.js';
 import type { Demand } from '../job/submission.js';
+import { DEFAULT_CELL_POLICY } from '../config/cell-policy.js';
+import { FleetProfile } from '../placing/fleet-profile.js';
 import { DurationEstimator } from '../placing/duration-estimator.js';
 import { AvailableWorker } from '../placing/available-worker.js';
 import { testStep, testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
@@ -154,6 +156,8 @@
     jobs,
     guaranteedJobs,
     workers,
+    profile: new FleetProfile(workers),
+    policy: DEFAULT_CELL_POLICY,
     evacuatedRacks: new Set(),
     runningUnits,
     queueMeans: new QueueMeanWork(),
--- a/packages/cell/src/owner/placement-types.ts
+++ b/packages/cell/src/owner/placement-types.ts
@@ -1,6 +1,8 @@
 /** Input and result of a placement pass. */
 import type { ApprovalCache } from '../advice/approval-cache.js';
 import type { ApprovalRequest } from '../advice/approval-requester.js';
+import type { CellPolicy } from '../config/cell-policy.js';
+import type { FleetProfile } from '../placing/fleet-profile.js';
 import type { DurationEstimator } from '../placing/duration-estimator.js';
 import type { Victim } from '../placing/preemption.js';
 import type { TaskPlacement, AvailableWorker } from '../placing/available-worker.js';
@@ -32,6 +34,8 @@
   jobs: readonly OwnedJob[];
   guaranteedJobs: ReadonlySet<OwnedJob>;
   workers: readonly AvailableWorker[];
+  profile: FleetProfile;
+  policy: CellPolicy;
   /** Racks of evacuated failure domains: nothing starts there for now. */
   evacuatedRacks: ReadonlySet<string>;
   runningUnits: readonly RunningUnit[];
--- a/packages/cell/src/owner/preemptor.ts
+++ b/packages/cell/src/owner/preemptor.ts
@@ -102,11 +102,12 @@
   }
 
   #computeFactors(job: OwnedJob): UrgencyFactors {
-    const { wallMs, queueMeans, durations, guaranteedJobs } = this.#input;
+    const { wallMs, profile, queueMeans, durations, guaranteedJobs } = this.#input;
     const occurrence = job.progress.occurrences[0]?.index ?? 0;
     return urgencyFactorsOf(job, {
       isGuaranteed: guaranteedJobs.has(job),
       wallMs,
+      profile,
       queueMeans,
       durations,
       occurrence,
--- a/packages/cell/src/owner/ranked-groups.ts
+++ b/packages/cell/src/owner/ranked-groups.ts
@@ -13,7 +13,8 @@
 
 /** Pending groups of all jobs in placement order. */
 export function rankPendingGroups(input: PlacementInput): RankedGroup[] {
-  const { jobs, guaranteedJobs, evacuatedRacks, queueMeans, durations, now, wallMs } = input;
+  const { jobs, guaranteedJobs, evacuatedRacks, profile, queueMeans, durations, now, wallMs } =
+    input;
   const busy = busyServices(input.workers);
   return jobs
     .flatMap((job) =>
@@ -29,6 +30,7 @@
       factors: urgencyFactorsOf(pending.job, {
         isGuaranteed: guaranteedJobs.has(pending.job),
         wallMs,
+        profile,
         queueMeans,
         durations,
         occurrence: pending.group.occurrence,
--- a/packages/cell/src/owner/running-units.ts
+++ b/packages/cell/src/owner/running-units.ts
@@ -5,7 +5,6 @@
 import type { RunningUnit } from './placement-types.js';
 import type { RunRegistry } from './run-registry.js';
 import { isSameStep } from './run-stopper.js';
-import { acceleratorEquivalents } from './urgency-factors.js';
 
 const FULL_PERCENT = 100;
 
@@ -28,6 +27,7 @@
 ): RunningUnit[] {
   const units = new Map<string, UnitInProgress>();
   const now = registry.now();
+  const profile = registry.fleet.profile();
   [...registry.fleet.all()].forEach(({ vm, assignments }) =>
     assignments.forEach((assignment) => {
       const job = registry.jobs.get(assignment.jobId);
@@ -42,7 +42,9 @@
       // Mutated in place: copying the unit for each member would be quadratic in the width of a gang.
       unit.members.push({ vm, demand: assignment.demand });
       unit.assignments.push(assignment);
-      unit.loss += lossOf(assignment, step.checkpointing, now);
+      unit.loss +=
+        profile.acceleratorEquivalents(job.terms.service, assignment.demand) *
+        lostMs(assignment, step.checkpointing, now);
       unit.stopping ||= assignment.stopping !== undefined;
     }),
   );
@@ -79,10 +81,9 @@
 }
 
 /**
- * Accelerator-milliseconds lost by stopping the run. A checkpointing run saves a checkpoint as it stops, so that only the time to
- * stop and resume is lost.
+ * Time lost by stopping the run, in ms. A checkpointing run saves a checkpoint as it stops, so that only the time to stop and resume
+ * is lost.
  */
-function lossOf(assignment: Assignment, checkpointing: boolean, now: number): number {
-  const lostMs = checkpointing ? RESUME_COST_MS : now - assignment.assignedAt;
-  return acceleratorEquivalents(assignment.demand) * lostMs;
+function lostMs({ assignedAt }: Assignment, checkpointing: boolean, now: number): number {
+  return checkpointing ? RESUME_COST_MS : now - assignedAt;
 }
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -3,10 +3,12 @@
 import { ApprovalCache } from '../advice/approval-cache.js';
 import type { ApprovalRequest } from '../advice/approval-requester.js';
 import type { CellConfig } from '../config/cell-config.js';
+import type { CellPolicy } from '../config/cell-policy.js';
 import type { JobSnapshot } from '../job/job-view.js';
 import type { EvacuationChange, Evacuations } from '../evacuation/evacuations.js';
 import { withdrawPendingStarts } from '../evacuation/start-withdrawal.js';
 import { DurationEstimator } from '../placing/duration-estimator.js';
+import type { FleetProfile } from '../placing/fleet-profile.js';
 import { Fleet } from './fleet.js';
 import { findRunningUnits } from './running-units.js';
 import { OwnedJob } from './owned-job.js';
@@ -21,6 +23,7 @@
   expectedDurations,
   findGuaranteedJobs,
   objectiveMs,
+  taskWorkOf,
   totalWork,
 } from './urgency-factors.js';
 
@@ -39,6 +42,7 @@
   reclaim: ReclaimBounds;
   evacuations: Evacuations;
   config: () => CellConfig | undefined;
+  policy: CellPolicy;
   events: RunRegistryEvents;
 }
 
@@ -54,6 +58,9 @@
 
   readonly #durations = new DurationEstimator();
 
+  /** Jobs whose work isn't in the means of their queues yet: it can't be measured before workers are known. */
+  #unmeasuredJobs: OwnedJob[] = [];
+
   readonly #startedAt: number;
 
   readonly #waitingReport = new WaitingReport();
@@ -83,8 +90,7 @@
     submission.steps.forEach(({ estimateMs }) =>
       this.#durations.recordEstimate(submission.queue, estimateMs),
     );
-    const expectedMs = expectedDurations(job, this.#durations);
-    this.#queueMeans.record(submission.queue, totalWork(submission.steps, expectedMs));
+    this.#unmeasuredJobs.push(job);
     this.registry.addJob(job);
     if (job.progress.begun) return;
     const { account, queue, acceptedAtMs, steps } = submission;
@@ -136,6 +142,17 @@
     this.registry.log('failure domain evacuated', { failureDomain, version, knownForMs, ...runs });
   }
 
+  /** Adds the work of new jobs to the means of their queues once workers of their services are known. */
+  #recordWork(profile: FleetProfile): void {
+    this.#unmeasuredJobs = this.#unmeasuredJobs.filter((job) => {
+      if (profile.of(job.terms.service) === undefined) return true;
+      const { queue, steps } = job.submission;
+      const taskWork = taskWorkOf(job, profile, expectedDurations(job, this.#durations));
+      this.#queueMeans.record(queue, totalWork(steps, taskWork));
+      return false;
+    });
+  }
+
   #refreshQueueTerms(): void {
     const queues = new Map(this.#options.config()?.queues.map((queue) => [queue.name, queue]));
     this.registry.jobs.forEach((job) => {
@@ -145,8 +162,10 @@
   }
 
   #runPlacement(): ApprovalRequest[] {
-    const { config, reclaim, ctx } = this.#options;
+    const { config, policy, reclaim, ctx } = this.#options;
     const jobs = [...this.registry.jobs.values()];
+    const profile = this.registry.fleet.profile();
+    this.#recordWork(profile);
     const guarantees = new Map(
       config()?.accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     );
@@ -155,6 +174,8 @@
       jobs,
       guaranteedJobs,
       workers: this.registry.fleet.availableWorkers(),
+      profile,
+      policy,
       evacuatedRacks: this.registry.fleet.evacuatedRacks(),
       runningUnits: findRunningUnits(this.registry, guaranteedJobs),
       queueMeans: this.#queueMeans,
--- a/packages/cell/src/owner/urgency-factors.steps.ts
+++ b/packages/cell/src/owner/urgency-factors.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { DurationEstimator } from '../placing/duration-estimator.js';
+import { FleetProfile } from '../placing/fleet-profile.js';
 import { urgencyOf, type UrgencyFactors } from '../placing/job-urgency.js';
 import { testStep, testSubmission, testOwnedJob } from '../testing/test-jobs.support.js';
 import type { OwnedJob } from './owned-job.js';
@@ -14,6 +15,7 @@
   return urgencyFactorsOf(job, {
     isGuaranteed: false,
     wallMs: ageMs,
+    profile: new FleetProfile([]),
     queueMeans: new QueueMeanWork(),
     durations: new DurationEstimator(),
     occurrence: 0,
--- a/packages/cell/src/owner/urgency-factors.ts
+++ b/packages/cell/src/owner/urgency-factors.ts
@@ -1,13 +1,11 @@
 /** Computes what the placement order needs to know about each job: work, durations, objective and guarantee. */
 import type { StepProgress } from '../job/progress.js';
 import { criticalPathMs, type Demand, type Step } from '../job/submission.js';
+import type { FleetProfile } from '../placing/fleet-profile.js';
 import type { DurationEstimator } from '../placing/duration-estimator.js';
 import type { UrgencyFactors } from '../placing/job-urgency.js';
 import type { OwnedJob } from './owned-job.js';
 
-/** Cores that count as one accelerator in a job's work, weighted as the platform does. */
-const MILLI_CORES_PER_ACCELERATOR = 8000;
-
 /** Weight of the newest job in the moving average of a queue's work. */
 const MEAN_WEIGHT = 0.05;
 
@@ -16,19 +14,22 @@
   return step.fills ? { ...step.demand, milliCores: 0 } : step.demand;
 }
 
-/** Accelerators of a demand, with its cores converted to accelerators. */
-export function acceleratorEquivalents({ accelerators, milliCores }: Demand): number {
-  return accelerators + milliCores / MILLI_CORES_PER_ACCELERATOR;
-}
+/** Work of one task of a step, in accelerator-ms; all a job's steps run on workers of its service. */
+export type TaskWork = (step: Step) => number;
 
-/** Work of one task of this duration, in accelerator-ms. */
-function taskWork({ demand }: Step, durationMs: number): number {
-  return acceleratorEquivalents(demand) * durationMs;
+/** Measures the tasks of a job by what they take of its service's workers, and for how long. */
+export function taskWorkOf(
+  job: OwnedJob,
+  profile: FleetProfile,
+  expectedMs: (step: Step) => number,
+): TaskWork {
+  return (step) =>
+    profile.acceleratorEquivalents(job.terms.service, step.demand) * expectedMs(step);
 }
 
 /** Work of all steps, each counted once, in accelerator-ms. */
-export function totalWork(steps: readonly Step[], expectedMs: (step: Step) => number): number {
-  return steps.reduce((sum, step) => sum + step.tasks * taskWork(step, expectedMs(step)), 0);
+export function totalWork(steps: readonly Step[], taskWork: TaskWork): number {
+  return steps.reduce((sum, step) => sum + step.tasks * taskWork(step), 0);
 }
 
 /**
@@ -104,18 +105,21 @@
   {
     isGuaranteed,
     wallMs,
+    profile,
     queueMeans,
     durations,
     occurrence,
   }: {
     isGuaranteed: boolean;
     wallMs: number;
+    profile: FleetProfile;
     queueMeans: QueueMeanWork;
     durations: DurationEstimator;
     occurrence: number;
   },
 ): UrgencyFactors {
   const expectedMs = expectedDurations(job, durations);
+  const taskWork = taskWorkOf(job, profile, expectedMs);
   const { submission, terms, progress } = job;
   const { schedule, steps } = submission;
   const dueMs =
@@ -128,12 +132,12 @@
   );
   const leftWork = steps.reduce((sum, step, index) => {
     const open = remaining[index]?.tasks.filter(({ done }) => !done).length ?? 0;
-    return sum + open * taskWork(step, expectedMs(step));
+    return sum + open * taskWork(step);
   }, 0);
   return {
     priority: terms.priority,
     claim: isGuaranteed,
-    totalWork: totalWork(steps, expectedMs),
+    totalWork: totalWork(steps, taskWork),
     remainingWork: leftWork,
     meanWork: queueMeans.of(submission.queue),
     ageMs: Math.max(0, wallMs - dueMs),
