--- a/packages/bench/src/cell/cell-scenarios.ts
+++ b/packages/bench/src/cell/cell-scenarios.ts
@@ -1,96 +1,20 @@
 /** Loads of customers as they describe them, and what goes wrong on their days. */
-import type { Demand } from '@zincspan/cell';
-import type { Burst, JobKind } from './cell-load.js';
-import type { CellShape } from './simulated-cell.js';
+import { LARGE, SMALL, URGENT, worker, type CellLoad } from './cell-kinds.js';
+import type { Burst } from './cell-load.js';
+import { HARD_LOADS } from './hard-loads.js';
 import type { WorkerFault } from './simulated-worker.js';
 
-/** A customer's workers and kinds of job. */
-export interface CellLoad {
-  name: string;
-  shape: CellShape;
-  kinds: readonly JobKind[];
-}
-
 /** What happens on a day. */
 export interface CellScenario {
   name: string;
   bursts: readonly Burst[];
-  /** Each strikes so many workers. */
-  faults: readonly (WorkerFault & { workers: number })[];
+  /** Each strikes so many workers, `times` times (once by default), every `everyMs`. */
+  faults: readonly (WorkerFault & { workers: number; times?: number; everyMs?: number })[];
 }
 
 /** Jobs come for this long, in ms. */
 export const DAY_MS = 34_000;
 
-const MIXED_SIZES = [1, 2, 4, 8, 8];
-
-/** Long jobs of whole workers that may wait. */
-const LARGE: JobKind = {
-  name: 'large',
-  priority: 1,
-  perSecond: 0.228,
-  stretch: 3,
-  targetLatencyMs: 1000,
-  maxAttempts: 3,
-  tasks: { mean: 2, spread: 0.8, max: 9 },
-  workMs: { mean: 13_000, spread: 0.3, max: 15_700 },
-  milliCores: 26_000,
-  memoryMb: 68_000,
-  accelerators: MIXED_SIZES,
-  estimateError: 0.9,
-  uneven: 0.3,
-  gang: 0.6,
-  oneRack: 0.6,
-  saves: 0.45,
-  fails: 0.02,
-};
-
-/** Short jobs with tight objectives. */
-const URGENT: JobKind = {
-  name: 'urgent',
-  priority: 0,
-  perSecond: 0.327,
-  stretch: 1.5,
-  targetLatencyMs: 250,
-  maxAttempts: 4,
-  tasks: { mean: 3.4, spread: 0.8, max: 21 },
-  workMs: { mean: 3000, spread: 0.5, max: 9000 },
-  milliCores: 7500,
-  memoryMb: 15_000,
-  accelerators: MIXED_SIZES,
-  estimateError: 0.5,
-  uneven: 0.3,
-  gang: 0.6,
-  oneRack: 0.5,
-  saves: 0,
-  fails: 0.05,
-};
-
-/** Many small tasks that may wait longest. */
-const SMALL: JobKind = {
-  name: 'small',
-  priority: 2,
-  perSecond: 0.172,
-  stretch: 3,
-  targetLatencyMs: 3000,
-  maxAttempts: 3,
-  tasks: { mean: 9.2, spread: 0.8, max: 55 },
-  workMs: { mean: 7500, spread: 0.3, max: 11_000 },
-  milliCores: 5600,
-  memoryMb: 11_000,
-  accelerators: [1],
-  estimateError: 0.5,
-  uneven: 0.3,
-  gang: 0,
-  oneRack: 0,
-  saves: 0.45,
-  fails: 0.005,
-};
-
-function worker(cores: number, memoryGb: number): Demand {
-  return { milliCores: cores * 1000, memoryMb: memoryGb * 1024, accelerators: 8 };
-}
-
 /** All of them. */
 export const CELL_LOADS: readonly CellLoad[] = [
   {
@@ -185,6 +109,7 @@
       },
     ],
   },
+  ...HARD_LOADS,
 ];
 
 const CALM: CellScenario = { name: 'ordinary day', bursts: [], faults: [] };
@@ -202,6 +127,30 @@
     name: 'burst of large',
     bursts: [{ kind: 'large', factor: 2.9, fromMs: 8000, forMs: 3600 }],
   },
+  {
+    ...CALM,
+    name: 'burst of all',
+    bursts: ['large', 'urgent', 'small'].map((kind) => ({
+      kind,
+      factor: 2.7,
+      fromMs: 8000,
+      forMs: 5000,
+    })),
+  },
+  {
+    ...CALM,
+    name: 'several bursts',
+    bursts: [
+      { kind: 'small', factor: 3.5, fromMs: 3000, forMs: 6000 },
+      { kind: 'urgent', factor: 3.5, fromMs: 8000, forMs: 6000 },
+      ...['large', 'urgent', 'small'].map((kind) => ({
+        kind,
+        factor: 2.7,
+        fromMs: 19_000,
+        forMs: 6000,
+      })),
+    ],
+  },
   {
     ...CALM,
     name: 'crowded day',
@@ -232,4 +181,11 @@
     name: 'leaving workers',
     faults: [{ kind: 'leaving', workers: 1, fromMs: 8000, forMs: 3000, factor: 1 }],
   },
+  {
+    ...CALM,
+    name: 'restarting workers',
+    faults: [
+      { kind: 'leaving', workers: 2, fromMs: 6000, forMs: 500, factor: 1, times: 4, everyMs: 5000 },
+    ],
+  },
 ];
--- a/packages/bench/src/cell/simulated-cell.ts
+++ b/packages/bench/src/cell/simulated-cell.ts
@@ -16,6 +16,7 @@
 import {
   SimulatedWorker,
   spreadFactor,
+  stepOf,
   workOf,
   type SimulatedRun,
   type WorkerFault,
@@ -30,6 +31,9 @@
 /** Pause between passes when nothing happens, in ms. */
 const PASS_EVERY_MS = 200;
 
+/** How much longer a slower worker takes. */
+const SLOWER_FACTOR = 1.3;
+
 const LEASE_MS = 6000;
 const EARLIER_GRANT_MS = 0;
 
@@ -38,12 +42,22 @@
   workers: number;
   workersPerRack: number;
   capacity: Demand;
+  /** One worker in so many takes `SLOWER_FACTOR` times as long for everything; none by default. */
+  slowerEvery?: number;
+  /** Racks are spread over so many; 1 by default. */
+  failureDomains?: number;
   reclaim: { reclaimMs: number; stopMs: number };
 }
 
-/** What came of a day. Times from acceptance, in ms; undefined: not done. */
+/** What came of a job. Time from acceptance, in ms; undefined: not done. */
+export interface PlayedJob {
+  job: DrawnJob;
+  tookMs: number | undefined;
+}
+
+/** What came of a day. */
 export interface DayResult {
-  jobs: { job: DrawnJob; tookMs: number | undefined }[];
+  jobs: PlayedJob[];
   /** Accelerator-seconds of work that was done and lost. */
   thrownAway: number;
   /** What each pass took on this machine, in ms. */
@@ -88,6 +102,8 @@
     workers,
     workersPerRack,
     capacity,
+    slowerEvery = Infinity,
+    failureDomains = 1,
     reclaim,
     policy = DEFAULT_CELL_POLICY,
   }: CellShape & { policy?: CellPolicy }) {
@@ -99,6 +115,8 @@
           vm: `vm-${index}`,
           rack: `rack-${Math.floor(index / workersPerRack)}`,
           capacity,
+          failureDomain: `hall-${Math.floor(index / workersPerRack) % failureDomains}`,
+          usualSpeed: index % slowerEvery === 0 && index > 0 ? 1 / SLOWER_FACTOR : 1,
         }),
     );
     const now = (): number => this.#now;
@@ -127,6 +145,7 @@
     const waiting = [...jobs];
     let passDue = 0;
     for (; this.#now < lengthMs; this.#now += TICK_MS) {
+      if (this.#doneAt.size === jobs.length) break;
       while (waiting[0] !== undefined && waiting[0].atMs <= this.#now) {
         this.#accept(waiting.shift());
       }
@@ -181,8 +200,8 @@
     const sets = new Map<string, SimulatedRun[]>();
     this.#workers.forEach(({ runs }) =>
       runs.forEach((run) => {
-        const { submission } = run.job;
-        const key = submission.steps[0]?.gang ? `${submission.id}#${run.run}` : run.task;
+        const { id } = run.job.submission;
+        const key = stepOf(run)?.gang ? `${id}.${run.step}#${run.run}` : run.task;
         sets.set(key, [...(sets.get(key) ?? []), run]);
       }),
     );
@@ -192,8 +211,8 @@
   #workTogether(set: readonly SimulatedRun[]): void {
     const [first] = set;
     if (first === undefined) return;
-    const { job } = first;
-    const step = job.submission.steps[0];
+    const failingRuns = first.job.steps[first.step]?.failingRuns;
+    const step = stepOf(first);
     const isWhole = !step?.gang || set.length === step.tasks;
     if (!isWhole || set.some(({ beginsAt }) => beginsAt > this.#now)) return;
     const speed = Math.min(...set.map(({ worker }) => worker.speed(this.#now)));
@@ -205,7 +224,7 @@
     ) {
       this.#endAll(set, 'failed');
     } else if (set.every((run) => run.doneMs >= workOf(run))) {
-      const fails = set.some(({ run, index }) => run <= (job.failingRuns[index] ?? 0));
+      const fails = set.some(({ run, index }) => run <= (failingRuns?.[index] ?? 0));
       this.#endAll(set, fails ? 'failed' : 'done');
     }
   }
@@ -241,7 +260,7 @@
       const parsed = parseTaskName(order.task);
       const job = this.#jobs.get(parsed?.jobId ?? '');
       if (parsed === undefined || job === undefined) return;
-      worker.start(order, { job, index: parsed.ref.index }, this.#now);
+      worker.start(order, { job, step: parsed.ref.step, index: parsed.ref.index }, this.#now);
     });
     this.#noteDone(contact.ends);
   }
@@ -269,7 +288,7 @@
   }
 
   #throwAway(run: SimulatedRun): void {
-    const step = run.job.submission.steps[0];
+    const step = stepOf(run);
     if (step === undefined || step.checkpointing) return;
     const equivalents = this.#profile.acceleratorEquivalents(SIMULATED_SERVICE, step.demand);
     this.#thrownAway += (equivalents * run.doneMs) / 1000;
--- a/packages/bench/src/cell/simulated-worker.ts
+++ b/packages/bench/src/cell/simulated-worker.ts
@@ -1,5 +1,5 @@
 /** A worker with its runner and guard in virtual time: speeds, failures, checkpoints, gangs that begin and end together. */
-import type { Demand, RunEndKind } from '@zincspan/cell';
+import type { Demand, RunEndKind, Step } from '@zincspan/cell';
 import type { CellContact, StartOrder } from '@zincspan/core';
 import { SIMULATED_SERVICE, type DrawnJob } from './cell-load.js';
 
@@ -17,6 +17,8 @@
   task: string;
   run: number;
   job: DrawnJob;
+  /** Its step, and its place in that. */
+  step: number;
   index: number;
   /** Work done, of this run and those it continues, in ms. */
   doneMs: number;
@@ -48,6 +50,11 @@
 
   readonly #capacity: Demand;
 
+  readonly #failureDomain: string;
+
+  /** Share of a usual worker's speed when nothing is wrong. */
+  readonly #usualSpeed: number;
+
   readonly #stopping = new Map<SimulatedRun, number>();
 
   #ends: CellContact['ends'] = [];
@@ -56,22 +63,36 @@
 
   #life = 1;
 
-  constructor({ vm, rack, capacity }: { vm: string; rack: string; capacity: Demand }) {
+  constructor({
+    vm,
+    rack,
+    capacity,
+    failureDomain = 'hall',
+    usualSpeed = 1,
+  }: {
+    vm: string;
+    rack: string;
+    capacity: Demand;
+    failureDomain?: string;
+    usualSpeed?: number;
+  }) {
     this.vm = vm;
     this.rack = rack;
     this.#capacity = capacity;
+    this.#failureDomain = failureDomain;
+    this.#usualSpeed = usualSpeed;
   }
 
   /** Begins a run of the job's task with this place in its step. */
   start(
     { task, run, checkpoint }: StartOrder,
-    { job, index }: Pick<SimulatedRun, 'job' | 'index'>,
+    { job, step, index }: Pick<SimulatedRun, 'job' | 'step' | 'index'>,
     now: number,
   ): void {
     if (this.runs.has(task)) return;
     const doneMs = Number(checkpoint) || 0;
     const beginsAt = now + (doneMs > 0 ? RESTORE_MS : 0);
-    this.runs.set(task, { task, run, job, index, doneMs, beginsAt, worker: this });
+    this.runs.set(task, { task, run, job, step, index, doneMs, beginsAt, worker: this });
   }
 
   stop({ task, run }: { task: string; run: number }, now: number): void {
@@ -119,7 +140,7 @@
     return this.faultsAt(now).reduce((speed, { kind, factor }) => {
       if (kind === 'still') return 0;
       return kind === 'slow' ? speed / factor : speed;
-    }, 1);
+    }, this.#usualSpeed);
   }
 
   faultsAt(now: number): WorkerFault[] {
@@ -132,7 +153,7 @@
       runner: {
         id: `${this.vm}-life-${this.#life}`,
         service: SIMULATED_SERVICE,
-        failureDomain: 'hall',
+        failureDomain: this.#failureDomain,
         labels: ['a', this.rack],
         capacity: this.#capacity,
         draining: leaving !== undefined,
@@ -154,19 +175,25 @@
 }
 
 /** Work of a run's task, in ms. */
-export function workOf({ job, index }: SimulatedRun): number {
-  return job.workMs[index] ?? 0;
+export function workOf({ job, step, index }: SimulatedRun): number {
+  return job.steps[step]?.workMs[index] ?? 0;
+}
+
+/** The submitted step of a run's task. */
+export function stepOf({ job, step }: Pick<SimulatedRun, 'job' | 'step'>): Step | undefined {
+  return job.submission.steps[step];
 }
 
 /** How much a set of runs that work together slows down by lying on several racks. */
 export function spreadFactor(runs: readonly SimulatedRun[]): number {
   const [first] = runs;
-  if (!first?.job.submission.steps[0]?.rackSensitive) return 1;
+  if (first === undefined || !stepOf(first)?.rackSensitive) return 1;
   return new Set(runs.map(({ worker }) => worker.rack)).size > 1 ? FAR_FACTOR : 1;
 }
 
-function checkpointOf({ job, doneMs }: SimulatedRun, stopped: boolean): string {
-  if (!job.submission.steps[0]?.checkpointing) return '';
+function checkpointOf(run: SimulatedRun, stopped: boolean): string {
+  const { doneMs } = run;
+  if (!stepOf(run)?.checkpointing) return '';
   const saved = stopped ? doneMs : Math.floor(doneMs / SAVE_EVERY_MS) * SAVE_EVERY_MS;
   return saved > 0 ? `${Math.floor(saved)}` : '';
 }
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -32,6 +32,9 @@
   .option('--days <count>', 'Days of each load and scenario', { default: 20 })
   .option('--load <text>', 'Only loads whose name contains this', { default: '' })
   .option('--scenario <text>', 'Only scenarios whose name contains this', { default: '' })
+  .option('--off <parts>', 'Parts of the policy to switch off, such as capacityFit,admission', {
+    default: '',
+  })
   .action((options: CellBenchOptions) => benchCell(options));
 
 cli
