--- /dev/null
+++ b/packages/cell/src/owner/capacity-fit.ts
@@ -0,0 +1,231 @@
+/** Fit in all resource dimensions during one placement pass, and the limits on small tasks while whole workers are short. */
+import type { AvailableWorker, TaskGroup } from '../placing/available-worker.js';
+import type { FitTerms } from '../placing/best-fit.js';
+import { dominantShare, type FleetProfile } from '../placing/fleet-profile.js';
+import type { DurationEstimator } from '../placing/duration-estimator.js';
+import type { WholeWorkerArrival } from '../placing/whole-worker-demand.js';
+import {
+  isSlackUsedUp,
+  slackMs,
+  tasksNeededAtOnce,
+  type SmallTaskProgress,
+} from '../placing/small-task-limit.js';
+import { leanDemand, strandedAccelerators } from '../placing/worker-fit.js';
+import { criticalPathMs, type Demand } from '../job/submission.js';
+import type { OwnedJob } from './owned-job.js';
+import type { PendingGroup } from './pending-groups.js';
+import type { PlacementInput } from './placement-types.js';
+import type { RankedGroup } from './ranked-groups.js';
+import { expectedDurations } from './urgency-factors.js';
+
+/** Tasks that need more than this share of a worker count as needing it whole, others as small. */
+export const SMALL_TASK_SHARE = 0.5;
+
+/** Usage of a service below which nothing that could start waits. */
+const BUSY_SHARE = 0.5;
+
+/** What a group may have now. */
+export interface SmallTaskAllowance {
+  tasks: number;
+  mayOpen: number;
+}
+
+/** Tasks of a job that were not started to keep workers free. */
+export interface SmallTaskDeferral {
+  job: OwnedJob;
+  started: number;
+  deferred: number;
+  /** Wholly free workers to keep. */
+  keep: number;
+  slackMs: number;
+}
+
+/** State of all services before a pass. */
+export interface FitSummary {
+  freeAccelerators: number;
+  strandedAccelerators: number;
+  wholeWorkersFree: number;
+  wholeWorkersKept: number;
+  deferrals: readonly SmallTaskDeferral[];
+}
+
+interface ServiceUse {
+  workers: AvailableWorker[];
+  lean: Demand;
+  keep: number;
+  accelerators: number;
+  /** Accelerators in use, with those of the starts that the pass has planned. */
+  used: number;
+}
+
+/** One instance per pass. */
+export class CapacityFit {
+  readonly #input: PlacementInput;
+
+  readonly #services = new Map<string, ServiceUse>();
+
+  readonly #deferrals: SmallTaskDeferral[] = [];
+
+  constructor(input: PlacementInput) {
+    this.#input = input;
+  }
+
+  get isOn(): boolean {
+    return this.#input.policy.capacityFit !== 'off';
+  }
+
+  /** How to fit this group; undefined if the part is off. */
+  termsOf({ service }: TaskGroup): FitTerms | undefined {
+    if (!this.isOn) return undefined;
+    return { lean: this.#use(service).lean, mayOpen: Infinity };
+  }
+
+  noteStarted({ service, demand }: TaskGroup, tasks: number): void {
+    this.#use(service).used += tasks * demand.accelerators;
+  }
+
+  /** Tasks of the group that start as on an idle service: until half of the service's accelerators are in use. */
+  tasksWhileIdle({ service, demand }: TaskGroup): number {
+    const { accelerators, used } = this.#use(service);
+    const missing = BUSY_SHARE * accelerators - used;
+    return missing <= 0 ? 0 : Math.ceil(missing / Math.max(1, demand.accelerators));
+  }
+
+  /** Undefined if nothing limits the group. */
+  allowanceFor(
+    { pending, factors }: RankedGroup,
+    free: readonly AvailableWorker[],
+  ): SmallTaskAllowance | undefined {
+    if (!this.isLimitable({ pending, factors })) return undefined;
+    const { keep } = this.#use(pending.group.service);
+    const progress = this.#progressOf(pending, factors);
+    if (keep === 0 || isSlackUsedUp(progress)) return undefined;
+    const wholeFree = free.filter(
+      (worker) => worker.service === pending.group.service && worker.isWhollyFree,
+    ).length;
+    const isShort = wholeFree <= keep;
+    return {
+      tasks: isShort ? Math.max(0, tasksNeededAtOnce(progress) - progress.running) : Infinity,
+      mayOpen: Math.max(0, wholeFree - keep),
+    };
+  }
+
+  noteDeferred({ pending, factors }: RankedGroup, started: number): void {
+    const { job, group } = pending;
+    const deferred = group.indexes.length - started;
+    if (deferred <= 0) return;
+    const { keep } = this.#use(group.service);
+    const slack = slackMs(this.#progressOf(pending, factors));
+    this.#deferrals.push({ job, started, deferred, keep, slackMs: slack });
+  }
+
+  /** A wide group of small tasks that isn't urgent. */
+  isLimitable({ pending: { group, step }, factors }: RankedGroup): boolean {
+    if (!this.isOn || factors.claim || factors.priority === 0) return false;
+    if (group.gang || group.isSuspect) return false;
+    const typical = this.#input.profile.of(group.service)?.typical;
+    if (typical === undefined) return false;
+    const share = dominantShare(group.demand, typical);
+    return share <= SMALL_TASK_SHARE && step.tasks * share > 1;
+  }
+
+  /** Of the services that the pass has dealt with. */
+  summary(): FitSummary | undefined {
+    if (!this.isOn) return undefined;
+    const services = new Set(this.#input.workers.map(({ service }) => service));
+    const uses = [...services].map((service) => this.#use(service));
+    const sum = (of: (use: ServiceUse) => number): number =>
+      uses.reduce((total, use) => total + of(use), 0);
+    const overWorkers = (of: (worker: AvailableWorker, lean: Demand) => number): number =>
+      sum(({ workers, lean }) => workers.reduce((total, worker) => total + of(worker, lean), 0));
+    return {
+      freeAccelerators: overWorkers(({ free }) => free.accelerators),
+      strandedAccelerators: overWorkers(({ free }, lean) => strandedAccelerators(free, lean)),
+      wholeWorkersFree: overWorkers(({ isWhollyFree }) => Number(isWhollyFree)),
+      wholeWorkersKept: sum(({ keep }) => keep),
+      deferrals: this.#deferrals,
+    };
+  }
+
+  #use(service: string): ServiceUse {
+    const known = this.#services.get(service);
+    if (known !== undefined) return known;
+    const { jobs, workers, profile, wholeWorkers, now } = this.#input;
+    const own = workers.filter((worker) => worker.service === service);
+    const accelerators = own.reduce((sum, { capacity }) => sum + capacity.accelerators, 0);
+    const free = own.reduce((sum, worker) => sum + worker.free.accelerators, 0);
+    const use = {
+      workers: own,
+      lean: leanDemand(
+        jobs
+          .filter(({ terms }) => terms.service === service)
+          .flatMap(({ submission }) => submission.steps.map(({ demand }) => demand)),
+      ),
+      keep: wholeWorkers?.workersToKeep(service, profile.of(service)?.workers ?? 0, now) ?? 0,
+      accelerators,
+      used: accelerators - free,
+    };
+    this.#services.set(service, use);
+    return use;
+  }
+
+  #progressOf(
+    { job, group, step, readySince }: PendingGroup,
+    { ageMs, objectiveMs }: RankedGroup['factors'],
+  ): SmallTaskProgress {
+    const { now, durations, runningUnits } = this.#input;
+    const expectedMs = expectedDurations(job, durations);
+    const taskMs = expectedMs(step);
+    const running = runningUnits
+      .filter((unit) => unit.job === job)
+      .flatMap(({ assignments }) => assignments)
+      .filter(({ ref }) => ref.step === group.step && ref.occurrence === group.occurrence);
+    const leftMs = running.map(({ assignedAt }) => Math.max(0, taskMs - (now - assignedAt)));
+    return {
+      waiting: group.indexes.length,
+      running: running.length,
+      runningMs: leftMs.reduce((sum, ms) => sum + ms, 0) / Math.max(1, running.length),
+      taskMs,
+      ageMs,
+      readyAgeMs: Math.max(0, ageMs - (now - readySince)),
+      objectiveMs,
+      laterMs: laterMs(job, group.step, expectedMs),
+    };
+  }
+}
+
+/** Tasks of a job that need a worker each, of the steps that have not begun. */
+export function wholeWorkerArrivals(
+  job: OwnedJob,
+  profile: FleetProfile,
+  durations: DurationEstimator,
+): Omit<WholeWorkerArrival, 'at'>[] {
+  const { service } = job.terms;
+  const typical = profile.of(service)?.typical;
+  if (typical === undefined || job.progress.begun) return [];
+  const expectedMs = expectedDurations(job, durations);
+  return job.submission.steps
+    .filter(({ demand }) => dominantShare(demand, typical) > SMALL_TASK_SHARE)
+    .map((step) => ({
+      service,
+      priority: job.terms.priority,
+      tasks: step.tasks,
+      taskMs: expectedMs(step),
+    }));
+}
+
+/** Expected time of the steps that wait for this one, directly or not. */
+function laterMs(
+  { submission: { steps } }: OwnedJob,
+  step: number,
+  expectedMs: (step: OwnedJob['submission']['steps'][number]) => number,
+): number {
+  const followers = new Set([step]);
+  // Steps only wait for earlier ones.
+  steps.forEach(({ after }, index) => {
+    if (after.some((other) => followers.has(other))) followers.add(index);
+  });
+  return criticalPathMs(steps, (each, index) =>
+    index !== step && followers.has(index) ? expectedMs(each) : 0,
+  );
+}
--- a/packages/cell/src/owner/placement-pass.ts
+++ b/packages/cell/src/owner/placement-pass.ts
@@ -2,6 +2,7 @@
 import { placeGroup } from '../placing/best-fit.js';
 import { CapacityLedger } from '../placing/capacity-ledger.js';
 import type { TaskGroup } from '../placing/available-worker.js';
+import { CapacityFit } from './capacity-fit.js';
 import { GroupApprovals } from './group-approvals.js';
 import { rankPendingGroups, type RankedGroup } from './ranked-groups.js';
 import type { PlacementInput, PlacementResult } from './placement-types.js';
@@ -16,6 +17,8 @@
 
   readonly #input: PlacementInput;
 
+  readonly #fit: CapacityFit;
+
   readonly #ledger: CapacityLedger;
 
   readonly #preemptor: Preemptor;
@@ -24,10 +27,12 @@
 
   constructor(input: PlacementInput) {
     this.#input = input;
+    this.#fit = new CapacityFit(input);
     const stopping = input.runningUnits.filter((unit) => unit.stopping);
     this.#ledger = new CapacityLedger(
       input.workers,
       stopping.flatMap(({ members }) => members),
+      (group) => this.#fit.termsOf(group),
     );
     this.#preemptor = new Preemptor(input, this.#ledger);
     this.#reservations = new Reservations(input.workers, this.#ledger);
@@ -38,18 +43,47 @@
       starts: this.#starts,
       preemptions: this.#preemptor.preemptions,
       approvalRequests: this.#approvalRequests,
+      fit: this.#fit.summary(),
     };
   }
 
   place(ranked: RankedGroup): void {
     if (ranked.pending.job.terms.needsAdvice) this.#placeWithApproval(ranked);
+    else if (this.#fit.isLimitable(ranked)) this.#startSmallTasks(ranked);
     else this.#preemptForRest(ranked, this.#startNow(ranked.pending));
   }
 
+  /** Starts a wide group of small tasks, as many as leave the workers free that are kept for other groups. */
+  #startSmallTasks(ranked: RankedGroup): void {
+    const { pending } = ranked;
+    const waiting = this.#startFirst(pending, { tasks: this.#fit.tasksWhileIdle(pending.group) });
+    if (waiting === undefined) return;
+    const allowance = this.#fit.allowanceFor({ ...ranked, pending: waiting }, this.#ledger.free);
+    const rest = this.#startFirst(waiting, allowance ?? { tasks: Infinity });
+    if (rest === undefined) return;
+    if (allowance === undefined) this.#preemptForRest(ranked, rest);
+    else this.#fit.noteDeferred(ranked, pending.group.indexes.length - rest.group.indexes.length);
+  }
+
+  /** Starts at most so many tasks of the group; returns the rest as `#startNow`. */
+  #startFirst(
+    pending: PendingGroup,
+    { tasks, mayOpen }: { tasks: number; mayOpen?: number },
+  ): PendingGroup | undefined {
+    const group = { ...pending.group, indexes: pending.group.indexes.slice(0, tasks) };
+    if (group.indexes.length === 0) return pending;
+    return this.#startNow(pending, group, mayOpen);
+  }
+
   /** Plans starts for the tasks that fit; returns the rest of the group, or undefined if all fit. */
-  #startNow(pending: PendingGroup): PendingGroup | undefined {
-    const placements = this.#ledger.place(pending.group);
+  #startNow(
+    pending: PendingGroup,
+    group = pending.group,
+    mayOpen = Infinity,
+  ): PendingGroup | undefined {
+    const placements = this.#ledger.place(group, mayOpen);
     if (placements.length > 0) this.#starts.push({ pending, placements });
+    this.#fit.noteStarted(group, placements.length);
     return withoutPlaced(pending, placements);
   }
 
@@ -70,6 +104,7 @@
     const trial = placeGroup(
       approved,
       this.#ledger.free.map((worker) => worker.copy()),
+      this.#fit.termsOf(approved),
     );
     const request =
       approvals.renewalRequest(new Set(trial.map(({ vm }) => vm))) ?? approvals.approvalRequest();
--- a/packages/cell/src/owner/placement-types.ts
+++ b/packages/cell/src/owner/placement-types.ts
@@ -7,6 +7,8 @@
 import type { Victim } from '../placing/preemption.js';
 import type { TaskPlacement, AvailableWorker } from '../placing/available-worker.js';
 import type { Assignment } from '../worker/worker.js';
+import type { WholeWorkerDemand } from '../placing/whole-worker-demand.js';
+import type { FitSummary } from './capacity-fit.js';
 import type { OwnedJob } from './owned-job.js';
 import type { QueueMeanWork } from './urgency-factors.js';
 import type { PendingGroup } from './pending-groups.js';
@@ -36,6 +38,8 @@
   workers: readonly AvailableWorker[];
   profile: FleetProfile;
   policy: CellPolicy;
+  /** Recent demand for whole workers; none by default. */
+  wholeWorkers?: WholeWorkerDemand;
   /** Racks of evacuated failure domains: nothing starts there for now. */
   evacuatedRacks: ReadonlySet<string>;
   runningUnits: readonly RunningUnit[];
@@ -69,4 +73,6 @@
   preemptions: Preemption[];
   /** Requests to the placement advisor, the most urgent first. */
   approvalRequests: ApprovalRequest[];
+  /** Undefined if `capacityFit` is off. */
+  fit: FitSummary | undefined;
 }
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -9,6 +9,9 @@
 import { withdrawPendingStarts } from '../evacuation/start-withdrawal.js';
 import { DurationEstimator } from '../placing/duration-estimator.js';
 import type { FleetProfile } from '../placing/fleet-profile.js';
+import { WholeWorkerDemand } from '../placing/whole-worker-demand.js';
+import { wholeWorkerArrivals } from './capacity-fit.js';
+import { FitReport } from './fit-report.js';
 import { Fleet } from './fleet.js';
 import { findRunningUnits } from './running-units.js';
 import { OwnedJob } from './owned-job.js';
@@ -63,12 +66,17 @@
 
   readonly #startedAt: number;
 
+  readonly #wholeWorkers: WholeWorkerDemand;
+
+  readonly #fitReport = new FitReport();
+
   readonly #waitingReport = new WaitingReport();
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
     const { ctx, leaseMs, previousOwnerGrantMs, evacuations, events } = options;
     this.#startedAt = ctx.clock.now();
+    this.#wholeWorkers = new WholeWorkerDemand(this.#startedAt);
     this.registry = new RunRegistry({
       ctx,
       advice: this.approvals,
@@ -149,6 +157,9 @@
       const { queue, steps } = job.submission;
       const taskWork = taskWorkOf(job, profile, expectedDurations(job, this.#durations));
       this.#queueMeans.record(queue, totalWork(steps, taskWork));
+      wholeWorkerArrivals(job, profile, this.#durations).forEach((arrival) =>
+        this.#wholeWorkers.note({ ...arrival, at: this.registry.now() }),
+      );
       return false;
     });
   }
@@ -170,12 +181,13 @@
       config()?.accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     );
     const guaranteedJobs = findGuaranteedJobs(jobs, (account) => guarantees.get(account) ?? 0);
-    const { starts, preemptions, approvalRequests } = planPlacement({
+    const { starts, preemptions, approvalRequests, fit } = planPlacement({
       jobs,
       guaranteedJobs,
       workers: this.registry.fleet.availableWorkers(),
       profile,
       policy,
+      wholeWorkers: this.#wholeWorkers,
       evacuatedRacks: this.registry.fleet.evacuatedRacks(),
       runningUnits: findRunningUnits(this.registry, guaranteedJobs),
       queueMeans: this.#queueMeans,
@@ -186,6 +198,7 @@
       approvals: this.approvals,
       allWorkersKnown: this.registry.now() - this.#startedAt >= WORKER_DISCOVERY_MS,
     });
+    this.#fitReport.report(ctx, fit, (msg, fields) => this.registry.log(msg, fields));
     starts.forEach((start) => this.registry.assignRuns(start));
     preemptions.forEach(({ unit, forJob }) => {
       const [first] = unit.assignments;
--- a/packages/cell/src/placing/available-worker.ts
+++ b/packages/cell/src/placing/available-worker.ts
@@ -81,6 +81,16 @@
     return this.#free;
   }
 
+  /** Nothing holds or has reserved any of its capacity. */
+  get isWhollyFree(): boolean {
+    const { accelerators, milliCores, memoryMb } = this.#free;
+    return (
+      accelerators >= this.capacity.accelerators &&
+      milliCores >= this.capacity.milliCores &&
+      memoryMb >= this.capacity.memoryMb
+    );
+  }
+
   get startingJobs(): ReadonlySet<string> {
     return this.#startingJobs;
   }
--- a/packages/cell/src/placing/capacity-ledger.ts
+++ b/packages/cell/src/placing/capacity-ledger.ts
@@ -1,5 +1,5 @@
 /** Free capacity of all workers during one placement pass: now, and once all runs that are being stopped have ended. */
-import { placeGroup } from './best-fit.js';
+import { placeGroup, type FitTerms } from './best-fit.js';
 import type { TaskGroup, TaskPlacement, AvailableWorker } from './available-worker.js';
 import type { Demand } from '../job/submission.js';
 
@@ -15,7 +15,15 @@
 
   readonly #projected: ReadonlyMap<string, AvailableWorker>;
 
-  constructor(workers: readonly AvailableWorker[], stopping: readonly HeldCapacity[]) {
+  readonly #termsOf: (group: TaskGroup) => FitTerms | undefined;
+
+  /** `termsOf`: how to fit a group; by default as tightly as its accelerators allow. */
+  constructor(
+    workers: readonly AvailableWorker[],
+    stopping: readonly HeldCapacity[],
+    termsOf: (group: TaskGroup) => FitTerms | undefined = () => undefined,
+  ) {
+    this.#termsOf = termsOf;
     this.#free = new Map(workers.map((worker) => [worker.vm, worker.copy()]));
     this.#projected = new Map(workers.map((worker) => [worker.vm, worker.copy()]));
     this.addStopping(stopping);
@@ -36,16 +44,17 @@
     held.forEach(({ vm, demand }) => this.#projected.get(vm)?.allocate(demand, -1));
   }
 
-  /** Places as many tasks of the group as fit now and takes their capacity. */
-  place(group: TaskGroup): TaskPlacement[] {
-    const placements = placeGroup(group, this.free);
+  /** Places as many tasks of the group as fit now, on at most `mayOpen` wholly free workers, and takes their capacity. */
+  place(group: TaskGroup, mayOpen = Infinity): TaskPlacement[] {
+    const terms = this.#termsOf(group);
+    const placements = placeGroup(group, this.free, terms && { ...terms, mayOpen });
     placements.forEach(({ vm }) => this.#projected.get(vm)?.place(group, 1));
     return placements;
   }
 
   /** Reserves projected capacity for as many tasks as fit, a gang whole. No other group gets the part of it that is free now. */
   reserve(group: TaskGroup): TaskPlacement[] {
-    const placements = placeGroup(group, [...this.#projected.values()]);
+    const placements = placeGroup(group, [...this.#projected.values()], this.#termsOf(group));
     placements.forEach(({ vm }) => {
       const projected = this.#projected.get(vm);
       if (projected !== undefined) this.#free.get(vm)?.limitFree(projected.free);
