--- /dev/null
+++ b/packages/cell/src/owner/capacity-fit.feature
@@ -0,0 +1,23 @@
+Feature: wide jobs of small tasks leave workers free for groups that need whole ones
+
+  Single tasks of wide jobs lay over most of the workers, so that urgent gangs of whole workers waited for seconds.
+
+  Scenario Outline: <case>
+    Given a service of 12 workers, <used> of them in use
+    And a gang of 3 whole workers for 10 s that arrived <ago> s ago
+    And a waiting job of priority <priority> and age <age> s with 40 tasks of one accelerator for 4 s
+    When small tasks are placed with the part "<part>"
+    Then <started> of the tasks start
+
+    Examples:
+      | case                                            | used | ago | priority | age | part | started |
+      | four workers are kept, one is opened            | 7    | 1   | 2        | 0   | auto | 8       |
+      | until half is in use nothing waits              | 5    | 1   | 2        | 0   | auto | 24      |
+      | no demand for 20 s                              | 7    | 21  | 2        | 0   | auto | 40      |
+      | an urgent job is not limited                    | 7    | 1   | 0        | 0   | auto | 40      |
+      | a job without slack takes what there is         | 7    | 1   | 2        | 9   | auto | 40      |
+      | with the part off all workers are taken         | 7    | 1   | 2        | 0   | off  | 40      |
+
+  Scenario: deferred tasks are logged and counted once per second
+    When 3 passes defer tasks of a job, 500 ms apart
+    Then 2 deferrals are logged and counted
