--- a/packages/cell/src/owner/capacity-fit.steps.ts
+++ b/packages/cell/src/owner/capacity-fit.steps.ts
@@ -84,7 +84,10 @@
 
 When('3 passes defer tasks of a job, 500 ms apart', function (this: CapacityFitSteps) {
   let now = NOW;
-  const { metrics, clock } = quietContext({ id: 'entry-1', clock: { now: () => now, wall: () => now } });
+  const { metrics, clock } = quietContext({
+    id: 'entry-1',
+    clock: { now: () => now, wall: () => now },
+  });
   const job = smallTasksJob(2, 40, 4000);
   const state = { freeAccelerators: 0, strandedAccelerators: 0, wholeWorkersFree: 0 };
   const deferrals = [{ job, started: 0, deferred: 40, keep: 4, slackMs: 0 }];
--- a/packages/cell/src/owner/capacity-fit.ts
+++ b/packages/cell/src/owner/capacity-fit.ts
@@ -84,11 +84,12 @@
     this.#use(service).used += tasks * demand.accelerators;
   }
 
-  /** Tasks of the group that start as on an idle service: until half of the service's accelerators are in use. */
-  tasksWhileIdle({ service, demand }: TaskGroup): number {
+  /** Tasks of the group that start as on an idle service: until half of its accelerators are in use; a gang whole. */
+  tasksWhileIdle({ service, demand, gang }: TaskGroup): number {
     const { accelerators, used } = this.#use(service);
     const missing = BUSY_SHARE * accelerators - used;
-    return missing <= 0 ? 0 : Math.ceil(missing / Math.max(1, demand.accelerators));
+    if (missing <= 0) return 0;
+    return gang ? Infinity : Math.ceil(missing / Math.max(1, demand.accelerators));
   }
 
   /** Undefined if nothing limits the group. */
@@ -103,9 +104,9 @@
     const wholeFree = free.filter(
       (worker) => worker.service === pending.group.service && worker.isWhollyFree,
     ).length;
-    const isShort = wholeFree <= keep;
+    const isCapped = !pending.group.gang && wholeFree <= keep;
     return {
-      tasks: isShort ? Math.max(0, tasksNeededAtOnce(progress) - progress.running) : Infinity,
+      tasks: isCapped ? Math.max(0, tasksNeededAtOnce(progress) - progress.running) : Infinity,
       mayOpen: Math.max(0, wholeFree - keep),
     };
   }
@@ -119,10 +120,10 @@
     this.#deferrals.push({ job, started, deferred, keep, slackMs: slack });
   }
 
-  /** A wide group of small tasks that isn't urgent. */
+  /** Small tasks that take more than a worker together and aren't urgent, single or a gang. */
   isLimitable({ pending: { group, step }, factors }: RankedGroup): boolean {
     if (!this.isOn || factors.claim || factors.priority === 0) return false;
-    if (group.gang || group.isSuspect) return false;
+    if (group.isSuspect) return false;
     const typical = this.#input.profile.of(group.service)?.typical;
     if (typical === undefined) return false;
     const share = dominantShare(group.demand, typical);
--- a/packages/cell/src/owner/placement-pass.ts
+++ b/packages/cell/src/owner/placement-pass.ts
@@ -35,7 +35,7 @@
       (group) => this.#fit.termsOf(group),
     );
     this.#preemptor = new Preemptor(input, this.#ledger);
-    this.#reservations = new Reservations(input.workers, this.#ledger);
+    this.#reservations = new Reservations(input.workers, this.#ledger, this.#fit.isOn);
   }
 
   get result(): PlacementResult {
--- a/packages/cell/src/placing/whole-worker-demand.ts
+++ b/packages/cell/src/placing/whole-worker-demand.ts
@@ -6,6 +6,9 @@
 /** Lower bound of the time over which arrivals are averaged, in ms: a new owner has seen hardly any time yet. */
 const MIN_AVERAGING_MS = 5000;
 
+/** Bursts of a queue or of all bring at least twice their mean. */
+const BURST_FACTOR = 2;
+
 /** At most this share of a service's workers is kept free. */
 const MAX_KEPT_SHARE = 1 / 3;
 
@@ -37,7 +40,7 @@
   }
 
   /**
-   * Workers to keep free of small tasks: as many as are asked for within the time in which the tasks that need them give them
+   * Workers to keep free of small tasks: as many as a burst asks for within the time in which the tasks that need them give them
    * back. 0 without recent demand.
    */
   workersToKeep(service: string, serviceWorkers: number, now: number): number {
@@ -49,7 +52,7 @@
       Math.max(MIN_AVERAGING_MS, now - this.#startedAt),
     );
     const workerMs = recent.reduce((sum, { tasks, taskMs }) => sum + tasks * taskMs, 0);
-    const wanted = Math.ceil(workerMs / averagingMs);
+    const wanted = Math.ceil((BURST_FACTOR * workerMs) / averagingMs);
     return Math.min(wanted, Math.floor(serviceWorkers * MAX_KEPT_SHARE));
   }
 }
--- a/packages/cell/src/placing/worker-fit.feature
+++ b/packages/cell/src/placing/worker-fit.feature
@@ -29,10 +29,10 @@
 
     Examples:
       | case                     | tasks | ms   | seconds | later | kept |
-      | as many as are held      | 2     | 3000 | 20      | 0     | 6    |
+      | twice what is held       | 1     | 3000 | 20      | 0     | 6    |
       | at most a third          | 9     | 3000 | 20      | 0     | 10   |
       | none after 20 s          | 2     | 3000 | 20      | 20    | 0    |
-      | a new owner counts waits | 2     | 3000 | 1       | 0     | 2    |
+      | a new owner counts waits | 2     | 3000 | 1       | 0     | 3    |
 
   Scenario Outline: tasks at once and slack of a wide step: <case>
     Given a step of <waiting> waiting and <running> running tasks of 4 s, at age <age> s, objective <objective> s
