--- a/packages/cell/src/owner/capacity-fit.steps.ts
+++ b/packages/cell/src/owner/capacity-fit.steps.ts
@@ -89,7 +89,8 @@
     clock: { now: () => now, wall: () => now },
   });
   const job = smallTasksJob(2, 40, 4000);
-  const state = { freeAccelerators: 0, strandedAccelerators: 0, wholeWorkersFree: 0 };
+  const counts = { freeAccelerators: 0, strandedAccelerators: 0, wholeWorkersFree: 0 };
+  const state = () => ({ ...counts, wholeWorkersKept: 4 });
   const deferrals = [{ job, started: 0, deferred: 40, keep: 4, slackMs: 0 }];
   const report = new FitReport();
   this.logged = 0;
@@ -98,7 +99,7 @@
   };
   [0, 1, 2].forEach((pass) => {
     now = NOW + pass * 500;
-    report.report({ metrics, clock }, { ...state, wholeWorkersKept: 4, deferrals }, log);
+    report.report({ metrics, clock }, { state, deferrals }, log);
   });
 });
 
--- a/packages/cell/src/owner/capacity-fit.ts
+++ b/packages/cell/src/owner/capacity-fit.ts
@@ -1,5 +1,5 @@
 /** Fit in all resource dimensions during one placement pass, and the limits on small tasks while whole workers are short. */
-import type { AvailableWorker, TaskGroup } from '../placing/available-worker.js';
+import { tasksFitting, type AvailableWorker, type TaskGroup } from '../placing/available-worker.js';
 import type { FitTerms } from '../placing/best-fit.js';
 import { dominantShare, type FleetProfile } from '../placing/fleet-profile.js';
 import type { DurationEstimator } from '../placing/duration-estimator.js';
@@ -41,16 +41,21 @@
 }
 
 /** State of all services before a pass. */
-export interface FitSummary {
+export interface FitState {
   freeAccelerators: number;
   strandedAccelerators: number;
   wholeWorkersFree: number;
   wholeWorkersKept: number;
+}
+
+/** What a pass has to report. */
+export interface FitSummary {
   deferrals: readonly SmallTaskDeferral[];
+  /** Computed on demand, as it takes time that grows with the workers. */
+  state: () => FitState;
 }
 
 interface ServiceUse {
-  workers: AvailableWorker[];
   lean: Demand;
   keep: number;
   accelerators: number;
@@ -111,10 +116,15 @@
     };
   }
 
-  noteDeferred({ pending, factors }: RankedGroup, started: number): void {
+  /** Records the tasks of the group that are left although they fit into what is free. */
+  noteDeferred(
+    { pending, factors }: RankedGroup,
+    deferred: number,
+    free: readonly AvailableWorker[],
+  ): void {
     const { job, group } = pending;
-    const deferred = group.indexes.length - started;
-    if (deferred <= 0) return;
+    if (!free.some((worker) => tasksFitting(group, worker) > 0)) return;
+    const started = group.indexes.length - deferred;
     const { keep } = this.#use(group.service);
     const slack = slackMs(this.#progressOf(pending, factors));
     this.#deferrals.push({ job, started, deferred, keep, slackMs: slack });
@@ -130,21 +140,23 @@
     return share <= SMALL_TASK_SHARE && step.tasks * share > 1;
   }
 
-  /** Of the services that the pass has dealt with. */
+  /** Undefined if the part is off. */
   summary(): FitSummary | undefined {
-    if (!this.isOn) return undefined;
-    const services = new Set(this.#input.workers.map(({ service }) => service));
-    const uses = [...services].map((service) => this.#use(service));
-    const sum = (of: (use: ServiceUse) => number): number =>
-      uses.reduce((total, use) => total + of(use), 0);
-    const overWorkers = (of: (worker: AvailableWorker, lean: Demand) => number): number =>
-      sum(({ workers, lean }) => workers.reduce((total, worker) => total + of(worker, lean), 0));
+    return this.isOn ? { deferrals: this.#deferrals, state: () => this.#state() } : undefined;
+  }
+
+  #state(): FitState {
+    const { workers } = this.#input;
+    const sum = (of: (worker: AvailableWorker) => number): number =>
+      workers.reduce((total, worker) => total + of(worker), 0);
+    const services = [...new Set(workers.map(({ service }) => service))];
     return {
-      freeAccelerators: overWorkers(({ free }) => free.accelerators),
-      strandedAccelerators: overWorkers(({ free }, lean) => strandedAccelerators(free, lean)),
-      wholeWorkersFree: overWorkers(({ isWhollyFree }) => Number(isWhollyFree)),
-      wholeWorkersKept: sum(({ keep }) => keep),
-      deferrals: this.#deferrals,
+      freeAccelerators: sum(({ free }) => free.accelerators),
+      strandedAccelerators: sum(({ free, service }) =>
+        strandedAccelerators(free, this.#use(service).lean),
+      ),
+      wholeWorkersFree: sum(({ isWhollyFree }) => Number(isWhollyFree)),
+      wholeWorkersKept: services.reduce((total, each) => total + this.#use(each).keep, 0),
     };
   }
 
@@ -156,7 +168,6 @@
     const accelerators = own.reduce((sum, { capacity }) => sum + capacity.accelerators, 0);
     const free = own.reduce((sum, worker) => sum + worker.free.accelerators, 0);
     const use = {
-      workers: own,
       lean: leanDemand(
         jobs
           .filter(({ terms }) => terms.service === service)
--- a/packages/cell/src/owner/fit-report.ts
+++ b/packages/cell/src/owner/fit-report.ts
@@ -2,11 +2,13 @@
 import type { ProcessContext } from '@zincspan/core';
 import type { FitSummary, SmallTaskDeferral } from './capacity-fit.js';
 
-/** A job is logged and counted at most this often, in ms. */
+/** The gauges are set, and a job is logged and counted, at most this often, in ms. */
 const REPORT_INTERVAL_MS = 1000;
 
 /** One instance per ownership term. */
 export class FitReport {
+  #gaugesAt = -Infinity;
+
   /** When each job was last reported. */
   readonly #reportedAt = new Map<string, number>();
 
@@ -17,11 +19,15 @@
     log: (msg: string, fields: object) => void,
   ): void {
     if (summary === undefined) return;
-    metrics.gauge('fit.free-accelerators', summary.freeAccelerators);
-    metrics.gauge('fit.stranded-accelerators', summary.strandedAccelerators);
-    metrics.gauge('fit.whole-workers-free', summary.wholeWorkersFree);
-    metrics.gauge('fit.whole-workers-kept', summary.wholeWorkersKept);
     const now = clock.now();
+    if (now - this.#gaugesAt >= REPORT_INTERVAL_MS) {
+      this.#gaugesAt = now;
+      const state = summary.state();
+      metrics.gauge('fit.free-accelerators', state.freeAccelerators);
+      metrics.gauge('fit.stranded-accelerators', state.strandedAccelerators);
+      metrics.gauge('fit.whole-workers-free', state.wholeWorkersFree);
+      metrics.gauge('fit.whole-workers-kept', state.wholeWorkersKept);
+    }
     this.#reportedAt.forEach((at, id) => {
       if (now - at >= REPORT_INTERVAL_MS) this.#reportedAt.delete(id);
     });
--- a/packages/cell/src/owner/placement-pass.ts
+++ b/packages/cell/src/owner/placement-pass.ts
@@ -62,7 +62,7 @@
     const rest = this.#startFirst(waiting, allowance ?? { tasks: Infinity });
     if (rest === undefined) return;
     if (allowance === undefined) this.#preemptForRest(ranked, rest);
-    else this.#fit.noteDeferred(ranked, pending.group.indexes.length - rest.group.indexes.length);
+    else this.#fit.noteDeferred(ranked, rest.group.indexes.length, this.#ledger.free);
   }
 
   /** Starts at most so many tasks of the group; returns the rest as `#startNow`. */
