--- a/packages/cell/src/owner/capacity-fit.feature
+++ b/packages/cell/src/owner/capacity-fit.feature
@@ -5,17 +5,18 @@
   Scenario Outline: <case>
     Given a service of 12 workers, <used> of them in use
     And a gang of 3 whole workers for 10 s that arrived <ago> s ago
-    And a waiting job of priority <priority> and age <age> s with 40 tasks of one accelerator for 4 s
+    And a waiting <kind> of priority <priority> and age <age> s with 40 tasks of one accelerator for 4 s
     When small tasks are placed with the part "<part>"
     Then <started> of the tasks start
 
     Examples:
-      | case                                            | used | ago | priority | age | part | started |
-      | two workers are kept, three are opened          | 7    | 1   | 2        | 0   | auto | 24      |
-      | no demand for 20 s                              | 7    | 21  | 2        | 0   | auto | 40      |
-      | an urgent job is not limited                    | 7    | 1   | 0        | 0   | auto | 40      |
-      | a job without slack takes what there is         | 7    | 1   | 2        | 9   | auto | 40      |
-      | with the part off all workers are taken         | 7    | 1   | 2        | 0   | off  | 40      |
+      | case                                            | kind | used | ago | priority | age | part | started |
+      | two workers are kept, three are opened          | job  | 7    | 1   | 2        | 0   | auto | 24      |
+      | no demand for 20 s                              | job  | 7    | 21  | 2        | 0   | auto | 40      |
+      | an urgent job is not limited                    | job  | 7    | 1   | 0        | 0   | auto | 40      |
+      | a job without slack takes what there is         | job  | 7    | 1   | 2        | 9   | auto | 40      |
+      | with the part off all workers are taken         | job  | 7    | 1   | 2        | 0   | off  | 40      |
+      | a gang for which only kept workers are left     | gang | 7 | 1 | 1 | 0 | auto | 0 |
 
   Scenario Outline: a service with <free> accelerators free on each of 12 workers starts <started> tasks of a wide job
     Given a service of 12 workers with <free> accelerators free on each
--- a/packages/cell/src/owner/capacity-fit.steps.ts
+++ b/packages/cell/src/owner/capacity-fit.steps.ts
@@ -27,10 +27,10 @@
 const CAPACITY = { milliCores: 8000, memoryMb: 8000, accelerators: 8 };
 const NOTHING = { milliCores: 0, memoryMb: 0, accelerators: 0 };
 
-function smallTasksJob(priority: number, tasks: number, estimateMs: number): OwnedJob {
+function smallTasksJob(priority: number, tasks: number, gang = false): OwnedJob {
   const terms = { service: 'render', priority, maxAttempts: 2, stretch: 4, needsAdvice: false };
   const demand = { milliCores: 1000, memoryMb: 1000, accelerators: 1 };
-  const steps = [testStep({ tasks, demand, estimateMs })];
+  const steps = [testStep({ tasks, demand, gang, estimateMs: 4000 })];
   return testOwnedJob(testSubmission({ terms: { ...terms, targetLatencyMs: 0 }, steps }));
 }
 
@@ -66,10 +66,10 @@
 );
 
 Given(
-  'a waiting job of priority {int} and age {int} s with {int} tasks of one accelerator for {int} s',
-  function (this: CapacityFitSteps, priority: number, age: number, tasks: number, seconds: number) {
-    this.job = smallTasksJob(priority, tasks, seconds * 1000);
-    this.ageMs = age * 1000;
+  /^a waiting (job|gang) of priority (\d) and age (\d) s with (\d+) tasks of one accelerator for 4 s$/,
+  function (this: CapacityFitSteps, kind: string, priority: string, age: string, tasks: string) {
+    this.job = smallTasksJob(Number(priority), Number(tasks), kind === 'gang');
+    this.ageMs = Number(age) * 1000;
   },
 );
 
@@ -100,7 +100,7 @@
     id: 'entry-1',
     clock: { now: () => now, wall: () => now },
   });
-  const job = smallTasksJob(2, 40, 4000);
+  const job = smallTasksJob(2, 40);
   const counts = { freeAccelerators: 0, strandedAccelerators: 0, wholeWorkersFree: 0 };
   const state = () => ({ ...counts, wholeWorkersKept: 4 });
   const deferrals = [{ job, started: 0, deferred: 40, keep: 4, slackMs: 0 }];
--- a/packages/cell/src/owner/capacity-fit.ts
+++ b/packages/cell/src/owner/capacity-fit.ts
@@ -1,5 +1,9 @@
 /** Fit in all resource dimensions during one placement pass, and the limits on small tasks while whole workers are short. */
-import { tasksFitting, type AvailableWorker, type TaskGroup } from '../placing/available-worker.js';
+import {
+  totalTasksFitting,
+  type AvailableWorker,
+  type TaskGroup,
+} from '../placing/available-worker.js';
 import type { FitTerms } from '../placing/best-fit.js';
 import { dominantShare, type FleetProfile } from '../placing/fleet-profile.js';
 import type { DurationEstimator } from '../placing/duration-estimator.js';
@@ -128,7 +132,7 @@
     free: readonly AvailableWorker[],
   ): void {
     const { job, group } = pending;
-    if (!free.some((worker) => tasksFitting(group, worker) > 0)) return;
+    if (totalTasksFitting(group, free) < (group.gang ? deferred : 1)) return;
     const started = group.indexes.length - deferred;
     const { keep } = this.#use(group.service);
     const slack = slackMs(this.#progressOf(pending, factors));
