bench:cell: loads with one heavy account, and figures by account

--heavy FACTOR draws the jobs of ten accounts of which one sends so many times as much as each of the others; 9 is half of all jobs.

--- a/packages/bench/src/cell/cell-bench.ts
+++ b/packages/bench/src/cell/cell-bench.ts
@@ -2,6 +2,7 @@
 import { cellPolicySchema, type CellPolicy } from '@zincspan/cell';
 import { quantile } from 'simple-statistics';
 import { RandomSource } from '../route/random-source.js';
+import { accountFigures, withHeavyAccount } from './account-figures.js';
 import { drawDay, type DrawnJob } from './cell-load.js';
 import type { CellLoad } from './cell-kinds.js';
 import { CELL_LOADS, CELL_SCENARIOS, DAY_MS, type CellScenario } from './cell-scenarios.js';
@@ -16,6 +17,8 @@
   scenario: string;
   /** Names of the policy's parts to switch off, separated by commas. */
   off: string;
+  /** Ten accounts, of which one sends this many times as much as each of the others; the load's own accounts if 0. */
+  heavy: number;
 }
 
 /** Once no more jobs come the cell has this long to finish them, in ms. */
@@ -117,15 +120,16 @@
 }
 
 /** Prints a line for each kind of each load and scenario. */
-export function benchCell({ seed, days, load, scenario, off }: CellBenchOptions): void {
+export function benchCell({ seed, days, load, scenario, off, heavy }: CellBenchOptions): void {
   const policy = policyWithout(off);
+  const accounts = heavy > 0 ? { accounts: withHeavyAccount(heavy) } : {};
   say(
     'load      scenario             kind      jobs  in objective   late  undone   p50   p99  thrown away',
   );
   CELL_LOADS.filter(({ name }) => name.includes(load)).forEach((each) => {
     CELL_SCENARIOS.filter(({ name }) => name.includes(scenario)).forEach((one) => {
       const results = Array.from({ length: days }, (_, day) =>
-        playDay(each, one, seed + day, policy),
+        playDay({ ...each, ...accounts }, one, seed + day, policy),
       );
       const thrownAway = results.reduce((sum, result) => sum + result.thrownAway, 0) / days;
       each.kinds.forEach((kind) => {
@@ -137,6 +141,12 @@
         `${each.name.padEnd(9)} ${one.name.padEnd(20)} in objective: all ${all.toFixed(3)}, worst queue ` +
           `${queue.toFixed(3)}, worst account ${account.toFixed(3)}, worst 2 s ${interval.toFixed(3)}`,
       );
+      const shares = accountFigures(results);
+      say(
+        `${each.name.padEnd(9)} ${one.name.padEnd(20)} accounts over all days: heavy ${shares.heavy.toFixed(3)}, ` +
+          `others ${shares.others.toFixed(3)}, worst other ${shares.worst.toFixed(3)}, ` +
+          `urgent of others ${shares.urgentOfOthers.toFixed(3)}`,
+      );
       const passMs = results.flatMap((result) => result.passMs);
       say(
         `${each.name.padEnd(9)} ${one.name.padEnd(20)} ${passMs.length} passes, ms: ` +
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -35,6 +35,9 @@
   .option('--off <parts>', 'Parts of the policy to switch off, such as capacityFit,admission', {
     default: '',
   })
+  .option('--heavy <factor>', 'One account of ten sends so many times as much as each other one', {
+    default: 0,
+  })
   .action((options: CellBenchOptions) => benchCell(options));
 
 cli
