Order, reserve and choose victims by fair shares of client accounts while they compete

Cause: between guarantees and urgency no decision looked at the account, so that one account's burst took the capacity of all.

Change: FairShare in core charges resources instead of shapes and serves both engines. The cell's owner charges what runs to its account, service by service, and passes PlacementInput.shares to each pass. While something waits that doesn't fit and at least two accounts run or wait, groups of one priority within their accounts' shares go before those beyond, without a group being passed by one of a lower priority that it preceded. Urgent groups stop runs of accounts above their fair share first, and an account above its share none of one below its fair share. Guarantees are as before. "fairShares": "off" turns it off.

Tests: the steps of fair-share.feature in core charge resources instead of shapes; its scenarios are unchanged.

--- a/packages/cell/src/owner/placement-types.ts
+++ b/packages/cell/src/owner/placement-types.ts
@@ -6,6 +6,7 @@
 import type { DurationEstimator } from '../placing/duration-estimator.js';
 import type { Victim } from '../placing/preemption.js';
 import type { TaskPlacement, AvailableWorker } from '../placing/available-worker.js';
+import type { AccountShares } from '../share/account-shares.js';
 import type { Assignment } from '../worker/worker.js';
 import type { OwnedJob } from './owned-job.js';
 import type { QueueMeanWork } from './urgency-factors.js';
@@ -36,6 +37,8 @@
   workers: readonly AvailableWorker[];
   profile: FleetProfile;
   policy: CellPolicy;
+  /** Absent if fair shares are off. */
+  shares?: AccountShares | undefined;
   /** Racks of evacuated failure domains: nothing starts there for now. */
   evacuatedRacks: ReadonlySet<string>;
   runningUnits: readonly RunningUnit[];
--- a/packages/cell/src/owner/preemptor.ts
+++ b/packages/cell/src/owner/preemptor.ts
@@ -2,6 +2,7 @@
 import { compareByUrgency, type UrgencyFactors } from '../placing/job-urgency.js';
 import { planPreemption } from '../placing/preemption.js';
 import type { CapacityLedger } from '../placing/capacity-ledger.js';
+import { planByShares } from '../share/share-victims.js';
 import type { RankedGroup } from './ranked-groups.js';
 import type { OwnedJob } from './owned-job.js';
 import type { RunningUnit, PlacementInput, Preemption } from './placement-types.js';
@@ -44,7 +45,8 @@
   }
 
   /** Preempts others for the group if allowed. Returns the tasks that still lack capacity; undefined if all will get it. */
-  preemptFor({ pending, factors }: RankedGroup): PendingGroup | undefined {
+  preemptFor(ranked: RankedGroup): PendingGroup | undefined {
+    const { pending, factors } = ranked;
     if (!factors.claim && factors.priority > 0) return pending;
     // Needed even while it may not preempt: the runs stopped for it earlier end one by one.
     const unplaced = this.#reserveProjected(pending);
@@ -53,7 +55,9 @@
     if (!factors.claim && !this.#mayPreempt(pending.job, factors)) return unplaced;
     const victims = this.#victimsFor(factors, pending.job);
     const maxLoss = factors.claim ? Infinity : MAX_PREEMPTION_LOSS_ACCELERATOR_MS;
-    const plan = planPreemption(unplaced.group, this.#ledger.projected, victims, maxLoss);
+    const plan = planByShares(ranked, victims, this.#input.shares, (allowed) =>
+      planPreemption(unplaced.group, this.#ledger.projected, allowed, maxLoss),
+    );
     if (plan === undefined) return unplaced;
     const isCostly = factors.claim && plan.loss > CHEAP_LOSS_ACCELERATOR_MS;
     if (isCostly && this.#canWait(pending, factors)) return unplaced;
--- a/packages/cell/src/owner/ranked-groups.ts
+++ b/packages/cell/src/owner/ranked-groups.ts
@@ -1,6 +1,7 @@
 /** Ranks the pending groups of all jobs, the most urgent first. */
 import { compareByUrgency, type UrgencyFactors } from '../placing/job-urgency.js';
 import type { AvailableWorker } from '../placing/available-worker.js';
+import { orderByShares } from '../share/share-order.js';
 import type { PlacementInput } from './placement-types.js';
 import { expectedDurations, urgencyFactorsOf } from './urgency-factors.js';
 import { pendingGroups, type PendingGroup } from './pending-groups.js';
@@ -9,6 +10,8 @@
 export interface RankedGroup {
   pending: PendingGroup;
   factors: UrgencyFactors;
+  /** Starting it takes its account beyond its share, while accounts compete. */
+  isBeyondShare?: boolean;
 }
 
 /** Pending groups of all jobs in placement order. */
@@ -16,7 +19,7 @@
   const { jobs, guaranteedJobs, evacuatedRacks, profile, queueMeans, durations, now, wallMs } =
     input;
   const busy = busyServices(input.workers);
-  return jobs
+  const ranked = jobs
     .flatMap((job) =>
       pendingGroups(job, now, {
         isBusy: busy.has(job.terms.service),
@@ -37,6 +40,8 @@
       }),
     }))
     .sort((a, b) => compareByUrgency(a.factors, b.factors));
+  const { shares, workers } = input;
+  return shares === undefined ? ranked : orderByShares(ranked, { shares, workers });
 }
 
 /** Services with at least half of their accelerators in use. */
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -9,6 +9,7 @@
 import { withdrawPendingStarts } from '../evacuation/start-withdrawal.js';
 import { DurationEstimator } from '../placing/duration-estimator.js';
 import type { FleetProfile } from '../placing/fleet-profile.js';
+import { ShareTracker } from '../share/share-tracker.js';
 import { Fleet } from './fleet.js';
 import { findRunningUnits } from './running-units.js';
 import { OwnedJob } from './owned-job.js';
@@ -63,6 +64,8 @@
 
   readonly #startedAt: number;
 
+  readonly #shareTracker: ShareTracker;
+
   readonly #waitingReport = new WaitingReport();
 
   constructor(options: SchedulerOptions) {
@@ -81,6 +84,7 @@
       }),
       events,
     });
+    this.#shareTracker = new ShareTracker({ ctx, registry: this.registry, policy: options.policy });
   }
 
   /** Adds a job, with the runs that a previous owner has stored. */
@@ -166,16 +170,20 @@
     const jobs = [...this.registry.jobs.values()];
     const profile = this.registry.fleet.profile();
     this.#recordWork(profile);
+    const accounts = config()?.accounts ?? [];
     const guarantees = new Map(
-      config()?.accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
+      accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     );
     const guaranteedJobs = findGuaranteedJobs(jobs, (account) => guarantees.get(account) ?? 0);
+    const allWorkersKnown = this.registry.now() - this.#startedAt >= WORKER_DISCOVERY_MS;
+    const shares = this.#shareTracker.beginPass({ accounts, profile, allWorkersKnown });
     const { starts, preemptions, approvalRequests } = planPlacement({
       jobs,
       guaranteedJobs,
       workers: this.registry.fleet.availableWorkers(),
       profile,
       policy,
+      shares,
       evacuatedRacks: this.registry.fleet.evacuatedRacks(),
       runningUnits: findRunningUnits(this.registry, guaranteedJobs),
       queueMeans: this.#queueMeans,
@@ -184,8 +192,9 @@
       now: this.registry.now(),
       wallMs: ctx.clock.wall(),
       approvals: this.approvals,
-      allWorkersKnown: this.registry.now() - this.#startedAt >= WORKER_DISCOVERY_MS,
+      allWorkersKnown,
     });
+    this.#shareTracker.report(shares);
     starts.forEach((start) => this.registry.assignRuns(start));
     preemptions.forEach(({ unit, forJob }) => {
       const [first] = unit.assignments;
--- a/packages/cell/src/placing/fleet-profile.ts
+++ b/packages/cell/src/placing/fleet-profile.ts
@@ -50,6 +50,11 @@
     return this.#services.get(service);
   }
 
+  /** Of all services. */
+  get totalAccelerators(): number {
+    return [...this.#services.values()].reduce((sum, { total }) => sum + total.accelerators, 0);
+  }
+
   /**
    * Accelerators of the service's typical worker that a task keeps others from using: its dominant share of the worker times the
    * worker's accelerators. Of a service without accelerators: workers; before any worker is known: accelerators.
--- a/packages/core/src/scheduler/domain-state.ts
+++ b/packages/core/src/scheduler/domain-state.ts
@@ -16,7 +16,7 @@
   type RunEstimate,
   type RunObservation,
 } from './estimate.js';
-import { FairShare } from './fair-share.js';
+import { FairShare, resourcesOf } from './fair-share.js';
 import { QueueOrder } from './queue-order.js';
 import { RunningJobs, type RunningJob } from './running-jobs.js';
 import type { QueuedJob } from './scheduler.js';
@@ -142,7 +142,7 @@
       {
         key: job.key,
         account: job.account,
-        shape: job.spec.shape,
+        resources: resourcesOf(job.spec.shape),
         withinGuarantee: running.inside || within !== undefined,
       },
       now,
--- a/packages/core/src/scheduler/fair-share.steps.ts
+++ b/packages/core/src/scheduler/fair-share.steps.ts
@@ -2,8 +2,8 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { clientAccountSchema } from '../client-account/client-account.js';
-import { shapeSchema, type Shape } from '../gang/shape.js';
-import { FairShare } from './fair-share.js';
+import { shapeSchema } from '../gang/shape.js';
+import { FairShare, resourcesOf, type Resources } from './fair-share.js';
 
 const HOUR_MS = 3_600_000;
 const CAPACITY = { accelerators: 16, cores: 160, memoryMb: 160_000 };
@@ -15,8 +15,8 @@
   now = 0;
 }
 
-function shape(accelerators: number): Shape {
-  return shapeSchema.parse({ tasks: 1, acceleratorsPerTask: accelerators });
+function use(accelerators: number): Resources {
+  return resourcesOf(shapeSchema.parse({ tasks: 1, acceleratorsPerTask: accelerators }));
 }
 
 interface World {
@@ -35,15 +35,15 @@
 When(
   'account {string} uses {int} accelerators and account {string} uses {int}',
   function (this: World, one: string, first: number, other: string, second: number) {
-    this.trial.fairShare.start({ key: '1', account: one, shape: shape(first) }, 0);
-    this.trial.fairShare.start({ key: '2', account: other, shape: shape(second) }, 0);
+    this.trial.fairShare.start({ key: '1', account: one, resources: use(first) }, 0);
+    this.trial.fairShare.start({ key: '2', account: other, resources: use(second) }, 0);
   },
 );
 
 When(
   'account {string} uses {int} accelerators for an hour',
   function (this: World, account: string, accelerators: number) {
-    this.trial.fairShare.start({ key: '1', account, shape: shape(accelerators) }, 0);
+    this.trial.fairShare.start({ key: '1', account, resources: use(accelerators) }, 0);
     this.trial.now = HOUR_MS;
     this.trial.fairShare.end('1', this.trial.now);
   },
@@ -53,7 +53,7 @@
   'account {string} has a quota of {int} and {int} accelerators within its guarantee',
   function (this: World, account: string, quota: number, within: number) {
     this.trial.fairShare.setAllotment(account, quota);
-    const charge = { key: '1', account, shape: shape(within), withinGuarantee: true };
+    const charge = { key: '1', account, resources: use(within), withinGuarantee: true };
     this.trial.fairShare.start(charge, 0);
   },
 );
@@ -73,8 +73,8 @@
 Then(
   'fair share lets {string} start {int} accelerators but not {int}',
   function (this: World, account: string, most: number, more: number) {
-    assert.equal(this.trial.fairShare.mayStart(account, shape(most)), true);
-    assert.equal(this.trial.fairShare.mayStart(account, shape(more)), false);
+    assert.equal(this.trial.fairShare.mayStart(account, most), true);
+    assert.equal(this.trial.fairShare.mayStart(account, more), false);
   },
 );
 
@@ -87,7 +87,7 @@
   const endsAtZero = fc.property(fc.array(step), (steps) => {
     const fairShare = new FairShare({ capacity: CAPACITY });
     steps.forEach(({ key, start, size }, now) => {
-      const charge = { key: `${key}`, account: 'a', shape: shape(size) };
+      const charge = { key: `${key}`, account: 'a', resources: use(size) };
       if (start) fairShare.start(charge, now);
       else fairShare.end(`${key}`, now);
       assert.ok(fairShare.counted('a') >= 0);
--- a/packages/core/src/scheduler/fair-share.ts
+++ b/packages/core/src/scheduler/fair-share.ts
@@ -16,10 +16,30 @@
 export interface Charge {
   key: string;
   account: string;
-  shape: Shape;
+  resources: Resources;
   withinGuarantee?: boolean;
 }
 
+export const NO_RESOURCES: Resources = { accelerators: 0, cores: 0, memoryMb: 0 };
+
+/** `a` and `times` times `b`. */
+export function addResources(a: Resources, b: Resources, times = 1): Resources {
+  return {
+    accelerators: a.accelerators + times * b.accelerators,
+    cores: a.cores + times * b.cores,
+    memoryMb: a.memoryMb + times * b.memoryMb,
+  };
+}
+
+/** What all tasks of a gang of this shape take together. */
+export function resourcesOf(shape: Shape): Resources {
+  return {
+    accelerators: shape.tasks * shape.acceleratorsPerTask,
+    cores: shape.tasks * shape.coresPerTask,
+    memoryMb: shape.tasks * shape.memoryMbPerTask,
+  };
+}
+
 interface Usage {
   weight: number;
   /** The quota over all failure domains, and the part of it that this one may use. */
@@ -33,9 +53,9 @@
   at: number;
 }
 
-/** Fairness among the accounts of one failure domain. Times in ms. */
+/** Fairness among the accounts that share one capacity. Times in ms. */
 export class FairShare {
-  readonly #halfLifeMs: number;
+  #halfLifeMs: number;
 
   #capacity: Resources;
 
@@ -51,11 +71,20 @@
     this.#capacity = capacity;
   }
 
-  /** What the failure domain has in all. */
+  /** What there is in all. */
   setCapacity(capacity: Resources): void {
     this.#capacity = capacity;
   }
 
+  /** Applies to the time since each account's last change. */
+  setHalfLife(halfLifeMs: number): void {
+    this.#halfLifeMs = halfLifeMs;
+  }
+
+  setWeight(account: string, weight: number): void {
+    this.#usage(account).weight = weight;
+  }
+
   /** Weights and quotas from the bundle in force. Accounts that left keep what they still run. */
   setAccounts(accounts: ClientAccount[]): void {
     accounts.forEach(({ name, share, quota }) => {
@@ -70,12 +99,12 @@
     this.#usage(account).allotment = accelerators;
   }
 
-  /** Does the account's quota leave room for this shape beyond its guarantees? */
-  mayStart(account: string, shape: Shape, { withinGuarantee = false } = {}): boolean {
+  /** Does the account's quota leave room for so many accelerators beyond its guarantees? */
+  mayStart(account: string, accelerators: number, { withinGuarantee = false } = {}): boolean {
     if (withinGuarantee) return true;
     const usage = this.#usage(account);
     const most = Math.min(usage.quota, usage.allotment);
-    return usage.counted + shape.tasks * shape.acceleratorsPerTask <= most;
+    return usage.counted + accelerators <= most;
   }
 
   /** Accelerators that count against the account's quota now. */
@@ -83,19 +112,36 @@
     return this.#usages.get(account)?.counted ?? 0;
   }
 
-  /** Weighted share used of late; the lower goes first. Half of it is what runs now, half is memory. */
+  /** Weighted share used of late; the lower goes first. */
   priority(account: string, now: number): number {
+    return this.share(account, now) / this.#usage(account).weight;
+  }
+
+  /** Share used of late, as if `more` ran as well. Half of it is what runs now, half is memory. */
+  share(account: string, now: number, more: Resources = NO_RESOURCES): number {
     const usage = this.#usage(account);
     this.#settle(usage, now);
-    return (usage.mean + this.#dominantShare(usage)) / 2 / usage.weight;
+    return (usage.mean + this.#dominantShare(usage, more)) / 2;
+  }
+
+  /** The share due to each of these accounts, by their weights. */
+  fairParts(accounts: Iterable<string>): Map<string, number> {
+    const weights = new Map([...accounts].map((name) => [name, this.#usage(name).weight]));
+    const sum = [...weights.values()].reduce((total, weight) => total + weight, 0);
+    return new Map([...weights].map(([name, weight]) => [name, weight / sum]));
+  }
+
+  /** Sets the decayed means to what runs now, where nothing is known of the time before. */
+  resetMeans(now: number): void {
+    this.#usages.forEach((usage) =>
+      Object.assign(usage, { mean: this.#dominantShare(usage), at: now }),
+    );
   }
 
   /** How far the account is above its due part among `competing` accounts: 1 is exactly its part. */
   overuse(account: string, competing: Iterable<string>): number {
-    const names = new Set([...competing, account]);
-    const weights = [...names].reduce((total, name) => total + this.#usage(name).weight, 0);
-    const usage = this.#usage(account);
-    return this.#dominantShare(usage) / (usage.weight / weights);
+    const part = this.fairParts([...competing, account]).get(account) ?? 1;
+    return this.#dominantShare(this.#usage(account)) / part;
   }
 
   /** Charges an account for work that starts. Charging a key again changes nothing. */
@@ -113,21 +159,23 @@
     this.#change(charge, -1, now);
   }
 
-  #change({ account, shape, withinGuarantee = false }: Charge, sign: number, now: number): void {
+  #change(
+    { account, resources, withinGuarantee = false }: Charge,
+    sign: number,
+    now: number,
+  ): void {
     const usage = this.#usage(account);
     this.#settle(usage, now);
-    const accelerators = shape.tasks * shape.acceleratorsPerTask;
-    usage.running.accelerators += sign * accelerators;
-    usage.running.cores += sign * shape.tasks * shape.coresPerTask;
-    usage.running.memoryMb += sign * shape.tasks * shape.memoryMbPerTask;
-    if (!withinGuarantee) usage.counted += sign * accelerators;
+    usage.running = addResources(usage.running, resources, sign);
+    if (!withinGuarantee) usage.counted += sign * resources.accelerators;
   }
 
-  #dominantShare({ running }: Usage): number {
+  #dominantShare({ running }: Usage, more: Resources = NO_RESOURCES): number {
+    const { accelerators, cores, memoryMb } = addResources(running, more);
     return Math.max(
-      running.accelerators / Math.max(1, this.#capacity.accelerators),
-      running.cores / Math.max(1, this.#capacity.cores),
-      running.memoryMb / Math.max(1, this.#capacity.memoryMb),
+      accelerators / Math.max(1, this.#capacity.accelerators),
+      cores / Math.max(1, this.#capacity.cores),
+      memoryMb / Math.max(1, this.#capacity.memoryMb),
     );
   }
 
@@ -148,7 +196,7 @@
       quota: Number.POSITIVE_INFINITY,
       allotment: Number.POSITIVE_INFINITY,
       counted: 0,
-      running: { accelerators: 0, cores: 0, memoryMb: 0 },
+      running: NO_RESOURCES,
       mean: 0,
       at: 0,
     };
--- a/packages/core/src/scheduler/queue-pass.ts
+++ b/packages/core/src/scheduler/queue-pass.ts
@@ -147,7 +147,7 @@
   #isWithinQuota({ account, spec: { shape } }: QueuedJob): boolean {
     const { fairShare } = this.#parts.state;
     const withinGuarantee = this.#parts.state.isInside(account, sizeOf(shape));
-    return fairShare.mayStart(account, shape, { withinGuarantee });
+    return fairShare.mayStart(account, sizeOf(shape), { withinGuarantee });
   }
 
   #findWithin(job: QueuedJob, id: string): Placed | undefined {
