--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -12,6 +12,7 @@
 import { WholeWorkerDemand } from '../placing/whole-worker-demand.js';
 import { wholeWorkerArrivals } from './capacity-fit.js';
 import { FitReport } from './fit-report.js';
+import { ShareTracker } from '../share/share-tracker.js';
 import { Fleet } from './fleet.js';
 import { findRunningUnits } from './running-units.js';
 import { OwnedJob } from './owned-job.js';
@@ -69,6 +70,7 @@
   readonly #wholeWorkers: WholeWorkerDemand;
 
   readonly #fitReport = new FitReport();
+  readonly #shareTracker: ShareTracker;
 
   readonly #waitingReport = new WaitingReport();
 
@@ -89,6 +91,7 @@
       }),
       events,
     });
+    this.#shareTracker = new ShareTracker({ ctx, registry: this.registry, policy: options.policy });
   }
 
   /** Adds a job, with the runs that a previous owner has stored. */
@@ -177,10 +180,13 @@
     const jobs = [...this.registry.jobs.values()];
     const profile = this.registry.fleet.profile();
     this.#recordWork(profile);
+    const accounts = config()?.accounts ?? [];
     const guarantees = new Map(
-      config()?.accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
+      accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     );
     const guaranteedJobs = findGuaranteedJobs(jobs, (account) => guarantees.get(account) ?? 0);
+    const allWorkersKnown = this.registry.now() - this.#startedAt >= WORKER_DISCOVERY_MS;
+    const shares = this.#shareTracker.beginPass({ accounts, profile, allWorkersKnown });
     const { starts, preemptions, approvalRequests, fit } = planPlacement({
       jobs,
       guaranteedJobs,
@@ -188,6 +194,7 @@
       profile,
       policy,
       wholeWorkers: this.#wholeWorkers,
+      shares,
       evacuatedRacks: this.registry.fleet.evacuatedRacks(),
       runningUnits: findRunningUnits(this.registry, guaranteedJobs),
       queueMeans: this.#queueMeans,
@@ -196,9 +203,10 @@
       now: this.registry.now(),
       wallMs: ctx.clock.wall(),
       approvals: this.approvals,
-      allWorkersKnown: this.registry.now() - this.#startedAt >= WORKER_DISCOVERY_MS,
+      allWorkersKnown,
     });
     this.#fitReport.report(ctx, fit, (msg, fields) => this.registry.log(msg, fields));
+    this.#shareTracker.report(shares);
     starts.forEach((start) => this.registry.assignRuns(start));
     preemptions.forEach(({ unit, forJob }) => {
       const [first] = unit.assignments;
