--- a/packages/cell/src/entry/call-result.ts
+++ b/packages/cell/src/entry/call-result.ts
@@ -4,6 +4,9 @@
 const retryAfterMs = z.number();
 const detail = z.string();
 
+/** Why a job was not accepted: `overload`, `store` or `configuration`. Later versions may have more. */
+const reason = z.optional(z.string());
+
 /** Reasons for not serving a call. A job that was not accepted never runs. */
 const refusalSchemas = [
   /** This entry has no configuration yet, or the one it has is too old to use. */
@@ -11,8 +14,8 @@
   z.strictObject({ outcome: z.literal('no-such-queue') }),
   z.strictObject({ outcome: z.literal('not-authenticated') }),
   z.strictObject({ outcome: z.literal('bad-input'), detail }),
-  /** Certainly not accepted; the caller may retry after this time. */
-  z.strictObject({ outcome: z.literal('not-accepted'), retryAfterMs, detail }),
+  /** Certainly not accepted; the caller may retry after this time. Unknown fields of a later version are dropped. */
+  z.object({ outcome: z.literal('not-accepted'), retryAfterMs, detail, reason }),
   /** It is not known whether the job was accepted; the caller retries with the same id after this time. */
   z.strictObject({ outcome: z.literal('unknown'), retryAfterMs, detail }),
 ] as const;
--- a/packages/cell/src/entry/entry-app.ts
+++ b/packages/cell/src/entry/entry-app.ts
@@ -1,5 +1,5 @@
 /** The entry process: serves callers' calls, and runs the cell's owner while this entry owns the cell. */
-import type { Handlers, ProcessContext } from '@zincspan/core';
+import type { Handlers, ProcessContext, ProcessId } from '@zincspan/core';
 import { LinkServer, type Link } from '@zincspan/link';
 import type { Advisor } from '../advice/advisor.js';
 import { DEFAULT_CELL_POLICY, type CellPolicy } from '../config/cell-policy.js';
@@ -8,6 +8,7 @@
 import { JOB_TABLE } from '../job/job-rows.js';
 import { CellOwner, notOwnerError, type EvacuationOptions } from '../owner/cell-owner.js';
 import { OwnerElection } from '../owner/owner-election.js';
+import { EntryLoad } from '../load/entry-load.js';
 import type { ReclaimBounds } from '../owner/placement-types.js';
 import type { Row, RowStore } from '../store/row-store.js';
 import { MonitoredStore } from '../store/monitored-store.js';
@@ -70,6 +71,9 @@
 
   readonly #successors: SuccessorList;
 
+  /** Undefined if the settings switch admission off. */
+  readonly #load: EntryLoad | undefined;
+
   #owner: CellOwner | undefined;
 
   #draining = false;
@@ -91,8 +95,20 @@
       localCount: (queue) => this.#owner?.waitingJobs(queue),
       ownerLink: () => this.#peers.ownerLink,
     });
+    const { policy = DEFAULT_CELL_POLICY } = options;
+    if (policy.admission !== 'off') {
+      this.#load = new EntryLoad({
+        ctx,
+        policy,
+        localLoad: () => this.#owner?.load,
+        isOwner: () => this.#owner !== undefined,
+        ownerLink: () => this.#peers.ownerLink,
+        links: () => this.#links.links(),
+      });
+    }
     this.jobApi = new JobApi({
       ctx,
+      gate: this.#load?.gate,
       store,
       config: this.#config,
       admission: this.#admission,
@@ -119,6 +135,7 @@
       store,
       self: { ...self, failureDomain, processorShare },
       linkKey,
+      ownerStatus: () => this.#load?.entryStatus() ?? {},
     });
     this.#links = new LinkServer({
       ctx,
@@ -126,7 +143,8 @@
       handlers: this.#handlers(),
       heartbeat: LINK_HEARTBEAT,
       listen: linkAddress,
-      status: () => this.#heartbeatStatus(),
+      status: ({ role }) => this.#heartbeatStatus(role),
+      needsStatus: ({ role }) => this.#owner !== undefined && role === 'entry',
     });
     this.#successors = new SuccessorList({ links: () => this.#links.links(), clock: ctx.clock });
     this.#ownerElection = new OwnerElection({
@@ -189,6 +207,7 @@
       keepEndedMs,
       config: () => this.#config.current?.config,
       policy,
+      refusals: () => this.#load?.refusals() ?? [],
       configKey: this.#config.key,
       confirmedAt: () => this.#ownerElection.held?.confirmedAt ?? -Infinity,
       transact: (tx, callOptions) => this.#ownerElection.transact(tx, callOptions),
@@ -204,9 +223,11 @@
     else this.#owner.applyWrittenRow(row);
   }
 
-  /** Status sent with heartbeats; empty unless this entry is the owner. */
-  #heartbeatStatus(): Record<string, unknown> {
-    return this.#owner === undefined ? {} : { successors: this.#successors.current() };
+  /** Status sent with heartbeats; empty unless this entry is the owner. Guards, of which there may be a thousand, don't get the load. */
+  #heartbeatStatus(role: ProcessId['role']): Record<string, unknown> {
+    if (this.#owner === undefined) return {};
+    const load = role === 'entry' ? this.#load?.ownerStatus() : undefined;
+    return { successors: this.#successors.current(), ...load };
   }
 
   #stopOwner(): void {
--- a/packages/cell/src/entry/job-api.ts
+++ b/packages/cell/src/entry/job-api.ts
@@ -4,6 +4,7 @@
 import type { ConfigWatcher } from '../config/config-watcher.js';
 import { jobState } from '../job/job-view.js';
 import { findGraphError, jobRequestSchema, type JobRequest } from '../job/submission.js';
+import type { AdmissionGate } from '../load/admission-gate.js';
 import type { Row } from '../store/row-store.js';
 import type { MonitoredStore } from '../store/monitored-store.js';
 import { JobWriter, outcomeUnknown, storeUnavailable } from './job-writer.js';
@@ -19,6 +20,8 @@
   type WaitingResult,
 } from './call-result.js';
 import type { AdmittedCall, CallerCall, CallAdmission } from './call-admission.js';
+import { checkLoad, type DecodeJob } from './load-check.js';
+import { JOB_ID_PATTERN } from './job-id.js';
 import type { FindResult, JobLookup } from './job-lookup.js';
 import { isInconclusive, hedgeCall } from './hedged-call.js';
 
@@ -37,12 +40,6 @@
 /** Retry delay for callers of a queue that needs advice if there is no advisor, in ms. Long, because only other settings help. */
 const NO_ADVISOR_RETRY_AFTER_MS = 60_000;
 
-/** Job ids are chosen by callers. */
-const JOB_ID_PATTERN = /^[0-9a-f]{16}$/;
-
-/** Decodes the request body; called only after the call was admitted. */
-export type DecodeJob = () => { job: JobRequest } | { fault: string };
-
 /** Forwards a call to other entries; one promise per entry, none if none is linked. Rejects if the link fails. */
 export type Forward = (call: ForwardedCall) => Promise<ForwardedResult>[];
 
@@ -52,6 +49,8 @@
   config: ConfigWatcher;
   admission: CallAdmission;
   jobs: JobLookup;
+  /** Refuses submissions that can't be served in time; undefined if admission is switched off. */
+  gate?: AdmissionGate | undefined;
   /** Counts the waiting jobs of a queue; undefined if neither the owner nor the store answered in time. */
   countWaiting: (queue: string, options: { timeoutMs: number }) => Promise<number | undefined>;
   /** True if a placement advisor is configured. */
@@ -89,7 +88,11 @@
       isForwarded = false,
     }: CallOptions & { decode: DecodeJob },
   ): Promise<SubmitResult> {
+    const { ctx } = this.#options;
     const deadline = this.#now() + budgetMs - RESPONSE_MARGIN_MS;
+    // The load was considered by the entry that forwarded the call. Here a refusal could contradict an acceptance in progress there.
+    const load = isForwarded ? {} : await checkLoad(this.#options, { call, decode, deadline });
+    if (load.refusal !== undefined) return this.#log('submit', call, load.refusal);
     const local = this.#submitLocally(call, decode, deadline);
     if (isForwarded) return this.#log('submit', call, await local);
     const result = await hedgeCall({
@@ -102,6 +105,11 @@
         return this.#forward(submitResultSchema, { call: 'submit', ...call, job, deadline });
       },
     });
+    if (result.outcome === 'accepted' && !result.again) load.onAccepted?.();
+    // Refusals because of the load are counted where they are decided.
+    if (result.outcome === 'not-accepted') {
+      ctx.metrics.count(`admission.refused.${result.reason ?? 'store'}`);
+    }
     return this.#log('submit', call, result);
   }
 
@@ -157,6 +165,8 @@
   async serveForwarded(call: ForwardedCall): Promise<ForwardedResult> {
     const result = await this.#serveForwarded(call);
     const configVersion = this.#options.config.current?.config.version;
+    // An entry of an earlier version, which may have forwarded the call, can't read a result that has a reason.
+    delete result.reason;
     return { ...result, ...(configVersion === undefined ? {} : { configVersion }) };
   }
 
@@ -277,6 +287,7 @@
   #log<const T extends { outcome: string }>(what: string, { path }: CallerCall, result: T): T {
     const { ctx, config } = this.#options;
     ctx.metrics.count(`call.${what}.${result.outcome}`);
+
     const version = config.current?.config.version;
     const configAgeMs = Math.round(Math.min(config.ageMs, Number.MAX_SAFE_INTEGER));
     const id = path.slice(path.lastIndexOf('/') + 1);
@@ -298,6 +309,7 @@
 function noAdvisor(queue: string): CallRefusal {
   return {
     outcome: 'not-accepted',
+    reason: 'configuration',
     retryAfterMs: NO_ADVISOR_RETRY_AFTER_MS,
     detail: `Queue ${queue} requires a placement advisor, but this entry's settings configure none.`,
   };
--- a/packages/cell/src/entry/job-writer.ts
+++ b/packages/cell/src/entry/job-writer.ts
@@ -119,7 +119,7 @@
       const mayRetry = this.#store.isSlow && !this.#store.isUnavailable;
       if (!mayBeCommitted && refusals >= MAX_REFUSALS && !mayRetry) return this.#refusal(detail);
       if (mayBeCommitted && this.#isStoreUnavailable()) break;
-      await sleep(this.#retryDelayMs());
+      await sleep(this.#retryDelayMs(deadline));
     }
     return mayBeCommitted ? this.#outcomeUnknown(detail) : this.#refusal(detail);
   }
@@ -141,7 +141,7 @@
       const isWritten = result.outcome === 'done' || result.outcome === 'conflict';
       if (isWritten) return { outcome: 'cancelled' };
       if (this.#isStoreUnavailable()) return this.#outcomeUnknown(result.detail);
-      await sleep(this.#retryDelayMs());
+      await sleep(this.#retryDelayMs(deadline));
     }
   }
 
@@ -150,8 +150,10 @@
     return Math.min(maxMs, deadline - this.#ctx.clock.now());
   }
 
-  #retryDelayMs(): number {
-    return this.#store.isSlow ? SLOW_STORE_RETRY_DELAY_MS : RETRY_DELAY_MS;
+  /** Ends at the deadline: the part of the caller's time that is reserved for the answer is shorter than the delay at a slow store. */
+  #retryDelayMs(deadline: number): number {
+    const delayMs = this.#store.isSlow ? SLOW_STORE_RETRY_DELAY_MS : RETRY_DELAY_MS;
+    return Math.max(0, Math.min(delayMs, deadline - this.#ctx.clock.now()));
   }
 
   #isStoreUnavailable(): boolean {
@@ -188,6 +190,7 @@
 export function storeUnavailable(detail: string, unavailableMs: number): CallRefusal {
   return {
     outcome: 'not-accepted',
+    reason: 'store',
     retryAfterMs: storeRetryAfterMs(unavailableMs),
     detail: `The store is unavailable from this entry: ${detail}.`,
   };
--- a/packages/cell/src/entry/peer-entries.ts
+++ b/packages/cell/src/entry/peer-entries.ts
@@ -51,6 +51,8 @@
   store: RowStore;
   self: EntryRow;
   linkKey: string;
+  /** Part of the heartbeat status that only the owner needs. */
+  ownerStatus: () => Record<string, unknown>;
 }
 
 interface Peer {
@@ -272,7 +274,8 @@
   }
 
   #dial(id: string, address: string): void {
-    const { ctx, linkKey, self } = this.#options;
+    const { ctx, linkKey, self, ownerStatus } = this.#options;
+    const isOwner = (): boolean => this.#owner?.id === id;
     const dialer = new Dialer({
       ctx,
       keys: [linkKey],
@@ -280,7 +283,11 @@
       heartbeat: LINK_HEARTBEAT,
       address,
       expectId: id,
-      status: () => ({ processorShare: self.processorShare }),
+      status: () => ({
+        processorShare: self.processorShare,
+        ...(isOwner() ? ownerStatus() : {}),
+      }),
+      needsStatus: isOwner,
     });
     this.#peers.set(id, { address, dialer, unlinkedSince: undefined });
     ctx.log.info({ peer: id, address }, 'dialling entry');
--- /dev/null
+++ b/packages/cell/src/load/capacity-forecast.ts
@@ -0,0 +1,58 @@
+/** Forecast of a service's capacity: when so much of it is free, and when it has done a given amount of work. */
+import { FreedCapacity } from '@zincspan/core';
+import { FORECAST_TIMES_MS, type ServiceLoad } from './load-summary.js';
+
+/** Hundredths of a worker, as widths are in the summary. */
+export const WIDTH_UNIT = 100;
+
+/** Capacity of one service by its load summary. Times from now in ms, widths in workers, work in worker-ms. */
+export class CapacityForecast {
+  readonly freeNow: number;
+
+  readonly #wholeFreeNow: number;
+
+  readonly #free: FreedCapacity;
+
+  readonly #wholeFree: FreedCapacity;
+
+  readonly #drained: FreedCapacity;
+
+  constructor({ free, wholeFree }: ServiceLoad) {
+    const workers = free.map((each) => each / WIDTH_UNIT);
+    this.freeNow = workers[0] ?? 0;
+    this.#wholeFreeNow = wholeFree[0] ?? 0;
+    this.#free = cumulative(workers);
+    this.#wholeFree = cumulative(wholeFree);
+    let done = 0;
+    const drained = FORECAST_TIMES_MS.map((at, index) => {
+      const before = FORECAST_TIMES_MS[index - 1] ?? 0;
+      const mean = ((workers[index - 1] ?? 0) + (workers[index] ?? 0)) / 2;
+      done += mean * (at - before);
+      return done;
+    });
+    this.#drained = cumulative(drained);
+  }
+
+  /** True if so much is free now. */
+  hasFree({ width, wholeWorkers }: { width: number; wholeWorkers: number }): boolean {
+    return width <= this.freeNow && wholeWorkers <= this.#wholeFreeNow;
+  }
+
+  untilFree(width: number): number {
+    return this.#free.untilGrown(width, 0);
+  }
+
+  untilWholeFree(workers: number): number {
+    return workers <= 0 ? 0 : this.#wholeFree.untilGrown(workers, 0);
+  }
+
+  untilDrained(work: number): number {
+    return work <= 0 ? 0 : this.#drained.untilGrown(work, 0);
+  }
+}
+
+function cumulative(amounts: readonly number[]): FreedCapacity {
+  return FreedCapacity.fromCumulative(
+    FORECAST_TIMES_MS.map((at, index) => ({ at, freed: amounts[index] ?? 0 })),
+  );
+}
--- /dev/null
+++ b/packages/cell/src/load/load-monitor.ts
@@ -0,0 +1,300 @@
+/** The owner's side of the load summary: computes it from jobs and workers, and learns from what became of its predictions. */
+import type { ProcessContext } from '@zincspan/core';
+import type { CellConfig } from '../config/cell-config.js';
+import type { OwnedJob } from '../owner/owned-job.js';
+import type { RunRegistry } from '../owner/run-registry.js';
+import {
+  expectedDurations,
+  peakAccelerators,
+  urgencyFactorsOf,
+  type QueueMeanWork,
+} from '../owner/urgency-factors.js';
+import type { DurationEstimator } from '../placing/duration-estimator.js';
+import type { FleetProfile } from '../placing/fleet-profile.js';
+import { urgencyOf } from '../placing/job-urgency.js';
+import type { Assignment, Worker } from '../worker/worker.js';
+import { footprintOf } from './job-footprint.js';
+import {
+  buildLoadSummary,
+  type LoadedWorker,
+  type RefusedWork,
+  type WaitingWork,
+} from './load-summary-builder.js';
+import type { LoadStatus, LoadSummary } from './load-summary.js';
+import { predict } from './prediction.js';
+import { PredictionError } from './prediction-error.js';
+import type { RefusalReport } from './refusal-book.js';
+import { RefusalRegister } from './refusal-register.js';
+
+/** Shortest interval between two summaries, in ms: half of a heartbeat interval. */
+const SUMMARY_INTERVAL_MS = 400;
+
+/**
+ * Time for which an owner sends no summary after its start or after a pause, in ms: guards contact it once a second, and capacity of
+ * workers that haven't would count as missing.
+ */
+const SETTLE_MS = 2400;
+
+/** A longer time without a pass counts as a pause of the process, in ms. Passes are at most 0.2 s apart. */
+const PAUSE_MS = 1200;
+
+/** Most predictions whose outcome is awaited. */
+const MAX_PENDING_PREDICTIONS = 512;
+
+/** Expected remaining time of a run that takes longer than expected, as a share of its expected duration. */
+const OVERDUE_SHARE = 0.25;
+
+const FULL_PERCENT = 100;
+
+/** Refusals that one entry reported, and when they were received on the monotonic clock. */
+export interface ReceivedReports {
+  reports: readonly RefusalReport[];
+  receivedAt: number;
+}
+
+export interface LoadMonitorOptions {
+  ctx: ProcessContext;
+  term: number;
+  registry: RunRegistry;
+  durations: DurationEstimator;
+  queueMeans: QueueMeanWork;
+  config: () => CellConfig | undefined;
+  /** The owner orders competing accounts by their shares. */
+  hasFairShares: boolean;
+  /** The newest refusals of all entries. */
+  refusals: () => readonly ReceivedReports[];
+}
+
+/** State of a pass that the summary is computed from. */
+interface PassState {
+  profile: FleetProfile;
+  guaranteedJobs: ReadonlySet<OwnedJob>;
+}
+
+/** Load of a cell during one ownership term. */
+export class LoadMonitor {
+  readonly #options: LoadMonitorOptions;
+
+  readonly #register = new RefusalRegister();
+
+  readonly #error = new PredictionError();
+
+  /** Predictions of jobs that haven't ended, by job. */
+  readonly #pending = new Map<OwnedJob, { predictedMs: number; addedAt: number }>();
+
+  #sequence = 0;
+
+  #summary: LoadSummary | undefined;
+
+  #computedAt = -Infinity;
+
+  #updatedAt = -Infinity;
+
+  /** No summary is sent before this time. */
+  #settledAt = Infinity;
+
+  constructor(options: LoadMonitorOptions) {
+    this.#options = options;
+  }
+
+  /** The newest summary; undefined while too little is known. */
+  get summary(): LoadSummary | undefined {
+    return this.#summary;
+  }
+
+  /** When it was computed, on the monotonic clock. */
+  get computedAt(): number {
+    return this.#computedAt;
+  }
+
+  /** The summary as sent to entries. */
+  get status(): LoadStatus | undefined {
+    if (this.#summary === undefined) return undefined;
+    return { summary: this.#summary, ageMs: Math.round(this.#now() - this.#computedAt) };
+  }
+
+  /** A job was accepted: ranks it by its first refusal, and predicts its completion. */
+  noteAdded(job: OwnedJob): void {
+    if (job.progress.begun) return;
+    const now = this.#now();
+    const { id, submission, terms } = job;
+    this.#addReports();
+    job.noteRefused(this.#register.sinceFirstRefusalMs(id, now));
+    if (job.refusedForMs > 0) {
+      const { refusedForMs } = job;
+      this.#options.registry.log('refused job returned', {
+        job: id,
+        refusedForMs: Math.round(refusedForMs),
+      });
+    }
+    const isTimed = submission.schedule === undefined && !hasLastingStep(job);
+    if (this.#summary === undefined || !isTimed || this.#pending.size >= MAX_PENDING_PREDICTIONS) {
+      return;
+    }
+    const { queue, account, steps } = submission;
+    const prediction = predict(
+      this.#summary,
+      { queue, account, terms, steps },
+      { elapsedMs: job.refusedForMs, hasFairShares: this.#options.hasFairShares },
+    );
+    if (prediction === undefined) return;
+    this.#pending.set(job, { predictedMs: prediction.completionMs, addedAt: now });
+  }
+
+  /** Records the error of the predictions for jobs that have ended. Called in each pass, before ended jobs are dropped. */
+  noteEnds(): void {
+    const now = this.#now();
+    this.#pending.forEach(({ predictedMs, addedAt }, job) => {
+      const { outcome } = job.progress;
+      if (outcome === 'open') return;
+      this.#pending.delete(job);
+      // The end of a failed or cancelled job isn't what was predicted.
+      if (outcome !== 'completed') return;
+      const actualMs = now - addedAt;
+      this.#error.record({ predictedMs, actualMs });
+      this.#options.ctx.metrics.timing(
+        'admission.prediction-error',
+        Math.abs(actualMs - predictedMs),
+      );
+    });
+  }
+
+  /** Computes the summary if it is due. */
+  update(state: PassState): void {
+    const now = this.#now();
+    if (now - this.#updatedAt > PAUSE_MS) {
+      this.#settledAt = now + SETTLE_MS;
+      this.#summary = undefined;
+    }
+    this.#updatedAt = now;
+    if (now < this.#settledAt || now - this.#computedAt < SUMMARY_INTERVAL_MS) return;
+    this.#computedAt = now;
+    this.#sequence += 1;
+    this.#addReports();
+    this.#summary = this.#compute(state);
+    const { queues, restOfQueues } = this.#summary;
+    const backlog = queues.reduce((sum, [, work]) => sum + work, restOfQueues);
+    this.#options.ctx.metrics.gauge('load.backlog', backlog / 1000);
+  }
+
+  #compute({ profile, guaranteedJobs }: PassState): LoadSummary {
+    const { term, registry, durations, queueMeans, config } = this.#options;
+    const jobs = [...registry.jobs.values()].filter(
+      ({ progress, cancelled }) => progress.outcome === 'open' && !cancelled,
+    );
+    const urgentAccelerators = new Map<string, number>();
+    jobs
+      .filter(({ terms }) => terms.priority === 0)
+      .forEach(({ submission: { account, steps } }) => {
+        const sum = urgentAccelerators.get(account) ?? 0;
+        urgentAccelerators.set(account, sum + peakAccelerators(steps));
+      });
+    return buildLoadSummary({
+      term,
+      sequence: this.#sequence,
+      workers: [...registry.fleet.all()]
+        .filter((worker) => registry.fleet.isSchedulable(worker))
+        .map((worker) => this.#loadedWorker(worker)),
+      waiting: jobs.flatMap((job) => this.#waitingWork(job, profile, guaranteedJobs.has(job))),
+      refused: this.#refusedWork(profile),
+      queues: (config()?.queues ?? []).map(({ name }) => ({
+        name,
+        meanWork: queueMeans.of(name),
+        expectedMs: (estimateMs) => durations.expectedMs(name, estimateMs),
+      })),
+      urgentAccelerators,
+      error: this.#error.quantiles(),
+    });
+  }
+
+  #loadedWorker({ runner, assignments }: Worker): LoadedWorker {
+    return {
+      service: runner?.service ?? '',
+      capacity: runner?.capacity ?? { milliCores: 0, memoryMb: 0, accelerators: 0 },
+      runs: [...assignments.values()].map((assignment) => ({
+        demand: assignment.demand,
+        endsInMs: this.#endsInMs(assignment),
+      })),
+    };
+  }
+
+  /** Expected remaining time of a run, by its own progress if it reports any. */
+  #endsInMs(assignment: Assignment): number {
+    const { registry } = this.#options;
+    const job = registry.jobs.get(assignment.jobId);
+    const step = registry.stepOf(assignment);
+    if (job === undefined || step === undefined) return 0;
+    if (step.lasting) return Infinity;
+    const expectedMs = registry.expectedTaskMs(job, step);
+    const { runningAt, percent, firstPercent } = assignment;
+    if (runningAt === undefined) return expectedMs;
+    const ranMs = this.#now() - runningAt;
+    if (percent > firstPercent) {
+      return (ranMs * (FULL_PERCENT - percent)) / (percent - firstPercent);
+    }
+    const leftMs = expectedMs * (1 - firstPercent / FULL_PERCENT) - ranMs;
+    return Math.max(leftMs, OVERDUE_SHARE * expectedMs);
+  }
+
+  #waitingWork(job: OwnedJob, profile: FleetProfile, isGuaranteed: boolean): WaitingWork[] {
+    const { durations, queueMeans, ctx } = this.#options;
+    const { submission, terms, progress } = job;
+    const typical = profile.of(terms.service)?.typical;
+    if (typical === undefined) return [];
+    const expectedMs = expectedDurations(job, durations);
+    return progress.occurrences.flatMap(({ index: occurrence, steps }) => {
+      const open = submission.steps.map((step, index) => ({
+        step,
+        count:
+          steps[index]?.tasks.filter(({ done, active }) => !done && active === undefined).length ??
+          0,
+      }));
+      if (open.every(({ count }) => count === 0)) return [];
+      const factors = urgencyFactorsOf(job, {
+        isGuaranteed,
+        wallMs: ctx.clock.wall(),
+        profile,
+        queueMeans,
+        durations,
+        occurrence,
+      });
+      return {
+        ...footprintOf(open, { typical, expectedMs }),
+        queue: submission.queue,
+        account: submission.account,
+        service: terms.service,
+        urgency: isGuaranteed ? Infinity : urgencyOf(factors),
+      };
+    });
+  }
+
+  /** Refused jobs that are expected to return; the mean work of their queues stands for theirs, which isn't reported. */
+  #refusedWork(profile: FleetProfile): RefusedWork[] {
+    const { registry, queueMeans, config } = this.#options;
+    const now = this.#now();
+    const queues = new Map(config()?.queues.map((queue) => [queue.name, queue]));
+    const isKnown = (id: string): boolean => registry.jobs.has(id) || registry.endedJobs.has(id);
+    return this.#register.expected(now, isKnown).flatMap(({ id, queue: name, firstRefusedAt }) => {
+      const queue = queues.get(name);
+      if (queue === undefined) return [];
+      const { service, priority } = queue;
+      const accelerators = Math.max(1, profile.of(service)?.typical.accelerators ?? 1);
+      const work = queueMeans.of(name) / accelerators;
+      return { id, service, priority, work, ageMs: now - firstRefusedAt };
+    });
+  }
+
+  #addReports(): void {
+    this.#options
+      .refusals()
+      .forEach(({ reports, receivedAt }) => this.#register.add(reports, receivedAt));
+  }
+
+  #now(): number {
+    return this.#options.ctx.clock.now();
+  }
+}
+
+function hasLastingStep({ submission }: OwnedJob): boolean {
+  return submission.steps.some(({ lasting }) => lasting);
+}
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -21,6 +21,7 @@
 } from '../evacuation/evacuations.js';
 import { JOB_TABLE } from '../job/job-rows.js';
 import { JobView, type JobSnapshot } from '../job/job-view.js';
+import type { LoadMonitor, ReceivedReports } from '../load/load-monitor.js';
 import { runnerIdOf } from '../runner/incarnation-id.js';
 import type { Row, RowKey, RowStore } from '../store/row-store.js';
 import { TableFollower } from '../store/table-follower.js';
@@ -90,6 +91,8 @@
   keepEndedMs: number;
   config: () => CellConfig | undefined;
   policy: CellPolicy;
+  /** The newest refusals of all entries. */
+  refusals: () => readonly ReceivedReports[];
   /** Row of the operator's configuration. */
   configKey: RowKey;
   /** When the store last confirmed this owner, on the monotonic clock. */
@@ -160,6 +163,7 @@
       evacuations,
       config,
       policy,
+      load: options,
       events: {
         onProgressChanged: (job) => this.#progressWriter.markDirty(job),
         onOrdersChanged: (vm) => this.#notifyGuard(vm),
@@ -205,6 +209,11 @@
     });
   }
 
+  /** Load of the cell; undefined if the settings switch admission off. */
+  get load(): LoadMonitor | undefined {
+    return this.#scheduler.load;
+  }
+
   get #registry(): RunRegistry {
     return this.#scheduler.registry;
   }
--- a/packages/cell/src/owner/owned-job.ts
+++ b/packages/cell/src/owner/owned-job.ts
@@ -31,6 +31,9 @@
   /** When runs of other jobs were last preempted for this one, on the monotonic clock. */
   #lastPreemptionAt = -Infinity;
 
+  /** Time between the first refusal of the job and its acceptance, in ms; 0 if it wasn't refused. */
+  #refusedForMs = 0;
+
   #cancelled: boolean;
 
   #terms: QueueTerms;
@@ -73,6 +76,15 @@
     this.#lastPreemptionAt = now;
   }
 
+  get refusedForMs(): number {
+    return this.#refusedForMs;
+  }
+
+  /** The job was refused before, first this long ago, in ms. */
+  noteRefused(sinceFirstMs: number): void {
+    this.#refusedForMs = sinceFirstMs;
+  }
+
   get cancelled(): boolean {
     return this.#cancelled;
   }
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -6,6 +6,7 @@
 import type { CellPolicy } from '../config/cell-policy.js';
 import type { JobSnapshot } from '../job/job-view.js';
 import type { EvacuationChange, Evacuations } from '../evacuation/evacuations.js';
+import { LoadMonitor, type LoadMonitorOptions } from '../load/load-monitor.js';
 import { withdrawPendingStarts } from '../evacuation/start-withdrawal.js';
 import { DurationEstimator } from '../placing/duration-estimator.js';
 import type { FleetProfile } from '../placing/fleet-profile.js';
@@ -43,6 +44,8 @@
   evacuations: Evacuations;
   config: () => CellConfig | undefined;
   policy: CellPolicy;
+  /** Undefined if no load summary is needed. */
+  load?: Pick<LoadMonitorOptions, 'term' | 'refusals'>;
   events: RunRegistryEvents;
 }
 
@@ -50,6 +53,9 @@
 export class Scheduler {
   readonly registry: RunRegistry;
 
+  /** Undefined if no load summary is needed, or the settings switch admission off. */
+  readonly load: LoadMonitor | undefined;
+
   readonly approvals = new ApprovalCache();
 
   readonly #options: SchedulerOptions;
@@ -81,6 +87,18 @@
       }),
       events,
     });
+    const { registry } = this;
+    const { load, policy, config } = options;
+    if (load === undefined || policy.admission === 'off') return;
+    this.load = new LoadMonitor({
+      ...load,
+      ctx,
+      config,
+      registry,
+      durations: this.#durations,
+      queueMeans: this.#queueMeans,
+      hasFairShares: policy.fairShares !== 'off',
+    });
   }
 
   /** Adds a job, with the runs that a previous owner has stored. */
@@ -92,6 +110,7 @@
     );
     this.#unmeasuredJobs.push(job);
     this.registry.addJob(job);
+    this.load?.noteAdded(job);
     if (job.progress.begun) return;
     const { account, queue, acceptedAtMs, steps } = submission;
     this.registry.log('job added to scheduler', {
@@ -124,6 +143,7 @@
     this.#refreshQueueTerms();
     const requests = this.#runPlacement();
     this.#waitingReport.logIfDue(this.registry);
+    this.load?.noteEnds();
     this.registry.dropEndedJobs();
     this.approvals.retainJobs((jobId) => this.registry.jobs.has(jobId));
     return requests;
@@ -170,6 +190,7 @@
       config()?.accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     );
     const guaranteedJobs = findGuaranteedJobs(jobs, (account) => guarantees.get(account) ?? 0);
+    this.load?.update({ profile, guaranteedJobs });
     const { starts, preemptions, approvalRequests } = planPlacement({
       jobs,
       guaranteedJobs,
--- a/packages/cell/src/owner/urgency-factors.ts
+++ b/packages/cell/src/owner/urgency-factors.ts
@@ -124,7 +124,7 @@
   const { schedule, steps } = submission;
   const dueMs =
     schedule === undefined
-      ? submission.acceptedAtMs
+      ? submission.acceptedAtMs - job.refusedForMs
       : schedule.firstAtMs + occurrence * schedule.everyMs;
   const remaining = progress.occurrences.find(({ index }) => index === occurrence)?.steps ?? [];
   const remainingSteps = steps.filter((_, index) =>
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,6 +51,7 @@
 export * from './scheduler/queue-order.js';
 export * from './scheduler/admission.js';
 export * from './scheduler/drain-rate.js';
+export * from './scheduler/freed-capacity.js';
 export * from './scheduler/quota-allotment.js';
 export * from './job/job-machine.js';
 export * from './job/job-keys.js';
--- a/packages/link/src/link-options.ts
+++ b/packages/link/src/link-options.ts
@@ -1,5 +1,5 @@
 /** Options, limits and close reasons that the link server and the dialer share. */
-import type { Handlers, ProcessContext } from '@zincspan/core';
+import type { Handlers, ProcessContext, ProcessId } from '@zincspan/core';
 import type { Link } from './link.js';
 
 /** Why a link ended. */
@@ -73,8 +73,13 @@
   onBundleVersion?: (link: Link, version: number) => void;
   /** Bundle version to send in heartbeats. */
   bundleVersion?: () => number;
-  /** Small status object to send in heartbeats. */
-  status?: () => Record<string, unknown>;
+  /** Small status object to send to this peer in heartbeats. */
+  status?: (peer: ProcessId) => Record<string, unknown>;
+  /**
+   * True if the peer needs the status at every heartbeat interval. Otherwise other frames postpone heartbeats, so that a busy link
+   * sends none.
+   */
+  needsStatus?: (peer: ProcessId) => boolean;
   limits?: Partial<LinkLimits>;
   /** When this process started by its wall clock, in ms. */
   bornAt?: number;
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -25,6 +25,9 @@
 import type { FrameSocket, SendResult } from './frame-socket.js';
 import { TrafficMeter, type Traffic } from './traffic.js';
 
+/** Type of heartbeat frames. */
+const HEARTBEAT = 'link.heartbeat';
+
 /** Any method's handler; its request has been validated against the method's schema. */
 type AnyHandler = (req: unknown, peer: Peer) => unknown;
 
@@ -38,6 +41,9 @@
   /** Latest status from the peer's heartbeats. */
   status: Record<string, unknown> = {};
 
+  /** When that status was received, on the monotonic clock, in ms; -Infinity before the first one. */
+  statusAt = -Infinity;
+
   readonly #options: LinkOptions;
 
   readonly #limits: LinkLimits;
@@ -134,17 +140,22 @@
 
   #sendFrame(frame: { t: string } & Record<string, unknown>): SendResult {
     const result = this.#socket.send({ ...frame, hlc: this.#options.ctx.hybrid.tick() });
-    if (result === 'sent') this.#keepAlive.noteSent();
+    if (result === 'sent' && this.#postponesHeartbeat(frame.t)) this.#keepAlive.noteSent();
     else this.#options.ctx.metrics.count(`link.unsent.${result}`);
     return result;
   }
 
+  /** A heartbeat always postpones the next one; another frame doesn't if the peer needs the status. */
+  #postponesHeartbeat(type: string): boolean {
+    return type === HEARTBEAT || !this.#options.needsStatus?.(this.process);
+  }
+
   #sendHeartbeat(): void {
     const { bundleVersion, status } = this.#options;
     this.#sendFrame({
-      t: 'link.heartbeat',
+      t: HEARTBEAT,
       bundleVersion: bundleVersion?.() ?? 0,
-      ...(status ? { status: status() } : {}),
+      ...(status ? { status: status(this.process) } : {}),
     });
   }
 
@@ -159,8 +170,11 @@
   }
 
   #handleHeartbeat(frame: Extract<Frame, { bundleVersion: number }>): void {
-    if (frame.status) this.status = frame.status;
     const { ctx, onBundleVersion } = this.#options;
+    if (frame.status) {
+      this.status = frame.status;
+      this.statusAt = ctx.clock.now();
+    }
     callHook(ctx, () => onBundleVersion?.(this, frame.bundleVersion));
   }
 
