--- a/packages/cell/src/entry/job-api.ts
+++ b/packages/cell/src/entry/job-api.ts
@@ -3,7 +3,7 @@
 import type * as z from 'zod';
 import type { ConfigWatcher } from '../config/config-watcher.js';
 import { jobState } from '../job/job-view.js';
-import { findGraphError, jobRequestSchema, type JobRequest } from '../job/submission.js';
+import { findGraphError, jobRequestSchema } from '../job/submission.js';
 import type { AdmissionGate } from '../load/admission-gate.js';
 import type { Row } from '../store/row-store.js';
 import type { MonitoredStore } from '../store/monitored-store.js';
--- /dev/null
+++ b/packages/cell/src/load/admission-load.steps.ts
@@ -0,0 +1,172 @@
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { TEST_QUEUE } from '../testing/test-jobs.support.js';
+import { USEFUL_OBJECTIVES } from './admission-decision.js';
+import {
+  LoadModel,
+  MODEL_WORKERS,
+  gangStep,
+  objectiveMs,
+  smallStep,
+  type ModelJob,
+} from './load-model.support.js';
+
+interface LoadWorld {
+  /** Jobs of the play with admission, and of the one without. */
+  jobs: ModelJob[];
+  jobsWithout: ModelJob[];
+}
+
+const ACCOUNTS = 10;
+const HEAVY = 'account-0';
+
+/** Seeded random numbers between 0 and 1 (the minimal standard generator of Park and Miller). */
+function seeded(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 48_271) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+}
+
+function newJob(random: () => number, whom: string): Parameters<LoadModel['arrive']>[0] {
+  const isGang = whom === 'large gangs alone' || random() < 0.3;
+  const estimateMs = 2000 + 3000 * random();
+  const step = isGang
+    ? gangStep(2 + Math.floor(random() * 4), estimateMs)
+    : smallStep(4 + Math.floor(random() * 24), estimateMs);
+  // Half of the work is the heavy account's even at the capacity, and all that is above it.
+  const isHeavy = whom === 'one account' && random() < 0.8;
+  const account = isHeavy ? HEAVY : `account-${1 + Math.floor(random() * (ACCOUNTS - 1))}`;
+  const taskMs = estimateMs * Math.exp(0.4 * (random() + random() - 1));
+  return { account, queue: TEST_QUEUE, step, taskMs };
+}
+
+function workerMs({ step, taskMs }: Parameters<LoadModel['arrive']>[0]): number {
+  return (step.tasks * step.demand.accelerators * taskMs) / 8;
+}
+
+function play(
+  { seconds, load, whom }: { seconds: number; load: number; whom: string },
+  isOn: boolean,
+): ModelJob[] {
+  const random = seeded(7);
+  const model = new LoadModel({ isOn, random: seeded(11) });
+  const endsAt = model.clock.now() + seconds * 1000;
+  let budget = 0;
+  let next = newJob(random, whom);
+  while (model.clock.now() < endsAt || model.isBusy) {
+    if (model.clock.now() < endsAt) budget += load * MODEL_WORKERS * 50;
+    while (budget >= workerMs(next) && model.clock.now() < endsAt) {
+      budget -= workerMs(next);
+      model.arrive(next);
+      next = newJob(random, whom);
+    }
+    model.tick();
+  }
+  return model.jobs;
+}
+
+function isUseful(job: ModelJob): boolean {
+  if (job.completedAt === undefined) return false;
+  return job.completedAt - job.firstAttemptAt <= USEFUL_OBJECTIVES * objectiveMs(job);
+}
+
+function share(jobs: readonly ModelJob[], isCounted: (job: ModelJob) => boolean): number {
+  return jobs.length === 0 ? 1 : jobs.filter(isCounted).length / jobs.length;
+}
+
+When(
+  /^(\d+) s of arrivals at ([\d.]+) times the capacity by (.*) are played, with and without admission$/,
+  function (this: LoadWorld, seconds: string, load: string, whom: string) {
+    const what = { seconds: Number(seconds), load: Number(load), whom };
+    this.jobs = play(what, true);
+    this.jobsWithout = play(what, false);
+    if (process.env.LOAD_MODEL_FIGURES !== undefined) {
+      const accepted = this.jobs.filter(({ acceptedAt }) => acceptedAt !== undefined);
+      const inTime = (job: ModelJob): boolean =>
+        isUseful(job) && job.completedAt! - job.firstAttemptAt <= objectiveMs(job);
+      const percent = (part: number): string => (100 * part).toFixed(1);
+      process.stdout.write(
+        `${load} ${whom}: jobs ${this.jobs.length}, accepted ${accepted.length}, ` +
+          `useful of accepted ${percent(share(accepted, isUseful))}, ` +
+          `useful of all ${percent(share(this.jobs, isUseful))} ` +
+          `(without ${percent(share(this.jobsWithout, isUseful))}), ` +
+          `in time ${percent(share(this.jobs, inTime))} (${percent(share(this.jobsWithout, inTime))}), ` +
+          `refusals ${this.jobs.reduce((sum, { refusals }) => sum + refusals.length, 0)}\n`,
+      );
+    }
+  },
+);
+
+Then(
+  'at least {int} percent of the accepted jobs are served while they are of use',
+  function (this: LoadWorld, percent: number) {
+    const accepted = this.jobs.filter(({ acceptedAt }) => acceptedAt !== undefined);
+    const useful = share(accepted, isUseful);
+    assert.ok(useful * 100 >= percent, `${(useful * 100).toFixed(1)} %`);
+  },
+);
+
+Then(
+  'more jobs are served while of use than without admission, or at least {int} percent of as many',
+  function (this: LoadWorld, percent: number) {
+    const [on, off] = [this.jobs, this.jobsWithout].map((jobs) => jobs.filter(isUseful).length);
+    assert.ok(on! * 100 >= off! * percent, `${on} with, ${off} without`);
+  },
+);
+
+Then('each refusal says when to return, in 1 to 25 s', function (this: LoadWorld) {
+  const delays = this.jobs.flatMap(({ refusals }) => refusals.map((each) => each.retryAfterMs));
+  assert.ok(delays.every((ms) => ms >= 1000 && ms <= 25_000));
+});
+
+Then('each accepted job ran once, and no other job ran', function (this: LoadWorld) {
+  this.jobs.forEach(({ acceptedAt, started, done, step }) => {
+    const expected = acceptedAt === undefined ? 0 : step.tasks;
+    assert.deepEqual({ started, done }, { started: expected, done: expected });
+  });
+});
+
+Then(
+  'callers that are told to return together are at most {int} in a second',
+  function (this: LoadWorld, limit: number) {
+    const returns = new Map<number, number>();
+    this.jobs.forEach(({ refusals }) =>
+      refusals.forEach(({ at, retryAfterMs }) => {
+        const second = Math.floor(at / 1000) + Math.ceil(retryAfterMs / 1000);
+        returns.set(second, (returns.get(second) ?? 0) + 1);
+      }),
+    );
+    const most = Math.max(0, ...returns.values());
+    assert.ok(most <= limit, `${most}`);
+  },
+);
+
+Then(
+  "at least {int} percent of the other accounts' jobs are served while of use",
+  function (this: LoadWorld, percent: number) {
+    const useful = share(
+      this.jobs.filter(({ account }) => account !== HEAVY),
+      isUseful,
+    );
+    assert.ok(useful * 100 >= percent, `${(useful * 100).toFixed(1)} %`);
+  },
+);
+
+Then('no job was refused', function (this: LoadWorld) {
+  assert.ok(this.jobs.length > 0);
+  assert.ok(this.jobs.every(({ refusals }) => refusals.length === 0));
+});
+
+Then(
+  'at least {int} percent of the jobs ran in the end, of every account',
+  function (this: LoadWorld, percent: number) {
+    const accounts = new Set(this.jobs.map(({ account }) => account));
+    accounts.forEach((account) => {
+      const own = this.jobs.filter((job) => job.account === account);
+      const ran = share(own, ({ completedAt }) => completedAt !== undefined);
+      assert.ok(ran * 100 >= percent, `${account}: ${(ran * 100).toFixed(1)} %`);
+    });
+  },
+);
--- a/packages/cell/src/load/capacity-forecast.ts
+++ b/packages/cell/src/load/capacity-forecast.ts
@@ -1,10 +1,13 @@
 /** Forecast of a service's capacity: when so much of it is free, and when it has done a given amount of work. */
-import { FreedCapacity } from '@zincspan/core';
+import { FreedCapacity, LONGEST_WAIT_MS } from '@zincspan/core';
 import { FORECAST_TIMES_MS, type ServiceLoad } from './load-summary.js';
 
 /** Hundredths of a worker, as widths are in the summary. */
 export const WIDTH_UNIT = 100;
 
+/** Share of a service that newly accepted work has to leave for a late job to be served at all: less is within the error of the mean. */
+const MIN_SPARE_SHARE = 0.1;
+
 /** Capacity of one service by its load summary. Times from now in ms, widths in workers, work in worker-ms. */
 export class CapacityForecast {
   readonly freeNow: number;
@@ -17,7 +20,10 @@
 
   readonly #drained: FreedCapacity;
 
-  constructor({ free, wholeFree }: ServiceLoad) {
+  /** As `#drained`, with what newly accepted work leaves; undefined if it leaves next to nothing. */
+  readonly #drainedBehindArrivals: FreedCapacity | undefined;
+
+  constructor({ free, wholeFree, workers: count, arriving }: ServiceLoad) {
     const workers = free.map((each) => each / WIDTH_UNIT);
     this.freeNow = workers[0] ?? 0;
     this.#wholeFreeNow = wholeFree[0] ?? 0;
@@ -31,6 +37,10 @@
       return done;
     });
     this.#drained = cumulative(drained);
+    const spare = 1 - arriving / WIDTH_UNIT / Math.max(1, count);
+    if (spare >= MIN_SPARE_SHARE) {
+      this.#drainedBehindArrivals = cumulative(drained.map((each) => each * spare));
+    }
   }
 
   /** True if so much is free now. */
@@ -46,6 +56,11 @@
     return workers <= 0 ? 0 : this.#wholeFree.untilGrown(workers, 0);
   }
 
+  /** Time until so much work is done if newly accepted work goes first. */
+  untilDrainedBehindArrivals(work: number): number {
+    return this.#drainedBehindArrivals?.untilGrown(work, 0) ?? LONGEST_WAIT_MS;
+  }
+
   untilDrained(work: number): number {
     return work <= 0 ? 0 : this.#drained.untilGrown(work, 0);
   }
--- a/packages/cell/src/load/load-monitor.ts
+++ b/packages/cell/src/load/load-monitor.ts
@@ -13,7 +13,8 @@
 import type { FleetProfile } from '../placing/fleet-profile.js';
 import { urgencyOf } from '../placing/job-urgency.js';
 import type { Assignment, Worker } from '../worker/worker.js';
-import { footprintOf } from './job-footprint.js';
+import { ArrivalRate } from './arrival-rate.js';
+import { footprintOf, newJobFootprint } from './job-footprint.js';
 import {
   buildLoadSummary,
   type LoadedWorker,
@@ -44,6 +45,9 @@
 /** Expected remaining time of a run that takes longer than expected, as a share of its expected duration. */
 const OVERDUE_SHARE = 0.25;
 
+/** A prediction counts as at most this many objectives in the error: longer ones all say that the result is of no use. */
+const MAX_RECORDED_OBJECTIVES = 6;
+
 const FULL_PERCENT = 100;
 
 /** Refusals that one entry reported, and when they were received on the monotonic clock. */
@@ -82,6 +86,11 @@
   /** Predictions of jobs that haven't ended, by job. */
   readonly #pending = new Map<OwnedJob, { predictedMs: number; addedAt: number }>();
 
+  readonly #arrivals = new ArrivalRate();
+
+  /** Accepted since the last summary. */
+  #newJobs: OwnedJob[] = [];
+
   #sequence = 0;
 
   #summary: LoadSummary | undefined;
@@ -128,9 +137,10 @@
       });
     }
     const isTimed = submission.schedule === undefined && !hasLastingStep(job);
-    if (this.#summary === undefined || !isTimed || this.#pending.size >= MAX_PENDING_PREDICTIONS) {
-      return;
-    }
+    // Without a summary this is a job that an earlier owner has had.
+    if (this.#summary === undefined || !isTimed) return;
+    this.#newJobs.push(job);
+    if (this.#pending.size >= MAX_PENDING_PREDICTIONS) return;
     const { queue, account, steps } = submission;
     const prediction = predict(
       this.#summary,
@@ -138,7 +148,9 @@
       { elapsedMs: job.refusedForMs, hasFairShares: this.#options.hasFairShares },
     );
     if (prediction === undefined) return;
-    this.#pending.set(job, { predictedMs: prediction.completionMs, addedAt: now });
+    const { completionMs, objectiveMs } = prediction;
+    const predictedMs = Math.min(completionMs, MAX_RECORDED_OBJECTIVES * objectiveMs);
+    this.#pending.set(job, { predictedMs, addedAt: now });
   }
 
   /** Records the error of the predictions for jobs that have ended. Called in each pass, before ended jobs are dropped. */
@@ -171,6 +183,7 @@
     this.#computedAt = now;
     this.#sequence += 1;
     this.#addReports();
+    this.#addArrivals(state.profile);
     this.#summary = this.#compute(state);
     const { queues, restOfQueues } = this.#summary;
     const backlog = queues.reduce((sum, [, work]) => sum + work, restOfQueues);
@@ -197,6 +210,7 @@
         .map((worker) => this.#loadedWorker(worker)),
       waiting: jobs.flatMap((job) => this.#waitingWork(job, profile, guaranteedJobs.has(job))),
       refused: this.#refusedWork(profile),
+      arriving: (service) => this.#arrivals.of(service, this.#now()),
       queues: (config()?.queues ?? []).map(({ name }) => ({
         name,
         meanWork: queueMeans.of(name),
@@ -284,6 +298,18 @@
     });
   }
 
+  #addArrivals(profile: FleetProfile): void {
+    this.#newJobs.forEach((job) => {
+      const { service } = job.terms;
+      const typical = profile.of(service)?.typical;
+      if (typical === undefined) return;
+      const expectedMs = expectedDurations(job, this.#options.durations);
+      const { work } = newJobFootprint(job.submission.steps, { typical, expectedMs });
+      this.#arrivals.add(service, work, this.#now());
+    });
+    this.#newJobs = [];
+  }
+
   #addReports(): void {
     this.#options
       .refusals()
--- a/packages/cell/src/load/load-summary-builder.ts
+++ b/packages/cell/src/load/load-summary-builder.ts
@@ -62,6 +62,8 @@
   workers: readonly LoadedWorker[];
   waiting: readonly WaitingWork[];
   refused: readonly RefusedWork[];
+  /** Workers that newly accepted work of a service keeps busy. */
+  arriving: (service: string) => number;
   queues: readonly QueueFacts[];
   /** Accelerators of open jobs of priority 0, by account. */
   urgentAccelerators: ReadonlyMap<string, number>;
@@ -154,7 +156,7 @@
 function serviceLoad(
   name: string,
   profile: FleetProfile,
-  { workers, waiting, refused }: LoadInput,
+  { workers, waiting, refused, arriving }: LoadInput,
 ): ServiceLoad {
   const own = workers.filter(({ service }) => service === name);
   const typical = profile.of(name)?.typical ?? { milliCores: 0, memoryMb: 0, accelerators: 0 };
@@ -177,6 +179,7 @@
     wholeFree: forecasts.map((each) => each.filter(({ isWhole }) => isWhole).length),
     rungs: rungsOf(waitingHere),
     sizes: [Math.round(single ?? 0), Math.round(part ?? 0), Math.round(whole ?? 0)],
+    arriving: Math.round(arriving(name) * 100),
     refused: refusedWork.map(Math.round),
   };
 }
--- a/packages/cell/src/load/prediction.ts
+++ b/packages/cell/src/load/prediction.ts
@@ -5,7 +5,7 @@
  */
 import type { QueueTerms, Step } from '../job/submission.js';
 import { FleetProfile } from '../placing/fleet-profile.js';
-import { urgencyOf } from '../placing/job-urgency.js';
+import { LATE_VALUE_FACTOR, urgencyOf } from '../placing/job-urgency.js';
 import { CapacityForecast, WIDTH_UNIT } from './capacity-forecast.js';
 import { newJobFootprint, type NewJobFootprint } from './job-footprint.js';
 import { REFERENCE_ESTIMATES_MS, logUrgency } from './load-summary-builder.js';
@@ -93,10 +93,13 @@
   const objectiveMs = job.terms.stretch * footprint.criticalPathMs + job.terms.targetLatencyMs;
   const urgency = newcomerUrgency(job, { service, footprint, objectiveMs, ...durations }, options);
   const accepted = addAhead(acceptedAhead(service, urgency), options.accepted);
+  const lateAhead = addAhead(acceptedAhead(service, LATE_VALUE_FACTOR * urgency), options.accepted);
   const refused = { work: options.refusedWork ?? 0, width: 0, wholeWorkers: 0 };
   const forecast = new CapacityForecast(service);
   const common = { footprint, forecast };
-  const byOrder = times(addAhead(accepted, refused), common);
+  const ifInTime = times(addAhead(accepted, refused), common);
+  const isInTime = options.elapsedMs + ifInTime.completionMs <= objectiveMs;
+  const byOrder = isInTime ? ifInTime : lateTimes(addAhead(lateAhead, refused), ifInTime, common);
   const byShare = options.hasFairShares ? shareTimes(summary, job, common) : undefined;
   const isEarlier = byShare !== undefined && byShare.completionMs < byOrder.completionMs;
   return {
@@ -206,6 +209,20 @@
   return { startMs, completionMs: Math.max(startMs + criticalPathMs, drainedMs) };
 }
 
+/**
+ * Times of a job that won't be served within its objective: it then ranks behind the work that still can be, also behind what is
+ * accepted later.
+ */
+function lateTimes(
+  ahead: Ahead,
+  ifInTime: Times,
+  { footprint, forecast }: { footprint: NewJobFootprint; forecast: CapacityForecast },
+): Times {
+  const startMs = Math.max(ifInTime.startMs, forecast.untilDrainedBehindArrivals(ahead.work));
+  const drainedMs = forecast.untilDrainedBehindArrivals(ahead.work + footprint.work);
+  return { startMs, completionMs: Math.max(startMs + footprint.criticalPathMs, drainedMs) };
+}
+
 /** Times of a job that waits only for work of its own account, which has its share of the capacity; undefined if that is unknown. */
 function shareTimes(
   summary: LoadSummary,
--- a/packages/cell/src/placing/job-urgency.ts
+++ b/packages/cell/src/placing/job-urgency.ts
@@ -35,7 +35,7 @@
 const LATE_LIMIT_OBJECTIVES = 3;
 
 /** Share of its value that a late job keeps. */
-const LATE_VALUE_FACTOR = 0.27;
+export const LATE_VALUE_FACTOR = 0.27;
 
 /** Share that remains after that: such a job comes last but is still run, as it was accepted. */
 const EXPIRED_VALUE_FACTOR = 0.05;
