--- a/packages/cell/src/load/arrival-rate.ts
+++ b/packages/cell/src/load/arrival-rate.ts
@@ -1,4 +1,5 @@
-/** Decayed mean of the work that is accepted per time, by service. */
+/** Work that is accepted per time, by its urgency: it goes ahead of less urgent work that waits. */
+import type { Rung } from './urgency-rungs.js';
 
 /**
  * Time in which what arrived loses half of its weight, in ms. Bursts last 3 to 7 s; with this, one of 2.5 times a load of 0.7 of the
@@ -6,27 +7,34 @@
  */
 const HALF_LIFE_MS = 10_000;
 
-export class ArrivalRate {
-  readonly #rates = new Map<string, number>();
+/** Older arrivals, which have an eighth of their weight, don't count, in ms. */
+const MAX_AGE_MS = 3 * HALF_LIFE_MS;
 
-  #decayedAt: number | undefined;
+/** Most arrivals that are kept. */
+const MAX_ARRIVALS = 2048;
 
-  /** Work in worker-ms that was accepted just now. */
-  add(service: string, work: number, now: number): void {
-    this.#decay(now);
-    const rate = this.#rates.get(service) ?? 0;
-    this.#rates.set(service, rate + (work * Math.LN2) / HALF_LIFE_MS);
-  }
+interface Arrival extends Rung {
+  service: string;
+  at: number;
+}
+
+export class ArrivalRate {
+  #arrivals: Arrival[] = [];
 
-  /** Workers that the accepted work keeps busy. */
-  of(service: string, now: number): number {
-    this.#decay(now);
-    return this.#rates.get(service) ?? 0;
+  /** Adds a job that was accepted just now. `work`: worker-ms. */
+  add(arrival: Arrival): void {
+    this.#arrivals.push(arrival);
+    if (this.#arrivals.length > MAX_ARRIVALS) this.#arrivals.shift();
   }
 
-  #decay(now: number): void {
-    const factor = 2 ** (-(now - (this.#decayedAt ?? now)) / HALF_LIFE_MS);
-    this.#decayedAt = now;
-    this.#rates.forEach((rate, service) => this.#rates.set(service, rate * factor));
+  /** Workers that the work accepted for a service keeps busy, by urgency; the sum is the mean rate over the last seconds. */
+  of(service: string, now: number): Rung[] {
+    this.#arrivals = this.#arrivals.filter(({ at }) => now - at <= MAX_AGE_MS);
+    return this.#arrivals
+      .filter((each) => each.service === service)
+      .map(({ urgency, work, at }) => ({
+        urgency,
+        work: (work * Math.LN2 * 2 ** (-(now - at) / HALF_LIFE_MS)) / HALF_LIFE_MS,
+      }));
   }
 }
--- a/packages/cell/src/load/capacity-forecast.ts
+++ b/packages/cell/src/load/capacity-forecast.ts
@@ -5,7 +5,7 @@
 /** Hundredths of a worker, as widths are in the summary. */
 export const WIDTH_UNIT = 100;
 
-/** Share of a service that newly accepted work has to leave for a late job to be served at all: less is within the error of the mean. */
+/** Share of a service that newly accepted work has to leave for a job behind it to be served at all: less is within the error of the mean. */
 const MIN_SPARE_SHARE = 0.1;
 
 /** Capacity of one service by its load summary. Times from now in ms, widths in workers, work in worker-ms. */
@@ -20,10 +20,10 @@
 
   readonly #drained: FreedCapacity;
 
-  /** As `#drained`, with what newly accepted work leaves; undefined if it leaves next to nothing. */
-  readonly #drainedBehindArrivals: FreedCapacity | undefined;
+  readonly #workers: number;
 
-  constructor({ free, wholeFree, workers: count, arriving }: ServiceLoad) {
+  constructor({ free, wholeFree, workers: count }: ServiceLoad) {
+    this.#workers = count;
     const workers = free.map((each) => each / WIDTH_UNIT);
     this.freeNow = workers[0] ?? 0;
     this.#wholeFreeNow = wholeFree[0] ?? 0;
@@ -37,10 +37,6 @@
       return done;
     });
     this.#drained = cumulative(drained);
-    const spare = 1 - arriving / WIDTH_UNIT / Math.max(1, count);
-    if (spare >= MIN_SPARE_SHARE) {
-      this.#drainedBehindArrivals = cumulative(drained.map((each) => each * spare));
-    }
   }
 
   /** True if so much is free now. */
@@ -56,13 +52,11 @@
     return workers <= 0 ? 0 : this.#wholeFree.untilGrown(workers, 0);
   }
 
-  /** Time until so much work is done if newly accepted work goes first. */
-  untilDrainedBehindArrivals(work: number): number {
-    return this.#drainedBehindArrivals?.untilGrown(work, 0) ?? LONGEST_WAIT_MS;
-  }
-
-  untilDrained(work: number): number {
-    return work <= 0 ? 0 : this.#drained.untilGrown(work, 0);
+  /** Time until so much work is done while newly accepted work, which keeps `arriving` workers busy, goes first. */
+  untilDrained(work: number, arriving = 0): number {
+    if (work <= 0) return 0;
+    const spare = 1 - arriving / Math.max(1, this.#workers);
+    return spare < MIN_SPARE_SHARE ? LONGEST_WAIT_MS : this.#drained.untilGrown(work / spare, 0);
   }
 }
 
--- a/packages/cell/src/load/load-model.support.ts
+++ b/packages/cell/src/load/load-model.support.ts
@@ -15,7 +15,7 @@
 import { buildLoadSummary } from './load-summary-builder.js';
 import type { LoadSummary } from './load-summary.js';
 import { predict } from './prediction.js';
-import { PredictionError } from './prediction-error.js';
+import { PredictionError, type PredictedTime } from './prediction-error.js';
 import { RefusalRegister } from './refusal-register.js';
 
 export const MODEL_WORKERS = 20;
@@ -182,7 +182,12 @@
     });
     const work =
       ((step.tasks * step.demand.accelerators) / CAPACITY.accelerators) * step.estimateMs;
-    this.#arrivals.add(queue.service, work, now);
+    this.#arrivals.add({
+      service: queue.service,
+      urgency: this.#urgency(job, now),
+      work,
+      at: now,
+    });
     this.#waiting.push(job);
   }
 
@@ -274,6 +279,14 @@
     Object.assign(job, { started: job.started + places.length });
   }
 
+  #pending(now: number): PredictedTime[] {
+    return this.jobs.flatMap(({ acceptedAt, completedAt, predictedMs }) =>
+      acceptedAt === undefined || completedAt !== undefined || predictedMs === undefined
+        ? []
+        : { predictedMs, actualMs: now - acceptedAt },
+    );
+  }
+
   #summarise(now: number): void {
     const { service, name } = TEST_QUEUE;
     const expectedMs = ({ estimateMs }: { estimateMs: number }): number => estimateMs;
@@ -317,7 +330,7 @@
       arriving: (own) => this.#arrivals.of(own, now),
       queues: [{ name, meanWork: this.#meanWork(), expectedMs: (ms) => ms }],
       urgentAccelerators: new Map(),
-      error: this.#error.quantiles(),
+      error: this.#error.quantiles(this.#pending(now)),
     });
   }
 }
--- a/packages/cell/src/load/load-monitor.ts
+++ b/packages/cell/src/load/load-monitor.ts
@@ -183,7 +183,7 @@
     this.#computedAt = now;
     this.#sequence += 1;
     this.#addReports();
-    this.#addArrivals(state.profile);
+    this.#addArrivals(state);
     this.#summary = this.#compute(state);
     const { queues, restOfQueues } = this.#summary;
     const backlog = queues.reduce((sum, [, work]) => sum + work, restOfQueues);
@@ -217,7 +217,12 @@
         expectedMs: (estimateMs) => durations.expectedMs(name, estimateMs),
       })),
       urgentAccelerators,
-      error: this.#error.quantiles(),
+      error: this.#error.quantiles(
+        [...this.#pending.values()].map(({ predictedMs, addedAt }) => ({
+          predictedMs,
+          actualMs: this.#now() - addedAt,
+        })),
+      ),
     });
   }
 
@@ -251,7 +256,7 @@
   }
 
   #waitingWork(job: OwnedJob, profile: FleetProfile, isGuaranteed: boolean): WaitingWork[] {
-    const { durations, queueMeans, ctx } = this.#options;
+    const { durations } = this.#options;
     const { submission, terms, progress } = job;
     const typical = profile.of(terms.service)?.typical;
     if (typical === undefined) return [];
@@ -264,20 +269,12 @@
           0,
       }));
       if (open.every(({ count }) => count === 0)) return [];
-      const factors = urgencyFactorsOf(job, {
-        isGuaranteed,
-        wallMs: ctx.clock.wall(),
-        profile,
-        queueMeans,
-        durations,
-        occurrence,
-      });
       return {
         ...footprintOf(open, { typical, expectedMs }),
         queue: submission.queue,
         account: submission.account,
         service: terms.service,
-        urgency: isGuaranteed ? Infinity : urgencyOf(factors),
+        urgency: this.#urgency(job, { profile, isGuaranteed, occurrence }),
       };
     });
   }
@@ -298,18 +295,35 @@
     });
   }
 
-  #addArrivals(profile: FleetProfile): void {
+  #addArrivals({ profile, guaranteedJobs }: PassState): void {
     this.#newJobs.forEach((job) => {
       const { service } = job.terms;
       const typical = profile.of(service)?.typical;
       if (typical === undefined) return;
       const expectedMs = expectedDurations(job, this.#options.durations);
       const { work } = newJobFootprint(job.submission.steps, { typical, expectedMs });
-      this.#arrivals.add(service, work, this.#now());
+      const urgency = this.#urgency(job, { profile, isGuaranteed: guaranteedJobs.has(job) });
+      this.#arrivals.add({ service, urgency, work, at: this.#now() });
     });
     this.#newJobs = [];
   }
 
+  #urgency(
+    job: OwnedJob,
+    {
+      profile,
+      isGuaranteed,
+      occurrence = 0,
+    }: { profile: FleetProfile; isGuaranteed: boolean; occurrence?: number },
+  ): number {
+    if (isGuaranteed) return Infinity;
+    const { durations, queueMeans, ctx } = this.#options;
+    const wallMs = ctx.clock.wall();
+    return urgencyOf(
+      urgencyFactorsOf(job, { isGuaranteed, wallMs, profile, queueMeans, durations, occurrence }),
+    );
+  }
+
   #addReports(): void {
     this.#options
       .refusals()
--- a/packages/cell/src/load/load-summary-builder.ts
+++ b/packages/cell/src/load/load-summary-builder.ts
@@ -9,7 +9,6 @@
   MAX_NAME_LENGTH,
   MAX_QUEUES,
   MAX_REFUSED_IDS,
-  MAX_RUNGS,
   MAX_SERVICES,
   MAX_SUMMARY_BYTES,
   PRIORITY_CLASSES,
@@ -19,6 +18,7 @@
   type QueueLoad,
   type ServiceLoad,
 } from './load-summary.js';
+import { groupByUrgency, logUrgency, type Rung } from './urgency-rungs.js';
 
 /** A worker that takes tasks, and when its runs are expected to end. */
 export interface LoadedWorker {
@@ -62,8 +62,8 @@
   workers: readonly LoadedWorker[];
   waiting: readonly WaitingWork[];
   refused: readonly RefusedWork[];
-  /** Workers that newly accepted work of a service keeps busy. */
-  arriving: (service: string) => number;
+  /** Workers that newly accepted work of a service keeps busy, by urgency. */
+  arriving: (service: string) => readonly Rung[];
   queues: readonly QueueFacts[];
   /** Accelerators of open jobs of priority 0, by account. */
   urgentAccelerators: ReadonlyMap<string, number>;
@@ -179,7 +179,7 @@
     wholeFree: forecasts.map((each) => each.filter(({ isWhole }) => isWhole).length),
     rungs: rungsOf(waitingHere),
     sizes: [Math.round(single ?? 0), Math.round(part ?? 0), Math.round(whole ?? 0)],
-    arriving: Math.round(arriving(name) * 100),
+    arriving: arrivalRungs(arriving(name)),
     refused: refusedWork.map(Math.round),
   };
 }
@@ -201,36 +201,32 @@
   return { free: Math.max(0, 1 - dominantShare(used, capacity)), isWhole };
 }
 
-/** Cumulative work in steps of about an eighth each, the most urgent first. */
+/** Cumulative work of the waiting jobs. */
 function rungsOf(waiting: readonly WaitingWork[]): ServiceLoad['rungs'] {
-  const sorted = [...waiting].sort((a, b) => b.urgency - a.urgency);
-  const total = sorted.reduce((sum, { work }) => sum + work, 0);
-  const rungs: ServiceLoad['rungs'] = [];
   let [work, width, wholeWorkers] = [0, 0, 0];
-  sorted.forEach((each, index) => {
-    work += each.work;
-    width += each.width;
-    wholeWorkers += each.wholeWorkers;
-    const isLast = index === sorted.length - 1;
-    const isDue = work >= ((rungs.length + 1) * total) / MAX_RUNGS;
-    if (!isLast && (!isDue || rungs.length === MAX_RUNGS - 1)) return;
-    rungs.push([
-      logUrgency(each.urgency),
+  return groupByUrgency(waiting).map((group) => {
+    group.forEach((each) => {
+      work += each.work;
+      width += each.width;
+      wholeWorkers += each.wholeWorkers;
+    });
+    const lowest = group.at(-1)?.urgency ?? 0;
+    return [
+      logUrgency(lowest),
       Math.round(work),
       Math.round(width * 100),
       Math.round(wholeWorkers),
-    ]);
+    ];
   });
-  return rungs;
 }
 
-/** Highest value of an urgency's logarithm in the summary. */
-const MAX_LOG_URGENCY = 30_000;
-
-/** Logarithm of an urgency in thousandths, as in the summary's rungs. */
-export function logUrgency(urgency: number): number {
-  const log = Math.round(Math.log(Math.max(Number.MIN_VALUE, urgency)) * 1000);
-  return Math.max(-MAX_LOG_URGENCY, Math.min(MAX_LOG_URGENCY, log));
+/** Cumulative rates of the accepted work. */
+function arrivalRungs(arrivals: readonly Rung[]): ServiceLoad['arriving'] {
+  let rate = 0;
+  return groupByUrgency(arrivals).map((group) => {
+    rate += group.reduce((sum, { work }) => sum + work, 0);
+    return [logUrgency(group.at(-1)?.urgency ?? 0), Math.round(rate * 100)];
+  });
 }
 
 function sumBy(
--- a/packages/cell/src/load/load-summary.ts
+++ b/packages/cell/src/load/load-summary.ts
@@ -42,8 +42,11 @@
   rungs: z.array(z.tuple([z.number(), amount, amount, amount])).max(MAX_RUNGS),
   /** The same work by size of its tasks in worker-ms: single accelerators, parts of a worker, whole workers. */
   sizes: z.tuple([amount, amount, amount]),
-  /** Workers that newly accepted work keeps busy, in hundredths: a mean over some seconds. */
-  arriving: amount,
+  /**
+   * Newly accepted work, cumulative, the most urgent first: the logarithm of the lowest urgency so far in thousandths, and the workers
+   * that it keeps busy in hundredths, as a mean over some seconds.
+   */
+  arriving: z.array(z.tuple([z.number(), amount])).max(MAX_RUNGS),
   /** Refused work that is expected to return, by priority, in worker-ms. */
   refused: z.array(amount).length(PRIORITY_CLASSES),
 });
--- a/packages/cell/src/load/prediction-error.ts
+++ b/packages/cell/src/load/prediction-error.ts
@@ -21,6 +21,16 @@
   (_, index) => Math.log(PRIOR_SPREAD) * ((2 * (index + 0.5)) / PRIOR_OBSERVATIONS - 1),
 );
 
+/** Predicted and actual time from acceptance to completion, in ms. */
+export interface PredictedTime {
+  predictedMs: number;
+  actualMs: number;
+}
+
+function logRatio({ predictedMs, actualMs }: PredictedTime): number {
+  return Math.log((actualMs + FLOOR_MS) / (predictedMs + FLOOR_MS));
+}
+
 /** Logarithms of the newest ratios. */
 export class PredictionError {
   readonly #ratios: number[] = [];
@@ -28,13 +38,18 @@
   #next = 0;
 
   /** Records a job that took `actualMs` where `predictedMs` was predicted. */
-  record({ predictedMs, actualMs }: { predictedMs: number; actualMs: number }): void {
-    this.#ratios[this.#next] = Math.log((actualMs + FLOOR_MS) / (predictedMs + FLOOR_MS));
+  record(time: PredictedTime): void {
+    this.#ratios[this.#next] = logRatio(time);
     this.#next = (this.#next + 1) % MAX_OBSERVATIONS;
   }
 
-  quantiles(): ErrorQuantiles {
-    const sorted = [...this.#ratios, ...PRIOR].sort((a, b) => a - b);
+  /**
+   * Quantiles of the ratios. `pending`: jobs that haven't ended, with the time so far; those that already took longer than predicted
+   * count, as otherwise a job would count only when it is too late to learn from it.
+   */
+  quantiles(pending: Iterable<PredictedTime> = []): ErrorQuantiles {
+    const overdue = [...pending].filter(({ predictedMs, actualMs }) => actualMs > predictedMs);
+    const sorted = [...this.#ratios, ...overdue.map(logRatio), ...PRIOR].sort((a, b) => a - b);
     const at = (quantile: number): number =>
       Math.exp(sorted[Math.floor(quantile * (sorted.length - 1))] ?? 0);
     return {
--- a/packages/cell/src/load/prediction.ts
+++ b/packages/cell/src/load/prediction.ts
@@ -8,7 +8,7 @@
 import { LATE_VALUE_FACTOR, urgencyOf } from '../placing/job-urgency.js';
 import { CapacityForecast, WIDTH_UNIT } from './capacity-forecast.js';
 import { newJobFootprint, type NewJobFootprint } from './job-footprint.js';
-import { REFERENCE_ESTIMATES_MS, logUrgency } from './load-summary-builder.js';
+import { REFERENCE_ESTIMATES_MS } from './load-summary-builder.js';
 import {
   MAX_NAME_LENGTH,
   PRIORITY_CLASSES,
@@ -16,6 +16,7 @@
   type LoadSummary,
   type ServiceLoad,
 } from './load-summary.js';
+import { lastAhead } from './urgency-rungs.js';
 
 /** A job whose completion is to be predicted. */
 export interface PredictedJob {
@@ -59,6 +60,9 @@
   isServiceIdle: boolean;
 }
 
+/** Mean of the factor by which waiting raises a job's urgency until its objective is over. */
+const MEAN_AGING_FACTOR = 1.3;
+
 /** Expected duration of a task of the queue, in ms; undefined if the summary doesn't contain the queue. */
 function expectedDurations(
   summary: LoadSummary,
@@ -92,14 +96,20 @@
   }
   const objectiveMs = job.terms.stretch * footprint.criticalPathMs + job.terms.targetLatencyMs;
   const urgency = newcomerUrgency(job, { service, footprint, objectiveMs, ...durations }, options);
-  const accepted = addAhead(acceptedAhead(service, urgency), options.accepted);
-  const lateAhead = addAhead(acceptedAhead(service, LATE_VALUE_FACTOR * urgency), options.accepted);
-  const refused = { work: options.refusedWork ?? 0, width: 0, wholeWorkers: 0 };
+  // While it waits it becomes more urgent: work that arrives meanwhile goes ahead only if it is still more urgent.
+  const accepted = addAhead(
+    acceptedAhead(service, urgency, MEAN_AGING_FACTOR * urgency),
+    options.accepted,
+  );
+  const lateUrgency = LATE_VALUE_FACTOR * urgency;
+  const lateAhead = addAhead(acceptedAhead(service, lateUrgency, lateUrgency), options.accepted);
+  const refused = { work: options.refusedWork ?? 0 };
   const forecast = new CapacityForecast(service);
   const common = { footprint, forecast };
   const ifInTime = times(addAhead(accepted, refused), common);
   const isInTime = options.elapsedMs + ifInTime.completionMs <= objectiveMs;
-  const byOrder = isInTime ? ifInTime : lateTimes(addAhead(lateAhead, refused), ifInTime, common);
+  // A job that can't be served within its objective ranks behind the work that still can be, also behind what is accepted later.
+  const byOrder = isInTime ? ifInTime : times(addAhead(lateAhead, refused), common);
   const byShare = options.hasFairShares ? shareTimes(summary, job, common) : undefined;
   const isEarlier = byShare !== undefined && byShare.completionMs < byOrder.completionMs;
   return {
@@ -128,6 +138,8 @@
 
 interface Ahead extends WorkAhead {
   wholeWorkers: number;
+  /** Workers kept busy by work that arrives later and goes ahead. */
+  arriving: number;
 }
 
 function addAhead(ahead: Ahead, more: Partial<Ahead> | undefined): Ahead {
@@ -135,15 +147,19 @@
     work: ahead.work + (more?.work ?? 0),
     width: ahead.width + (more?.width ?? 0),
     wholeWorkers: ahead.wholeWorkers + (more?.wholeWorkers ?? 0),
+    arriving: ahead.arriving + (more?.arriving ?? 0),
   };
 }
 
-/** Accepted work that is more urgent. */
-function acceptedAhead({ rungs }: ServiceLoad, urgency: number): Ahead {
-  const own = logUrgency(urgency);
-  const passed = rungs.filter(([lowest]) => lowest >= own).at(-1);
-  const [, work = 0, width = 0, wholeWorkers = 0] = passed ?? [];
-  return { work, width: width / WIDTH_UNIT, wholeWorkers };
+/** Accepted work that goes ahead of a job of this urgency, and of what arrives, that of at least `arrivalUrgency`. */
+function acceptedAhead(
+  { rungs, arriving }: ServiceLoad,
+  urgency: number,
+  arrivalUrgency: number,
+): Ahead {
+  const [, work = 0, width = 0, wholeWorkers = 0] = lastAhead(rungs, urgency) ?? [];
+  const [, rate = 0] = lastAhead(arriving, arrivalUrgency) ?? [];
+  return { work, width: width / WIDTH_UNIT, wholeWorkers, arriving: rate / WIDTH_UNIT };
 }
 
 function newcomerUrgency(
@@ -193,36 +209,20 @@
   { footprint, forecast }: { footprint: NewJobFootprint; forecast: CapacityForecast },
 ): Times {
   const { startWidth, wholeWorkers, criticalPathMs, work } = footprint;
+  const aheadMs = forecast.untilDrained(ahead.work, ahead.arriving);
   // Either all that is ahead runs beside the job, or it is done before.
   const beside = forecast.untilFree(ahead.width + startWidth);
-  const after = Math.max(forecast.untilDrained(ahead.work), forecast.untilFree(startWidth));
+  const after = Math.max(aheadMs, forecast.untilFree(startWidth));
   const wholeBeside = forecast.untilWholeFree(ahead.wholeWorkers + wholeWorkers);
-  const wholeAfter = Math.max(
-    forecast.untilDrained(ahead.work),
-    forecast.untilWholeFree(wholeWorkers),
-  );
+  const wholeAfter = Math.max(aheadMs, forecast.untilWholeFree(wholeWorkers));
   const startMs = Math.max(
     Math.min(beside, after),
     wholeWorkers > 0 ? Math.min(wholeBeside, wholeAfter) : 0,
   );
-  const drainedMs = forecast.untilDrained(ahead.work + work);
+  const drainedMs = forecast.untilDrained(ahead.work + work, ahead.arriving);
   return { startMs, completionMs: Math.max(startMs + criticalPathMs, drainedMs) };
 }
 
-/**
- * Times of a job that won't be served within its objective: it then ranks behind the work that still can be, also behind what is
- * accepted later.
- */
-function lateTimes(
-  ahead: Ahead,
-  ifInTime: Times,
-  { footprint, forecast }: { footprint: NewJobFootprint; forecast: CapacityForecast },
-): Times {
-  const startMs = Math.max(ifInTime.startMs, forecast.untilDrainedBehindArrivals(ahead.work));
-  const drainedMs = forecast.untilDrainedBehindArrivals(ahead.work + footprint.work);
-  return { startMs, completionMs: Math.max(startMs + footprint.criticalPathMs, drainedMs) };
-}
-
 /** Times of a job that waits only for work of its own account, which has its share of the capacity; undefined if that is unknown. */
 function shareTimes(
   summary: LoadSummary,
@@ -234,7 +234,7 @@
   if (isUnlisted || account.length > MAX_NAME_LENGTH) return undefined;
   const backlog = listed?.[1] ?? 0;
   const competitors = Math.max(1, summary.competingAccounts + (backlog > 0 ? 0 : 1));
-  const ahead = { work: backlog * competitors, width: 0, wholeWorkers: 0 };
+  const ahead = { work: backlog * competitors };
   const { startWidth, wholeWorkers, criticalPathMs, work } = footprint;
   const startMs = Math.max(
     forecast.untilDrained(ahead.work),
