--- a/packages/cell/src/load/load-monitor.ts
+++ b/packages/cell/src/load/load-monitor.ts
@@ -13,6 +13,7 @@
 import type { FleetProfile } from '../placing/fleet-profile.js';
 import { urgencyOf } from '../placing/job-urgency.js';
 import type { Assignment, Worker } from '../worker/worker.js';
+import { USEFUL_OBJECTIVES } from './admission-decision.js';
 import { ArrivalRate } from './arrival-rate.js';
 import { footprintOf, newJobFootprint } from './job-footprint.js';
 import {
@@ -45,9 +46,6 @@
 /** Expected remaining time of a run that takes longer than expected, as a share of its expected duration. */
 const OVERDUE_SHARE = 0.25;
 
-/** A prediction counts as at most this many objectives in the error: longer ones all say that the result is of no use. */
-const MAX_RECORDED_OBJECTIVES = 6;
-
 const FULL_PERCENT = 100;
 
 /** Refusals that one entry reported, and when they were received on the monotonic clock. */
@@ -148,8 +146,9 @@
       { elapsedMs: job.refusedForMs, hasFairShares: this.#options.hasFairShares },
     );
     if (prediction === undefined) return;
-    const { completionMs, objectiveMs } = prediction;
-    const predictedMs = Math.min(completionMs, MAX_RECORDED_OBJECTIVES * objectiveMs);
+    const { completionMs: predictedMs, objectiveMs } = prediction;
+    // A longer time only says that the result will be of no use; how much longer says nothing about the margin at that limit.
+    if (predictedMs > USEFUL_OBJECTIVES * objectiveMs) return;
     this.#pending.set(job, { predictedMs, addedAt: now });
   }
 
