--- a/packages/cell/src/load/admission-decision.ts
+++ b/packages/cell/src/load/admission-decision.ts
@@ -1,13 +1,7 @@
 /** Decides whether a submission is accepted under the present load. Pure: all state is passed in. */
 import { peakAccelerators } from '../owner/urgency-factors.js';
 import { idKey, type LoadSummary } from './load-summary.js';
-import {
-  predict,
-  refusedAhead,
-  type PredictedJob,
-  type Prediction,
-  type WorkAhead,
-} from './prediction.js';
+import { predict, type PredictedJob, type Prediction, type WorkAhead } from './prediction.js';
 import type { Refusal } from './refusal-book.js';
 
 /** A job is useless to its caller if it takes more than this many times its objective. */
@@ -68,7 +62,8 @@
   const prediction = predict(summary, job, {
     elapsedMs,
     accepted: input.accepted,
-    refusedWork: place.refusedWork,
+    refusedShare: place.refusedShare,
+    refusedHere: input.refusedHere,
     hasFairShares: input.hasFairShares,
     optimism: Math.min(1, summary.error.low),
   });
@@ -84,7 +79,7 @@
   if (completionMs - marginMs <= usefulMs) {
     return { outcome: 'accept', reason: 'in-time', prediction };
   }
-  const servedMs = prediction.startMs * summary.error.median;
+  const servedMs = prediction.servedMs * summary.error.median;
   const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, servedMs));
   return { outcome: 'refuse', prediction, marginMs, usefulMs, retryAfterMs, elapsedMs };
 }
@@ -99,19 +94,17 @@
   return used + peakAccelerators(job.steps) <= guaranteedAccelerators;
 }
 
-/** Time since the job's first refusal, and the refused work that returns before it. */
+/** Time since the job's first refusal, and the share of the refused work that was refused before it. */
 function placeOf(
-  summary: LoadSummary,
-  { id, job, refusal, refusedHere, now }: AdmissionInput,
-): { elapsedMs: number; refusedWork: number } {
-  const refusedWork = refusedAhead(summary, job.terms);
-  const listedMs = summary.refusedIds.find(([key]) => key === idKey(id))?.[1];
+  { refusedIds, oldestRefusedMs }: LoadSummary,
+  { id, refusal, now }: AdmissionInput,
+): { elapsedMs: number; refusedShare: number } {
+  const listedMs = refusedIds.find(([key]) => key === idKey(id))?.[1];
   const rememberedMs = refusal === undefined ? undefined : now - refusal.firstRefusedAt;
-  const elapsedMs = Math.max(listedMs ?? 0, rememberedMs ?? 0);
   if (listedMs === undefined && rememberedMs === undefined) {
-    return { elapsedMs, refusedWork: refusedWork + refusedHere };
+    return { elapsedMs: 0, refusedShare: 1 };
   }
-  // Refused jobs came at an even rate: so many were refused before this one.
-  const earlier = Math.max(0, 1 - elapsedMs / Math.max(1, summary.oldestRefusedMs));
-  return { elapsedMs, refusedWork: earlier * refusedWork + refusedHere };
+  const elapsedMs = Math.max(listedMs ?? 0, rememberedMs ?? 0);
+  // As if the refused jobs had come at an even rate.
+  return { elapsedMs, refusedShare: Math.max(0, 1 - elapsedMs / Math.max(1, oldestRefusedMs)) };
 }
--- a/packages/cell/src/load/admission-gate.ts
+++ b/packages/cell/src/load/admission-gate.ts
@@ -112,7 +112,9 @@
     const { work } = prediction.footprint;
     const dueAt = now + retryAfterMs;
     const lastRefusedAt = this.#book.get(id)?.lastRefusedAt ?? -Infinity;
-    this.#book.record({ id, queue: name, priority, service, work, dueAt, sinceMs: elapsedMs });
+    const { urgency } = prediction;
+    const sinceMs = elapsedMs;
+    this.#book.record({ id, queue: name, priority, service, work, urgency, dueAt, sinceMs });
     const current = this.#sinceSummary;
     const predictedMs = Math.round(prediction.completionMs);
     ctx.metrics.count('admission.refused.overload');
--- a/packages/cell/src/load/arrival-rate.ts
+++ b/packages/cell/src/load/arrival-rate.ts
@@ -1,4 +1,4 @@
-/** Work that is accepted per time, by its urgency: it goes ahead of less urgent work that waits. */
+/** Work that is submitted per time, accepted or refused, by its urgency as a new job: it goes ahead of less urgent work that waits. */
 import type { Rung } from './urgency-rungs.js';
 
 /**
@@ -21,13 +21,13 @@
 export class ArrivalRate {
   #arrivals: Arrival[] = [];
 
-  /** Adds a job that was accepted just now. `work`: worker-ms. */
+  /** Adds a job. `work`: worker-ms. */
   add(arrival: Arrival): void {
     this.#arrivals.push(arrival);
     if (this.#arrivals.length > MAX_ARRIVALS) this.#arrivals.shift();
   }
 
-  /** Workers that the work accepted for a service keeps busy, by urgency; the sum is the mean rate over the last seconds. */
+  /** Workers that the work submitted to a service would keep busy, by urgency; the sum is the mean rate over the last seconds. */
   of(service: string, now: number): Rung[] {
     this.#arrivals = this.#arrivals.filter(({ at }) => now - at <= MAX_AGE_MS);
     return this.#arrivals
--- a/packages/cell/src/load/capacity-forecast.ts
+++ b/packages/cell/src/load/capacity-forecast.ts
@@ -5,7 +5,10 @@
 /** Hundredths of a worker, as widths are in the summary. */
 export const WIDTH_UNIT = 100;
 
-/** Share of a service that newly accepted work has to leave for a job behind it to be served at all: less is within the error of the mean. */
+/** Error of the rate at which work arrives, as a share: the mean is over some tens of jobs. */
+const ARRIVAL_ERROR = 0.1;
+
+/** Least share of a service that is assumed to be left for a job behind what arrives, unless that exceeds the service for certain. */
 const MIN_SPARE_SHARE = 0.1;
 
 /** Capacity of one service by its load summary. Times from now in ms, widths in workers, work in worker-ms. */
@@ -52,11 +55,12 @@
     return workers <= 0 ? 0 : this.#wholeFree.untilGrown(workers, 0);
   }
 
-  /** Time until so much work is done while newly accepted work, which keeps `arriving` workers busy, goes first. */
+  /** Time until so much work is done while newly submitted work, which keeps `arriving` workers busy, goes first. */
   untilDrained(work: number, arriving = 0): number {
     if (work <= 0) return 0;
     const spare = 1 - arriving / Math.max(1, this.#workers);
-    return spare < MIN_SPARE_SHARE ? LONGEST_WAIT_MS : this.#drained.untilGrown(work / spare, 0);
+    if (spare < -ARRIVAL_ERROR) return LONGEST_WAIT_MS;
+    return this.#drained.untilGrown(work / Math.max(MIN_SPARE_SHARE, spare), 0);
   }
 }
 
--- a/packages/cell/src/load/load-model.support.ts
+++ b/packages/cell/src/load/load-model.support.ts
@@ -18,6 +18,7 @@
 import { predict } from './prediction.js';
 import { PredictionError, type PredictedTime } from './prediction-error.js';
 import { RefusalRegister } from './refusal-register.js';
+import { urgencyOfLog } from './urgency-rungs.js';
 
 export const MODEL_WORKERS = 20;
 const CAPACITY: Demand = { milliCores: 128_000, memoryMb: 512_000, accelerators: 8 };
@@ -136,7 +137,14 @@
     if (now % SUMMARY_MS === 0) this.#summarise(now);
     this.#gates.forEach((gate, index) => {
       if ((now + index * 200) % HEARTBEAT_MS !== 0) return;
-      this.#register.add(gate.reports(), now);
+      this.#register.add(gate.reports(), now).forEach(({ work = 0, urgency = 0, firstRefusedAt }) =>
+        this.#arrivals.add({
+          service: TEST_QUEUE.service,
+          urgency: urgencyOfLog(urgency),
+          work,
+          at: firstRefusedAt,
+        }),
+      );
       const computedAt = now - (now % SUMMARY_MS);
       this.#received[index] = this.summary && {
         summary: this.summary,
@@ -186,12 +194,14 @@
     });
     const work =
       ((step.tasks * step.demand.accelerators) / CAPACITY.accelerators) * step.estimateMs;
-    this.#arrivals.add({
-      service: queue.service,
-      urgency: this.#urgency(job, now),
-      work,
-      at: now,
-    });
+    if (job.refusedForMs === 0) {
+      this.#arrivals.add({
+        service: queue.service,
+        urgency: this.#urgency(job, now),
+        work,
+        at: now,
+      });
+    }
     this.#waiting.push(job);
   }
 
@@ -324,11 +334,12 @@
         .expected(now, (id) =>
           this.jobs.some((job) => job.id === id && job.acceptedAt !== undefined),
         )
-        .map(({ id, firstRefusedAt }) => ({
+        .map(({ id, firstRefusedAt, work = 0, urgency = 0 }) => ({
           id,
           service,
           priority: TEST_QUEUE.priority,
-          work: this.#meanWork() / CAPACITY.accelerators,
+          work,
+          urgency: urgencyOfLog(urgency),
           ageMs: now - firstRefusedAt,
         })),
       arriving: (own) => this.#arrivals.of(own, now),
--- a/packages/cell/src/load/load-monitor.ts
+++ b/packages/cell/src/load/load-monitor.ts
@@ -26,7 +26,8 @@
 import { predict } from './prediction.js';
 import { PredictionError } from './prediction-error.js';
 import type { RefusalReport } from './refusal-book.js';
-import { RefusalRegister } from './refusal-register.js';
+import { RefusalRegister, type RegisteredRefusal } from './refusal-register.js';
+import { urgencyOfLog } from './urgency-rungs.js';
 
 /** Shortest interval between two summaries, in ms: half of a heartbeat interval. */
 const SUMMARY_INTERVAL_MS = 400;
@@ -89,6 +90,9 @@
   /** Accepted since the last summary. */
   #newJobs: OwnedJob[] = [];
 
+  /** First reported since the last summary. */
+  #newRefusals: RegisteredRefusal[] = [];
+
   #sequence = 0;
 
   #summary: LoadSummary | undefined;
@@ -137,7 +141,8 @@
     const isTimed = submission.schedule === undefined && !hasLastingStep(job);
     // Without a summary this is a job that an earlier owner has had.
     if (this.#summary === undefined || !isTimed) return;
-    this.#newJobs.push(job);
+    // A returning job counted as an arrival when it was refused.
+    if (job.refusedForMs === 0) this.#newJobs.push(job);
     if (this.#pending.size >= MAX_PENDING_PREDICTIONS) return;
     const { queue, account, steps } = submission;
     const prediction = predict(
@@ -278,22 +283,35 @@
     });
   }
 
-  /** Refused jobs that are expected to return; the mean work of their queues stands for theirs, which isn't reported. */
+  /** Refused jobs that are expected to return. */
   #refusedWork(profile: FleetProfile): RefusedWork[] {
-    const { registry, queueMeans, config } = this.#options;
+    const { registry, config } = this.#options;
     const now = this.#now();
     const queues = new Map(config()?.queues.map((queue) => [queue.name, queue]));
     const isKnown = (id: string): boolean => registry.jobs.has(id) || registry.endedJobs.has(id);
-    return this.#register.expected(now, isKnown).flatMap(({ id, queue: name, firstRefusedAt }) => {
-      const queue = queues.get(name);
+    return this.#register.expected(now, isKnown).flatMap((refusal) => {
+      const queue = queues.get(refusal.queue);
       if (queue === undefined) return [];
+      const { id, firstRefusedAt } = refusal;
       const { service, priority } = queue;
-      const accelerators = Math.max(1, profile.of(service)?.typical.accelerators ?? 1);
-      const work = queueMeans.of(name) / accelerators;
-      return { id, service, priority, work, ageMs: now - firstRefusedAt };
+      const size = this.#sizeOf(refusal, service, profile);
+      return { id, service, priority, ...size, ageMs: now - firstRefusedAt };
     });
   }
 
+  /** Of a job whose size wasn't reported, the mean work of its queue stands for its work, and it ranks last. */
+  #sizeOf(
+    { queue, work, urgency }: RegisteredRefusal,
+    service: string,
+    profile: FleetProfile,
+  ): { work: number; urgency: number } {
+    const accelerators = Math.max(1, profile.of(service)?.typical.accelerators ?? 1);
+    return {
+      work: work ?? this.#options.queueMeans.of(queue) / accelerators,
+      urgency: urgency === undefined ? 0 : urgencyOfLog(urgency),
+    };
+  }
+
   #addArrivals({ profile, guaranteedJobs }: PassState): void {
     this.#newJobs.forEach((job) => {
       const { service } = job.terms;
@@ -305,6 +323,14 @@
       this.#arrivals.add({ service, urgency, work, at: this.#now() });
     });
     this.#newJobs = [];
+    const queues = new Map(this.#options.config()?.queues.map((queue) => [queue.name, queue]));
+    this.#newRefusals.forEach((refusal) => {
+      const service = queues.get(refusal.queue)?.service;
+      if (service === undefined) return;
+      const size = this.#sizeOf(refusal, service, profile);
+      this.#arrivals.add({ service, ...size, at: refusal.firstRefusedAt });
+    });
+    this.#newRefusals = [];
   }
 
   #urgency(
@@ -324,9 +350,10 @@
   }
 
   #addReports(): void {
-    this.#options
+    const added = this.#options
       .refusals()
-      .forEach(({ reports, receivedAt }) => this.#register.add(reports, receivedAt));
+      .flatMap(({ reports, receivedAt }) => this.#register.add(reports, receivedAt));
+    this.#newRefusals.push(...added);
   }
 
   #now(): number {
--- a/packages/cell/src/load/load-summary-builder.ts
+++ b/packages/cell/src/load/load-summary-builder.ts
@@ -41,6 +41,8 @@
   id: string;
   service: string;
   priority: number;
+  /** At its first refusal. */
+  urgency: number;
   /** Worker-ms. */
   work: number;
   /** Since its first refusal. */
@@ -62,7 +64,7 @@
   workers: readonly LoadedWorker[];
   waiting: readonly WaitingWork[];
   refused: readonly RefusedWork[];
-  /** Workers that newly accepted work of a service keeps busy, by urgency. */
+  /** Workers that newly submitted work of a service would keep busy, by urgency. */
   arriving: (service: string) => readonly Rung[];
   queues: readonly QueueFacts[];
   /** Accelerators of open jobs of priority 0, by account. */
@@ -179,8 +181,9 @@
     wholeFree: forecasts.map((each) => each.filter(({ isWhole }) => isWhole).length),
     rungs: rungsOf(waitingHere),
     sizes: [Math.round(single ?? 0), Math.round(part ?? 0), Math.round(whole ?? 0)],
-    arriving: arrivalRungs(arriving(name)),
+    arriving: cumulative(arriving(name), 1 / 100),
     refused: refusedWork.map(Math.round),
+    refusedRungs: cumulative(refused.filter(({ service }) => service === name)),
   };
 }
 
@@ -220,12 +223,12 @@
   });
 }
 
-/** Cumulative rates of the accepted work. */
-function arrivalRungs(arrivals: readonly Rung[]): ServiceLoad['arriving'] {
-  let rate = 0;
-  return groupByUrgency(arrivals).map((group) => {
-    rate += group.reduce((sum, { work }) => sum + work, 0);
-    return [logUrgency(group.at(-1)?.urgency ?? 0), Math.round(rate * 100)];
+/** Cumulative amounts by urgency. */
+function cumulative(items: readonly Rung[], unit = 1): [number, number][] {
+  let sum = 0;
+  return groupByUrgency(items).map((group) => {
+    sum += group.reduce((total, { work }) => total + work, 0);
+    return [logUrgency(group.at(-1)?.urgency ?? 0), Math.round(sum / unit)];
   });
 }
 
--- a/packages/cell/src/load/load-summary.ts
+++ b/packages/cell/src/load/load-summary.ts
@@ -43,12 +43,14 @@
   /** The same work by size of its tasks in worker-ms: single accelerators, parts of a worker, whole workers. */
   sizes: z.tuple([amount, amount, amount]),
   /**
-   * Newly accepted work, cumulative, the most urgent first: the logarithm of the lowest urgency so far in thousandths, and the workers
+   * Newly submitted work, accepted or refused, cumulative, the most urgent first: the logarithm of the lowest urgency so far in thousandths, and the workers
    * that it keeps busy in hundredths, as a mean over some seconds.
    */
   arriving: z.array(z.tuple([z.number(), amount])).max(MAX_RUNGS),
   /** Refused work that is expected to return, by priority, in worker-ms. */
   refused: z.array(amount).length(PRIORITY_CLASSES),
+  /** The same work by urgency at its first refusal, cumulative as in `rungs`, in worker-ms. */
+  refusedRungs: z.array(z.tuple([z.number(), amount])).max(MAX_RUNGS),
 });
 export type ServiceLoad = z.infer<typeof serviceLoadSchema>;
 
--- a/packages/cell/src/load/prediction.ts
+++ b/packages/cell/src/load/prediction.ts
@@ -39,8 +39,10 @@
   elapsedMs: number;
   /** Accepted here since the summary was received. */
   accepted?: WorkAhead;
-  /** Refused work that returns before this job, in worker-ms. */
-  refusedWork?: number;
+  /** Share of the refused work that was refused before this job; 1 for one that wasn't refused. */
+  refusedShare?: number;
+  /** Work refused here since the summary was received, of jobs that return before this one, in worker-ms. */
+  refusedHere?: number;
   /** The owner orders competing accounts by their shares. */
   hasFairShares: boolean;
   /** The job counts as served within its objective if this share of the predicted time is within it; 1 without a margin. */
@@ -53,6 +55,9 @@
   completionMs: number;
   /** Time that the job would take with all workers of its service to itself. */
   aloneMs: number;
+  /** When all that is before the job is done, refused work that returns before it included, if nothing more is submitted. */
+  servedMs: number;
+  urgency: number;
   /** Objective by the present estimates, from the first attempt. */
   objectiveMs: number;
   footprint: NewJobFootprint;
@@ -62,9 +67,6 @@
   isServiceIdle: boolean;
 }
 
-/** Mean of the factor by which waiting raises a job's urgency until its objective is over. */
-const MEAN_AGING_FACTOR = 1.3;
-
 /** Expected duration of a task of the queue, in ms; undefined if the summary doesn't contain the queue. */
 function expectedDurations(
   summary: LoadSummary,
@@ -98,14 +100,13 @@
   }
   const objectiveMs = job.terms.stretch * footprint.criticalPathMs + job.terms.targetLatencyMs;
   const urgency = newcomerUrgency(job, { service, footprint, objectiveMs, ...durations }, options);
-  // While it waits it becomes more urgent: work that arrives meanwhile goes ahead only if it is still more urgent.
-  const accepted = addAhead(
-    acceptedAhead(service, urgency, MEAN_AGING_FACTOR * urgency),
-    options.accepted,
-  );
-  const lateUrgency = LATE_VALUE_FACTOR * urgency;
-  const lateAhead = addAhead(acceptedAhead(service, lateUrgency, lateUrgency), options.accepted);
-  const refused = { work: options.refusedWork ?? 0 };
+  // Waiting raises the urgency of all jobs alike: what arrives goes ahead if it is more urgent as a new job.
+  const accepted = addAhead(acceptedAhead(service, urgency), options.accepted);
+  const lateAhead = addAhead(acceptedAhead(service, LATE_VALUE_FACTOR * urgency), options.accepted);
+  const { refusedShare = 1, refusedHere = 0 } = options;
+  const [, refusedWork = 0] = lastAhead(service.refusedRungs, urgency) ?? [];
+  const refused = { work: refusedShare * refusedWork };
+  const returning = refusedShare * refusedBefore(service, job.terms) + refusedHere;
   const forecast = new CapacityForecast(service);
   const common = { footprint, forecast };
   const ifInTime = times(addAhead(accepted, refused), common);
@@ -120,6 +121,8 @@
   return {
     ...(isEarlier ? byShare : byOrder),
     aloneMs: Math.max(footprint.criticalPathMs, footprint.work / service.workers),
+    servedMs: forecast.untilDrained(lateAhead.work + returning),
+    urgency,
     objectiveMs,
     footprint,
     isCapacityFree: forecast.hasFree({
@@ -131,12 +134,11 @@
   };
 }
 
-/** Refused work that returns before a new job of this priority, in worker-ms. */
-export function refusedAhead(
-  summary: LoadSummary,
-  { service, priority }: Pick<QueueTerms, 'service' | 'priority'>,
+/** Refused work of this priority or a higher one, in worker-ms. */
+function refusedBefore(
+  { refused }: ServiceLoad,
+  { priority }: Pick<QueueTerms, 'priority'>,
 ): number {
-  const { refused = [] } = summary.services.find(({ name }) => name === service) ?? {};
   const classes = Math.min(PRIORITY_CLASSES, Math.max(0, priority) + 1);
   return refused.slice(0, classes).reduce((sum, work) => sum + work, 0);
 }
@@ -156,14 +158,10 @@
   };
 }
 
-/** Accepted work that goes ahead of a job of this urgency, and of what arrives, that of at least `arrivalUrgency`. */
-function acceptedAhead(
-  { rungs, arriving }: ServiceLoad,
-  urgency: number,
-  arrivalUrgency: number,
-): Ahead {
+/** Accepted work that goes ahead of a job of this urgency, and what arrives later and does. */
+function acceptedAhead({ rungs, arriving }: ServiceLoad, urgency: number): Ahead {
   const [, work = 0, width = 0, wholeWorkers = 0] = lastAhead(rungs, urgency) ?? [];
-  const [, rate = 0] = lastAhead(arriving, arrivalUrgency) ?? [];
+  const [, rate = 0] = lastAhead(arriving, urgency) ?? [];
   return { work, width: width / WIDTH_UNIT, wholeWorkers, arriving: rate / WIDTH_UNIT };
 }
 
--- a/packages/cell/src/load/refusal-book.ts
+++ b/packages/cell/src/load/refusal-book.ts
@@ -1,6 +1,7 @@
 /** Jobs that an entry refused because of the load, so that they keep their place when they return. */
 import { LRUCache } from 'lru-cache';
 import * as z from 'zod';
+import { logUrgency } from './urgency-rungs.js';
 
 /** Time for which a refused id is remembered, in ms. */
 export const REFUSAL_MEMORY_MS = 30_000;
@@ -19,6 +20,8 @@
   service: string;
   /** Worker-ms. */
   work: number;
+  /** At the first refusal. */
+  urgency: number;
   firstRefusedAt: number;
   lastRefusedAt: number;
   /** When its caller was told to return. */
@@ -32,6 +35,10 @@
   sinceMs: z.number().min(0),
   /** Time until its caller was told to return, in ms; negative if it is past. */
   dueInMs: z.optional(z.number()),
+  /** In worker-ms. */
+  work: z.optional(z.number().min(0)),
+  /** Logarithm of its urgency at the first refusal, in thousandths. */
+  urgency: z.optional(z.number()),
 });
 export type RefusalReport = z.infer<typeof refusalReportSchema>;
 
@@ -68,6 +75,7 @@
     this.#refusals.delete(rest.id);
     this.#refusals.set(rest.id, {
       ...rest,
+      urgency: earlier?.urgency ?? rest.urgency,
       firstRefusedAt: Math.min(earlier?.firstRefusedAt ?? now, now - sinceMs),
       lastRefusedAt: now,
     });
@@ -97,11 +105,13 @@
     // The cache lists the most recently recorded first.
     return [...this.#refusals.values()]
       .slice(0, REPORTED_REFUSALS)
-      .map(({ id, queue, firstRefusedAt, dueAt }) => ({
+      .map(({ id, queue, firstRefusedAt, dueAt, work, urgency }) => ({
         id,
         queue,
         sinceMs: Math.round(now - firstRefusedAt),
         dueInMs: Math.round(dueAt - now),
+        work: Math.round(work),
+        urgency: logUrgency(urgency),
       }));
   }
 }
--- a/packages/cell/src/load/refusal-register.ts
+++ b/packages/cell/src/load/refusal-register.ts
@@ -19,23 +19,31 @@
   queue: string;
   firstRefusedAt: number;
   dueAt: number;
+  /** In worker-ms; undefined if it wasn't reported. */
+  work: number | undefined;
+  /** Logarithm of its urgency at the first refusal, in thousandths; undefined if it wasn't reported. */
+  urgency: number | undefined;
 }
 
 /** Refused jobs by id. */
 export class RefusalRegister {
   readonly #refusals = new Map<string, RegisteredRefusal>();
 
-  /** Adds the reports of an entry that were received at `receivedAt`. */
-  add(reports: readonly RefusalReport[], receivedAt: number): void {
-    reports.forEach(({ id, queue, sinceMs, dueInMs = DEFAULT_DUE_MS }) => {
+  /** Adds the reports of an entry that were received at `receivedAt`. Returns the refusals that weren't known. */
+  add(reports: readonly RefusalReport[], receivedAt: number): RegisteredRefusal[] {
+    return reports.flatMap(({ id, queue, sinceMs, dueInMs = DEFAULT_DUE_MS, work, urgency }) => {
       const earlier = this.#refusals.get(id);
-      if (earlier === undefined && this.#refusals.size >= MAX_REGISTERED) return;
-      this.#refusals.set(id, {
+      if (earlier === undefined && this.#refusals.size >= MAX_REGISTERED) return [];
+      const refusal = {
         id,
         queue,
         firstRefusedAt: Math.min(earlier?.firstRefusedAt ?? Infinity, receivedAt - sinceMs),
         dueAt: Math.max(earlier?.dueAt ?? -Infinity, receivedAt + dueInMs),
-      });
+        work,
+        urgency,
+      };
+      this.#refusals.set(id, refusal);
+      return earlier === undefined ? refusal : [];
     });
   }
 
--- a/packages/cell/src/load/urgency-rungs.ts
+++ b/packages/cell/src/load/urgency-rungs.ts
@@ -16,6 +16,11 @@
   return Math.max(-MAX_LOG_URGENCY, Math.min(MAX_LOG_URGENCY, log));
 }
 
+/** The urgency of which this is the logarithm in thousandths. */
+export function urgencyOfLog(log: number): number {
+  return log >= MAX_LOG_URGENCY ? Infinity : Math.exp(log / 1000);
+}
+
 /** Divides the items, the most urgent first, into at most eight groups of about the same work. */
 export function groupByUrgency<T extends Rung>(items: readonly T[]): T[][] {
   const sorted = [...items].sort((a, b) => b.urgency - a.urgency);
