--- a/packages/cell/src/load/admission-load.steps.ts
+++ b/packages/cell/src/load/admission-load.steps.ts
@@ -2,14 +2,8 @@
 import { Then, When } from '@cucumber/cucumber';
 import { TEST_QUEUE } from '../testing/test-jobs.support.js';
 import { USEFUL_OBJECTIVES } from './admission-decision.js';
-import {
-  LoadModel,
-  MODEL_WORKERS,
-  gangStep,
-  objectiveMs,
-  smallStep,
-  type ModelJob,
-} from './load-model.support.js';
+import { LoadModel, MODEL_WORKERS } from './load-model.support.js';
+import { gangStep, objectiveMs, smallStep, type ModelJob } from './model-job.support.js';
 
 interface LoadWorld {
   /** Jobs of the play with admission, and of the one without. */
--- a/packages/cell/src/load/load-model.support.ts
+++ b/packages/cell/src/load/load-model.support.ts
@@ -3,11 +3,10 @@
  * placement, and callers that return when they are told to. Tells what became of each job.
  */
 import { ManualClock, quietContext } from '@zincspan/core';
-import type { Queue } from '../config/cell-config.js';
-import type { Demand, Step } from '../job/submission.js';
+import type { Demand } from '../job/submission.js';
 import { FleetProfile } from '../placing/fleet-profile.js';
 import { urgencyOf } from '../placing/job-urgency.js';
-import { TEST_QUEUE, testStep } from '../testing/test-jobs.support.js';
+import { TEST_QUEUE } from '../testing/test-jobs.support.js';
 import { AdmissionGate } from './admission-gate.js';
 import { footprintOf } from './job-footprint.js';
 import type { UsableSummary } from './load-reader.js';
@@ -15,6 +14,7 @@
 import { ArrivalRate } from './arrival-rate.js';
 import { buildLoadSummary } from './load-summary-builder.js';
 import type { LoadSummary } from './load-summary.js';
+import { changeFree, objectiveMs, tasksFitting, type ModelJob } from './model-job.support.js';
 import { predict } from './prediction.js';
 import { PredictionError, type PredictedTime } from './prediction-error.js';
 import { RefusalRegister } from './refusal-register.js';
@@ -28,25 +28,6 @@
 const ENTRIES = 4;
 const MAX_RETRIES = 4;
 
-export interface ModelJob {
-  id: string;
-  account: string;
-  queue: Queue;
-  step: Step;
-  /** Actual duration of each task, in ms. */
-  taskMs: number;
-  firstAttemptAt: number;
-  attempts: number;
-  refusals: { at: number; retryAfterMs: number }[];
-  acceptedAt: number | undefined;
-  refusedForMs: number;
-  predictedMs: number | undefined;
-  started: number;
-  done: number;
-  startedAt: number | undefined;
-  completedAt: number | undefined;
-}
-
 interface ModelRun {
   job: ModelJob;
   endsAt: number;
@@ -349,38 +330,3 @@
     });
   }
 }
-
-/** Time from the first attempt within which the job should be complete, in ms. */
-export function objectiveMs({ queue, step }: ModelJob): number {
-  return queue.stretch * step.estimateMs + queue.targetLatencyMs;
-}
-
-/** Tasks that need a whole worker each. */
-export function gangStep(tasks: number, estimateMs: number): Step {
-  const demand = { milliCores: 100_000, memoryMb: 400_000, accelerators: 8 };
-  return testStep({ tasks, demand, estimateMs, gang: true });
-}
-
-/** Tasks of one accelerator each. */
-export function smallStep(tasks: number, estimateMs: number): Step {
-  const demand = { milliCores: 11_000, memoryMb: 59_000, accelerators: 1 };
-  return testStep({ tasks, demand, estimateMs });
-}
-
-function tasksFitting(free: Demand, demand: Demand): number {
-  return Math.floor(
-    Math.min(
-      free.milliCores / demand.milliCores,
-      free.memoryMb / demand.memoryMb,
-      free.accelerators / demand.accelerators,
-    ),
-  );
-}
-
-function changeFree(free: Demand, demand: Demand, sign: 1 | -1): void {
-  Object.assign(free, {
-    milliCores: free.milliCores + sign * demand.milliCores,
-    memoryMb: free.memoryMb + sign * demand.memoryMb,
-    accelerators: free.accelerators + sign * demand.accelerators,
-  });
-}
--- a/packages/cell/src/load/load-monitor.ts
+++ b/packages/cell/src/load/load-monitor.ts
@@ -12,16 +12,11 @@
 import type { DurationEstimator } from '../placing/duration-estimator.js';
 import type { FleetProfile } from '../placing/fleet-profile.js';
 import { urgencyOf } from '../placing/job-urgency.js';
-import type { Assignment, Worker } from '../worker/worker.js';
 import { USEFUL_OBJECTIVES } from './admission-decision.js';
 import { ArrivalRate } from './arrival-rate.js';
 import { footprintOf, newJobFootprint } from './job-footprint.js';
-import {
-  buildLoadSummary,
-  type LoadedWorker,
-  type RefusedWork,
-  type WaitingWork,
-} from './load-summary-builder.js';
+import { buildLoadSummary, type RefusedWork, type WaitingWork } from './load-summary-builder.js';
+import { loadedWorkers } from './loaded-workers.js';
 import type { LoadStatus, LoadSummary } from './load-summary.js';
 import { predict } from './prediction.js';
 import { PredictionError } from './prediction-error.js';
@@ -44,10 +39,8 @@
 /** Most predictions whose outcome is awaited. */
 const MAX_PENDING_PREDICTIONS = 512;
 
-/** Expected remaining time of a run that takes longer than expected, as a share of its expected duration. */
-const OVERDUE_SHARE = 0.25;
-
-const FULL_PERCENT = 100;
+/** An older prediction is recorded as if the job ended now, in ms: it would only keep its place from newer ones. */
+const MAX_PENDING_MS = 300_000;
 
 /** Refusals that one entry reported, and when they were received on the monotonic clock. */
 export interface ReceivedReports {
@@ -161,10 +154,12 @@
     const now = this.#now();
     this.#pending.forEach(({ predictedMs, addedAt }, job) => {
       const { outcome } = job.progress;
-      if (outcome === 'open') return;
+      const isKnown = this.#options.registry.jobs.has(job.id);
+      const isTooOld = now - addedAt > MAX_PENDING_MS;
+      if (outcome === 'open' && isKnown && !isTooOld) return;
       this.#pending.delete(job);
-      // The end of a failed or cancelled job isn't what was predicted.
-      if (outcome !== 'completed') return;
+      // The end of a job that failed, was cancelled or was removed isn't what was predicted.
+      if (outcome !== 'completed' && !isTooOld) return;
       const actualMs = now - addedAt;
       this.#error.record({ predictedMs, actualMs });
       this.#options.ctx.metrics.timing(
@@ -208,9 +203,7 @@
     return buildLoadSummary({
       term,
       sequence: this.#sequence,
-      workers: [...registry.fleet.all()]
-        .filter((worker) => registry.fleet.isSchedulable(worker))
-        .map((worker) => this.#loadedWorker(worker)),
+      workers: loadedWorkers(registry),
       waiting: jobs.flatMap((job) => this.#waitingWork(job, profile, guaranteedJobs.has(job))),
       refused: this.#refusedWork(profile),
       arriving: (service) => this.#arrivals.of(service, this.#now()),
@@ -229,35 +222,6 @@
     });
   }
 
-  #loadedWorker({ runner, assignments }: Worker): LoadedWorker {
-    return {
-      service: runner?.service ?? '',
-      capacity: runner?.capacity ?? { milliCores: 0, memoryMb: 0, accelerators: 0 },
-      runs: [...assignments.values()].map((assignment) => ({
-        demand: assignment.demand,
-        endsInMs: this.#endsInMs(assignment),
-      })),
-    };
-  }
-
-  /** Expected remaining time of a run, by its own progress if it reports any. */
-  #endsInMs(assignment: Assignment): number {
-    const { registry } = this.#options;
-    const job = registry.jobs.get(assignment.jobId);
-    const step = registry.stepOf(assignment);
-    if (job === undefined || step === undefined) return 0;
-    if (step.lasting) return Infinity;
-    const expectedMs = registry.expectedTaskMs(job, step);
-    const { runningAt, percent, firstPercent } = assignment;
-    if (runningAt === undefined) return expectedMs;
-    const ranMs = this.#now() - runningAt;
-    if (percent > firstPercent) {
-      return (ranMs * (FULL_PERCENT - percent)) / (percent - firstPercent);
-    }
-    const leftMs = expectedMs * (1 - firstPercent / FULL_PERCENT) - ranMs;
-    return Math.max(leftMs, OVERDUE_SHARE * expectedMs);
-  }
-
   #waitingWork(job: OwnedJob, profile: FleetProfile, isGuaranteed: boolean): WaitingWork[] {
     const { durations } = this.#options;
     const { submission, terms, progress } = job;
