--- a/packages/cell/src/load/capacity-forecast.ts
+++ b/packages/cell/src/load/capacity-forecast.ts
@@ -25,7 +25,11 @@
 
   readonly #workers: number;
 
-  constructor({ free, wholeFree, workers: count }: ServiceLoad) {
+  /** For a job of priority 0 what it may stop counts as free: whether that is worth its loss is the owner's decision. */
+  constructor(load: ServiceLoad, isUrgent: boolean) {
+    const count = load.workers;
+    const free = isUrgent ? load.urgentFree : load.free;
+    const wholeFree = isUrgent ? load.urgentWholeFree : load.wholeFree;
     this.#workers = count;
     const workers = free.map((each) => each / WIDTH_UNIT);
     this.freeNow = workers[0] ?? 0;
--- a/packages/cell/src/load/load-model.support.ts
+++ b/packages/cell/src/load/load-model.support.ts
@@ -293,6 +293,7 @@
         service,
         capacity: CAPACITY,
         runs: runs.map(({ job, endsAt }) => ({
+          isUrgent: false,
           demand: job.step.demand,
           // The owner knows estimates only.
           endsInMs: Math.max(
--- a/packages/cell/src/load/load-monitor.ts
+++ b/packages/cell/src/load/load-monitor.ts
@@ -17,7 +17,7 @@
 import { footprintOf, newJobFootprint } from './job-footprint.js';
 import { buildLoadSummary, type RefusedWork, type WaitingWork } from './load-summary-builder.js';
 import { loadedWorkers } from './loaded-workers.js';
-import type { LoadStatus, LoadSummary } from './load-summary.js';
+import { WORK_UNIT_MS, type LoadStatus, type LoadSummary } from './load-summary.js';
 import { predict } from './prediction.js';
 import { PredictionError } from './prediction-error.js';
 import type { RefusalReport } from './refusal-book.js';
@@ -185,7 +185,7 @@
     this.#summary = this.#compute(state);
     const { queues, restOfQueues } = this.#summary;
     const backlog = queues.reduce((sum, [, work]) => sum + work, restOfQueues);
-    this.#options.ctx.metrics.gauge('load.backlog', backlog / 1000);
+    this.#options.ctx.metrics.gauge('load.backlog', (backlog * WORK_UNIT_MS) / 1000);
   }
 
   #compute({ profile, guaranteedJobs }: PassState): LoadSummary {
--- a/packages/cell/src/load/load-status.feature
+++ b/packages/cell/src/load/load-status.feature
@@ -51,6 +51,7 @@
     Examples:
       | job                                        |
       | an urgent job within its account's guarantee |
+      | an urgent job that may stop others' |
       | a job that is due later                    |
       | a job whose tasks last                     |
       | a job of a queue that isn't in the summary |
--- a/packages/cell/src/load/load-status.steps.ts
+++ b/packages/cell/src/load/load-status.steps.ts
@@ -13,7 +13,7 @@
 import type { GatedSubmission } from './admission-gate.js';
 import { EntryLoad } from './entry-load.js';
 import { buildLoadSummary, encodedBytes, type LoadInput } from './load-summary-builder.js';
-import type { LoadSummary } from './load-summary.js';
+import { WORK_UNIT_MS, type LoadSummary } from './load-summary.js';
 import { PredictionError } from './prediction-error.js';
 
 interface StatusWorld {
@@ -29,7 +29,7 @@
 const JOB_ID = '0123456789abcdef';
 
 function summaryInput(term: number, isBusy: boolean): LoadInput {
-  const runs = isBusy ? [{ demand: CAPACITY, endsInMs: 60_000 }] : [];
+  const runs = isBusy ? [{ demand: CAPACITY, endsInMs: 60_000, isUrgent: false }] : [];
   const worker = { service: TEST_QUEUE.service, capacity: CAPACITY, runs };
   return {
     term,
@@ -167,6 +167,8 @@
         account: { name: 'weddings', keys: [], guaranteedAccelerators: 2 },
       },
     ),
+  "an urgent job that may stop others'": () =>
+    submission({}, { queue: { ...TEST_QUEUE, priority: 0 } }),
   'a job that is due later': () =>
     submission(
       {},
@@ -213,7 +215,7 @@
       workers: Array.from({ length: workers }, (_, index) => ({
         service: `${service}-${index % 4}`,
         capacity: CAPACITY,
-        runs: [{ demand, endsInMs: index * 31 }],
+        runs: [{ demand, endsInMs: index * 31, isUrgent: false }],
       })),
       queues: Array.from({ length: queues }, (_, index) => ({
         name: nameOf('queue', index),
@@ -257,6 +259,6 @@
   const { queues, accounts, restOfQueues, restOfAccounts } = this.summary;
   const byQueue = queues.reduce((sum, [, work]) => sum + work, restOfQueues);
   const byAccount = accounts.reduce((sum, [, work]) => sum + work, restOfAccounts);
-  assert.equal(byQueue, 2000 * 3_600_000);
-  assert.equal(byAccount, 2000 * 3_600_000);
+  assert.equal(byQueue, (2000 * 3_600_000) / WORK_UNIT_MS);
+  assert.equal(byAccount, (2000 * 3_600_000) / WORK_UNIT_MS);
 });
--- a/packages/cell/src/load/load-summary-builder.ts
+++ b/packages/cell/src/load/load-summary-builder.ts
@@ -12,6 +12,7 @@
   MAX_SERVICES,
   MAX_SUMMARY_BYTES,
   PRIORITY_CLASSES,
+  WORK_UNIT_MS,
   idKey,
   type ErrorQuantiles,
   type LoadSummary,
@@ -24,7 +25,8 @@
 export interface LoadedWorker {
   service: string;
   capacity: Demand;
-  runs: readonly { demand: Demand; endsInMs: number }[];
+  /** `isUrgent`: of a job that may not be stopped for one of priority 0. */
+  runs: readonly { demand: Demand; endsInMs: number; isUrgent: boolean }[];
 }
 
 /** Tasks of an accepted job that wait. */
@@ -92,7 +94,7 @@
     .filter(isShort)
     .map((name): LoadSummary['accounts'][number] => [
       name,
-      Math.round(byAccount.get(name) ?? 0),
+      inWorkUnits(byAccount.get(name) ?? 0),
       Math.round(input.urgentAccelerators.get(name) ?? 0),
     ])
     .sort((a, b) => b[1] - a[1] || b[2] - a[2])
@@ -117,8 +119,8 @@
   const total = waiting.reduce((sum, { work }) => sum + work, 0);
   const listed = (entries: readonly (readonly [string, number, ...number[]])[]): number =>
     entries.reduce((sum, [, work]) => sum + work, 0);
-  summary.restOfQueues = Math.max(0, Math.round(total - listed(summary.queues)));
-  summary.restOfAccounts = Math.max(0, Math.round(total - listed(summary.accounts)));
+  summary.restOfQueues = Math.max(0, inWorkUnits(total) - listed(summary.queues));
+  summary.restOfAccounts = Math.max(0, inWorkUnits(total) - listed(summary.accounts));
   return summary;
 }
 
@@ -138,7 +140,7 @@
     .filter(({ name }) => isShort(name))
     .map(({ name, meanWork, expectedMs }): QueueLoad => {
       const [short, long] = REFERENCE_ESTIMATES_MS.map((ms) => Math.round(expectedMs(ms)));
-      const backlog = Math.round(byQueue.get(name) ?? 0);
+      const backlog = inWorkUnits(byQueue.get(name) ?? 0);
       return [name, backlog, Math.round(meanWork), short ?? 0, long ?? 0];
     })
     .sort((a, b) => b[1] - a[1])
@@ -164,7 +166,6 @@
   const typical = profile.of(name)?.typical ?? { milliCores: 0, memoryMb: 0, accelerators: 0 };
   const { milliCores, memoryMb, accelerators } = typical;
   const waitingHere = waiting.filter(({ service }) => service === name);
-  const forecasts = FORECAST_TIMES_MS.map((timeMs) => own.map((each) => freeAt(each, timeMs)));
   const refusedWork = Array.from({ length: PRIORITY_CLASSES }, () => 0);
   refused.forEach(({ service, priority, work }) => {
     const index = Math.min(PRIORITY_CLASSES - 1, Math.max(0, priority));
@@ -177,16 +178,41 @@
     name,
     workers: own.length,
     typical: [Math.round(milliCores), Math.round(memoryMb), Math.round(accelerators * 100) / 100],
-    free: forecasts.map((each) => Math.round(each.reduce((sum, { free }) => sum + free, 0) * 100)),
-    wholeFree: forecasts.map((each) => each.filter(({ isWhole }) => isWhole).length),
+    ...forecastOf(own),
+    ...urgentForecastOf(own),
     rungs: rungsOf(waitingHere),
-    sizes: [Math.round(single ?? 0), Math.round(part ?? 0), Math.round(whole ?? 0)],
+    sizes: [inWorkUnits(single ?? 0), inWorkUnits(part ?? 0), inWorkUnits(whole ?? 0)],
     arriving: cumulative(arriving(name), 1 / 100),
-    refused: refusedWork.map(Math.round),
-    refusedRungs: cumulative(refused.filter(({ service }) => service === name)),
+    refused: refusedWork.map(inWorkUnits),
+    refusedRungs: cumulative(
+      refused.filter(({ service }) => service === name),
+      WORK_UNIT_MS,
+    ),
   };
 }
 
+/** What is free at each time of the forecast. */
+function forecastOf(workers: readonly LoadedWorker[]): Pick<ServiceLoad, 'free' | 'wholeFree'> {
+  const forecasts = FORECAST_TIMES_MS.map((timeMs) => workers.map((each) => freeAt(each, timeMs)));
+  return {
+    free: forecasts.map((each) => Math.round(each.reduce((sum, { free }) => sum + free, 0) * 100)),
+    wholeFree: forecasts.map((each) => each.filter(({ isWhole }) => isWhole).length),
+  };
+}
+
+/** What would be free if everything were stopped that a job of priority 0 may stop. */
+function urgentForecastOf(
+  workers: readonly LoadedWorker[],
+): Pick<ServiceLoad, 'urgentFree' | 'urgentWholeFree'> {
+  const { free, wholeFree } = forecastOf(
+    workers.map(({ runs, ...worker }) => ({
+      ...worker,
+      runs: runs.filter(({ isUrgent }) => isUrgent),
+    })),
+  );
+  return { urgentFree: free, urgentWholeFree: wholeFree };
+}
+
 /** Share of a worker that is free at a time from now, and whether all of it is. */
 function freeAt(
   { capacity, runs }: LoadedWorker,
@@ -216,7 +242,7 @@
     const lowest = group.at(-1)?.urgency ?? 0;
     return [
       logUrgency(lowest),
-      Math.round(work),
+      inWorkUnits(work),
       Math.round(width * 100),
       Math.round(wholeWorkers),
     ];
@@ -224,7 +250,7 @@
 }
 
 /** Cumulative amounts by urgency. */
-function cumulative(items: readonly Rung[], unit = 1): [number, number][] {
+function cumulative(items: readonly Rung[], unit: number): [number, number][] {
   let sum = 0;
   return groupByUrgency(items).map((group) => {
     sum += group.reduce((total, { work }) => total + work, 0);
@@ -244,6 +270,10 @@
   return sums;
 }
 
+function inWorkUnits(work: number): number {
+  return Math.round(work / WORK_UNIT_MS);
+}
+
 function isShort(name: string): boolean {
   return name.length <= MAX_NAME_LENGTH;
 }
--- a/packages/cell/src/load/load-summary.ts
+++ b/packages/cell/src/load/load-summary.ts
@@ -8,11 +8,11 @@
 ];
 
 /** Bounds of the summary's lists. What doesn't fit is part of the entry `rest`, or left out. */
-export const MAX_SERVICES = 3;
+export const MAX_SERVICES = 2;
 export const MAX_QUEUES = 16;
 export const MAX_ACCOUNTS = 32;
 export const MAX_RUNGS = 8;
-export const MAX_REFUSED_IDS = 24;
+export const MAX_REFUSED_IDS = 16;
 
 /** Longest name that the summary carries, in characters; what has a longer one counts as part of the rest. */
 export const MAX_NAME_LENGTH = 40;
@@ -20,6 +20,9 @@
 /** Limit of the encoded summary, in bytes. */
 export const MAX_SUMMARY_BYTES = 2048;
 
+/** Unit of work in the summary, in worker-ms: with ms, the work of some hours on a thousand workers takes 9 bytes a number instead of 5. */
+export const WORK_UNIT_MS = 100;
+
 /** Priorities that the refused backlog is counted by; a lower one counts as the last. */
 export const PRIORITY_CLASSES = 3;
 
@@ -35,30 +38,33 @@
   free: z.array(amount).length(FORECAST_TIMES_MS.length),
   /** Workers that are wholly free at each of these times. */
   wholeFree: z.array(amount).length(FORECAST_TIMES_MS.length),
+  /** The same two for jobs of priority 0, which may stop the runs of others. */
+  urgentFree: z.array(amount).length(FORECAST_TIMES_MS.length),
+  urgentWholeFree: z.array(amount).length(FORECAST_TIMES_MS.length),
   /**
    * Accepted work that waits, cumulative, the most urgent first: the logarithm of the lowest urgency so far in thousandths, its work in
-   * worker-ms, its width in hundredths of a worker, and its tasks that need whole workers.
+   * tenths of a worker-second, its width in hundredths of a worker, and its tasks that need whole workers.
    */
   rungs: z.array(z.tuple([z.number(), amount, amount, amount])).max(MAX_RUNGS),
-  /** The same work by size of its tasks in worker-ms: single accelerators, parts of a worker, whole workers. */
+  /** The same work by size of its tasks in tenths of a worker-second: single accelerators, parts of a worker, whole workers. */
   sizes: z.tuple([amount, amount, amount]),
   /**
    * Newly submitted work, accepted or refused, cumulative, the most urgent first: the logarithm of the lowest urgency so far in thousandths, and the workers
    * that it keeps busy in hundredths, as a mean over some seconds.
    */
   arriving: z.array(z.tuple([z.number(), amount])).max(MAX_RUNGS),
-  /** Refused work that is expected to return, by priority, in worker-ms. */
+  /** Refused work that is expected to return, by priority, in tenths of a worker-second. */
   refused: z.array(amount).length(PRIORITY_CLASSES),
-  /** The same work by urgency at its first refusal, cumulative as in `rungs`, in worker-ms. */
+  /** The same work by urgency at its first refusal, cumulative as in `rungs`, in tenths of a worker-second. */
   refusedRungs: z.array(z.tuple([z.number(), amount])).max(MAX_RUNGS),
 });
 export type ServiceLoad = z.infer<typeof serviceLoadSchema>;
 
-/** Name, waiting work in worker-ms, mean work of its jobs in accelerator-ms, expected durations of tasks estimated at 1 s and at 10 s. */
+/** Name, waiting work in tenths of a worker-second, mean work of its jobs in accelerator-ms, expected durations of tasks estimated at 1 s and at 10 s. */
 const queueLoadSchema = z.tuple([z.string(), amount, amount, amount, amount]);
 export type QueueLoad = z.infer<typeof queueLoadSchema>;
 
-/** Name, waiting work in worker-ms, accelerators of its open jobs of priority 0. */
+/** Name, waiting work in tenths of a worker-second, accelerators of its open jobs of priority 0. */
 const accountLoadSchema = z.tuple([z.string(), amount, amount]);
 export type AccountLoad = z.infer<typeof accountLoadSchema>;
 
@@ -79,7 +85,7 @@
   sequence: z.int().min(0),
   services: z.array(serviceLoadSchema).max(MAX_SERVICES),
   queues: z.array(queueLoadSchema).max(MAX_QUEUES),
-  /** Waiting work of all other queues and accounts, in worker-ms. */
+  /** Waiting work of all other queues and accounts, in tenths of a worker-second. */
   restOfQueues: amount,
   accounts: z.array(accountLoadSchema).max(MAX_ACCOUNTS),
   restOfAccounts: amount,
--- a/packages/cell/src/load/loaded-workers.ts
+++ b/packages/cell/src/load/loaded-workers.ts
@@ -18,6 +18,7 @@
       runs: [...assignments.values()].map((assignment) => ({
         demand: assignment.demand,
         endsInMs: endsInMs(registry, assignment),
+        isUrgent: (registry.jobs.get(assignment.jobId)?.terms.priority ?? 0) === 0,
       })),
     }));
 }
--- a/packages/cell/src/load/prediction.ts
+++ b/packages/cell/src/load/prediction.ts
@@ -12,6 +12,7 @@
 import {
   MAX_NAME_LENGTH,
   PRIORITY_CLASSES,
+  WORK_UNIT_MS,
   typicalDemand,
   type LoadSummary,
   type ServiceLoad,
@@ -105,9 +106,9 @@
   const lateAhead = addAhead(acceptedAhead(service, LATE_VALUE_FACTOR * urgency), options.accepted);
   const { refusedShare = 1, refusedHere = 0 } = options;
   const [, refusedWork = 0] = lastAhead(service.refusedRungs, urgency) ?? [];
-  const refused = { work: refusedShare * refusedWork };
+  const refused = { work: refusedShare * refusedWork * WORK_UNIT_MS };
   const returning = refusedShare * refusedBefore(service, job.terms) + refusedHere;
-  const forecast = new CapacityForecast(service);
+  const forecast = new CapacityForecast(service, job.terms.priority === 0);
   const common = { footprint, forecast };
   const ifInTime = times(addAhead(accepted, refused), common);
   const { elapsedMs, optimism = 1 } = options;
@@ -140,7 +141,7 @@
   { priority }: Pick<QueueTerms, 'priority'>,
 ): number {
   const classes = Math.min(PRIORITY_CLASSES, Math.max(0, priority) + 1);
-  return refused.slice(0, classes).reduce((sum, work) => sum + work, 0);
+  return refused.slice(0, classes).reduce((sum, work) => sum + work * WORK_UNIT_MS, 0);
 }
 
 interface Ahead extends WorkAhead {
@@ -162,7 +163,12 @@
 function acceptedAhead({ rungs, arriving }: ServiceLoad, urgency: number): Ahead {
   const [, work = 0, width = 0, wholeWorkers = 0] = lastAhead(rungs, urgency) ?? [];
   const [, rate = 0] = lastAhead(arriving, urgency) ?? [];
-  return { work, width: width / WIDTH_UNIT, wholeWorkers, arriving: rate / WIDTH_UNIT };
+  return {
+    work: work * WORK_UNIT_MS,
+    width: width / WIDTH_UNIT,
+    wholeWorkers,
+    arriving: rate / WIDTH_UNIT,
+  };
 }
 
 function newcomerUrgency(
@@ -237,7 +243,7 @@
   if (isUnlisted || account.length > MAX_NAME_LENGTH) return undefined;
   const backlog = listed?.[1] ?? 0;
   const competitors = Math.max(1, summary.competingAccounts + (backlog > 0 ? 0 : 1));
-  const ahead = { work: backlog * competitors };
+  const ahead = { work: backlog * WORK_UNIT_MS * competitors };
   const { startWidth, wholeWorkers, criticalPathMs, work } = footprint;
   const startMs = Math.max(
     forecast.untilDrained(ahead.work),
