--- a/packages/cell/src/load/admission-load.feature
+++ b/packages/cell/src/load/admission-load.feature
@@ -27,7 +27,7 @@
 
   Scenario Outline: admission costs the others little while one account sends <load> times the capacity
     When 60 s of arrivals at <load> times the capacity by one account are played, with and without admission
-    Then at least 92 percent as many jobs of the other accounts are served while of use as without admission
+    Then at least 95 percent as many jobs of the other accounts are served while of use as without admission
 
     Examples:
       | load |
--- a/packages/cell/src/load/admission-load.steps.ts
+++ b/packages/cell/src/load/admission-load.steps.ts
@@ -134,12 +134,10 @@
 
 Then(
   /^at least (\d+) percent as many jobs( of the other accounts)? are served (in time|while of use) as without admission$/,
-  function (this: LoadWorld, percent: string, others: string | undefined, when: string) {
+  function (this: LoadWorld, percent: string, others: string | null, when: string) {
     const isServed = when === 'in time' ? isInTime : isUseful;
     const [on, off] = [this.jobs, this.jobsWithout].map(
-      (jobs) =>
-        jobs.filter((job) => (others === undefined || job.account !== HEAVY) && isServed(job))
-          .length,
+      (jobs) => jobs.filter((job) => (!others || job.account !== HEAVY) && isServed(job)).length,
     );
     assert.ok(on! * 100 >= off! * Number(percent), `${on} with, ${off} without`);
   },
--- a/packages/cell/src/load/overloaded-cell.steps.ts
+++ b/packages/cell/src/load/overloaded-cell.steps.ts
@@ -101,7 +101,7 @@
 
 When(
   'its caller returns until the job is accepted',
-  { timeout: 60_000 },
+  { timeout: 130_000 },
   async function (this: OverloadWorld) {
     const { id } = this.refused;
     const isAccepted = async (): Promise<boolean> => {
@@ -111,6 +111,10 @@
     };
     assert.ok(await eventually(isAccepted, 60_000));
     this.jobs.push(id);
+    // It may rank behind what was accepted meanwhile.
+    const hasEnded = async (): Promise<boolean> =>
+      (await cellOf(this).jobState(id)) === 'completed';
+    assert.ok(await eventually(hasEnded, 60_000));
   },
 );
 
