--- a/packages/cell/src/owner/placement-pass.ts
+++ b/packages/cell/src/owner/placement-pass.ts
@@ -2,6 +2,7 @@
 import { placeGroup } from '../placing/best-fit.js';
 import { CapacityLedger } from '../placing/capacity-ledger.js';
 import type { TaskGroup } from '../placing/available-worker.js';
+import { orderForStops } from './group-order.js';
 import { GroupApprovals } from './group-approvals.js';
 import { rankPendingGroups, type RankedGroup } from './ranked-groups.js';
 import type { PlacementInput, PlacementResult } from './placement-types.js';
@@ -37,6 +38,7 @@
     return {
       starts: this.#starts,
       preemptions: this.#preemptor.preemptions,
+      weighedStops: this.#preemptor.weighedStops,
       approvalRequests: this.#approvalRequests,
     };
   }
@@ -91,6 +93,6 @@
 /** Plans one pass. */
 export function planPlacement(input: PlacementInput): PlacementResult {
   const pass = new PlacementPass(input);
-  rankPendingGroups(input).forEach((ranked) => pass.place(ranked));
+  orderForStops(rankPendingGroups(input), input).forEach((ranked) => pass.place(ranked));
   return pass.result;
 }
--- a/packages/cell/src/owner/placement-types.ts
+++ b/packages/cell/src/owner/placement-types.ts
@@ -4,12 +4,14 @@
 import type { CellPolicy } from '../config/cell-policy.js';
 import type { FleetProfile } from '../placing/fleet-profile.js';
 import type { DurationEstimator } from '../placing/duration-estimator.js';
+import type { HeldCapacity } from '../placing/capacity-ledger.js';
 import type { Victim } from '../placing/preemption.js';
 import type { TaskPlacement, AvailableWorker } from '../placing/available-worker.js';
 import type { Assignment } from '../worker/worker.js';
 import type { OwnedJob } from './owned-job.js';
 import type { QueueMeanWork } from './urgency-factors.js';
 import type { PendingGroup } from './pending-groups.js';
+import type { StopRecords } from './stop-records.js';
 
 /** A single run or a whole gang, with what is needed to choose which units to preempt. */
 export interface RunningUnit extends Victim {
@@ -49,6 +51,8 @@
   approvals: ApprovalCache;
   /** False while live workers may not have contacted the owner yet: nothing is preempted, as they may have free capacity. */
   allWorkersKnown: boolean;
+  /** Absent: stops aren't weighed by value. */
+  stopRecords?: StopRecords | undefined;
 }
 
 /** A group to be started, and where. */
@@ -57,6 +61,19 @@
   placements: TaskPlacement[];
 }
 
+/** A stop for capacity that was weighed by value, made or not. Values in the unit of `jobValue`. */
+export interface WeighedStop {
+  pending: PendingGroup;
+  isMade: boolean;
+  gain: number;
+  cost: number;
+  /** Until enough capacity would become free by itself, in ms; Infinity: never. */
+  waitMs: number;
+  victims: readonly RunningUnit[];
+  /** Capacity that the group gets, if the stop is made. */
+  held: readonly HeldCapacity[];
+}
+
 /** A unit to be stopped, and the job that gets its capacity. */
 export interface Preemption {
   unit: RunningUnit;
@@ -67,6 +84,8 @@
 export interface PlacementResult {
   starts: PlannedStart[];
   preemptions: Preemption[];
+  /** Empty unless stops are weighed by value. */
+  weighedStops: readonly WeighedStop[];
   /** Requests to the placement advisor, the most urgent first. */
   approvalRequests: ApprovalRequest[];
 }
--- a/packages/cell/src/owner/preemptor.ts
+++ b/packages/cell/src/owner/preemptor.ts
@@ -4,12 +4,13 @@
 import type { CapacityLedger } from '../placing/capacity-ledger.js';
 import type { RankedGroup } from './ranked-groups.js';
 import type { OwnedJob } from './owned-job.js';
-import type { RunningUnit, PlacementInput, Preemption } from './placement-types.js';
+import type { RunningUnit, PlacementInput, Preemption, WeighedStop } from './placement-types.js';
 import { urgencyFactorsOf } from './urgency-factors.js';
+import { ValuedStops } from './valued-stops.js';
 import { withoutPlaced, type PendingGroup } from './pending-groups.js';
 
 /**
- * Most work that an urgent group outside a guarantee may destroy by preemption: nearly what a job of mean size
+ * Where stops aren't weighed by value: most work that an urgent group outside a guarantee may destroy by preemption: nearly what a job of mean size
  * takes itself. Tasks that are not a gang get as much of their capacity as this allows.
  */
 const MAX_PREEMPTION_LOSS_ACCELERATOR_MS = 40_000;
@@ -20,7 +21,7 @@
 /** Time to store and carry out a start, with the passes in between, in addition to `ReclaimBounds`. */
 const RECLAIM_OVERHEAD_MS = 900;
 
-/** A guaranteed job preempts at once where no more than this is lost: being late would cost it more. */
+/** Where stops aren't weighed by value: a guaranteed job preempts at once where no more than this is lost: being late would cost it more. */
 const CHEAP_LOSS_ACCELERATOR_MS = 15_000;
 
 /** A guaranteed job waits for free capacity only while it is expected to finish within this share of its objective. */
@@ -35,34 +36,85 @@
 
   readonly #ledger: CapacityLedger;
 
+  /** Undefined if stops are bounded by constants. */
+  readonly #valuedStops: ValuedStops | undefined;
+
   /** Cached urgency factors of jobs whose runs may be preempted, as many groups need them. */
   readonly #factorsByJob = new Map<OwnedJob, UrgencyFactors>();
 
   constructor(input: PlacementInput, ledger: CapacityLedger) {
     this.#input = input;
     this.#ledger = ledger;
+    const { stopRecords: records } = input;
+    const factorsOf = (job: OwnedJob): UrgencyFactors => this.#factorsOf(job);
+    this.#valuedStops = records && new ValuedStops({ input, records, ledger, factorsOf });
+  }
+
+  /** Stops weighed by value so far. */
+  get weighedStops(): readonly WeighedStop[] {
+    return this.#valuedStops?.weighed ?? [];
   }
 
   /** Preempts others for the group if allowed. Returns the tasks that still lack capacity; undefined if all will get it. */
-  preemptFor({ pending, factors }: RankedGroup): PendingGroup | undefined {
+  preemptFor(ranked: RankedGroup): PendingGroup | undefined {
+    const { pending, factors } = ranked;
     if (!factors.claim && factors.priority > 0) return pending;
+    this.#valuedStops?.expectEnds();
     // Needed even while it may not preempt: the runs stopped for it earlier end one by one.
     const unplaced = this.#reserveProjected(pending);
     if (unplaced === undefined) return undefined;
-    if (!this.#input.allWorkersKnown) return unplaced;
-    if (!factors.claim && !this.#mayPreempt(pending.job, factors)) return unplaced;
+    const rest = this.#preemptForUnplaced({ ...ranked, pending: unplaced });
+    if (rest !== undefined) this.#withholdHeldRoom(rest);
+    return rest;
+  }
+
+  #preemptForUnplaced(ranked: RankedGroup): PendingGroup | undefined {
+    const { pending, factors } = ranked;
+    if (!this.#input.allWorkersKnown) return pending;
+    if (!factors.claim && !this.#mayPreempt(pending.job, factors)) return pending;
     const victims = this.#victimsFor(factors, pending.job);
+    if (this.#valuedStops !== undefined)
+      { return this.#stopByValue(ranked, victims, this.#valuedStops); }
     const maxLoss = factors.claim ? Infinity : MAX_PREEMPTION_LOSS_ACCELERATOR_MS;
-    const plan = planPreemption(unplaced.group, this.#ledger.projected, victims, maxLoss);
-    if (plan === undefined) return unplaced;
+    const plan = planPreemption(pending.group, this.#ledger.projected, victims, maxLoss);
+    if (plan === undefined) return pending;
     const isCostly = factors.claim && plan.loss > CHEAP_LOSS_ACCELERATOR_MS;
-    if (isCostly && this.#canWait(pending, factors)) return unplaced;
-    const chosen = victims.filter((unit) => plan.victims.includes(unit));
-    chosen.forEach((unit) => {
-      this.preemptions.push({ unit, forJob: pending.job });
+    if (isCostly && this.#canWait(pending, factors)) return pending;
+    this.#stop(
+      victims.filter((unit) => plan.victims.includes(unit)),
+      pending.job,
+    );
+    return this.#reserveProjected(pending);
+  }
+
+  #stopByValue(
+    ranked: RankedGroup,
+    victims: readonly RunningUnit[],
+    valuedStops: ValuedStops,
+  ): PendingGroup | undefined {
+    const { pending, factors } = ranked;
+    const canWait = factors.claim && this.#canWait(pending, factors);
+    const stop = valuedStops.choose(ranked, victims, canWait);
+    if (stop === undefined) return pending;
+    this.#stop(stop.units, pending.job);
+    const { demand } = pending.group;
+    const placements = this.#ledger.reserve(pending.group);
+    const held = placements.map(({ vm }) => ({ vm, demand }));
+    valuedStops.noteMade(pending, stop, held);
+    return withoutPlaced(pending, placements);
+  }
+
+  #stop(units: readonly RunningUnit[], forJob: OwnedJob): void {
+    units.forEach((unit) => {
+      this.preemptions.push({ unit, forJob });
       this.#ledger.addStopping(unit.members);
     });
-    return this.#reserveProjected(unplaced);
+  }
+
+  /** What stops have freed for a group that can't start yet goes to no other group, although the group lacks more. */
+  #withholdHeldRoom({ group }: PendingGroup): void {
+    const { stopRecords, now } = this.#input;
+    if (stopRecords !== undefined) this.#ledger.withhold(stopRecords.heldRoom.heldFor(group, now));
   }
 
   /** Reserves capacity that is becoming free; returns the tasks left without, undefined if none are. */
@@ -71,7 +123,8 @@
   }
 
   #mayPreempt({ lastPreemptionAt }: OwnedJob, { ageMs, objectiveMs }: UrgencyFactors): boolean {
-    return this.#input.now - lastPreemptionAt >= PREEMPTION_INTERVAL_MS && ageMs <= objectiveMs;
+    if (this.#input.now - lastPreemptionAt < PREEMPTION_INTERVAL_MS) return false;
+    return this.#valuedStops !== undefined || ageMs <= objectiveMs;
   }
 
   /** Capacity may become free by itself before the guaranteed job has to start. */
--- a/packages/cell/src/owner/run-watchdog.ts
+++ b/packages/cell/src/owner/run-watchdog.ts
@@ -1,6 +1,7 @@
 /** Stops runs that should continue elsewhere: stalled ones, and those on runners that are about to exit. */
 import { isStalled } from '../worker/stalled-run.js';
 import type { Assignment } from '../worker/worker.js';
+import { extrapolatedRemainingMs } from './remaining-time.js';
 import type { RunRegistry } from './run-registry.js';
 
 /**
@@ -9,15 +10,6 @@
  */
 const STOP_BEFORE_EXIT_MS = 2500;
 
-/**
- * A run's remaining time is extrapolated from its own progress once it has been observed for this long and has gained this many
- * percent meanwhile: progress reported by a contact is up to 900 ms old.
- */
-const MIN_OBSERVED_MS = 2000;
-const MIN_GAIN_PERCENT = 5;
-
-const FULL_PERCENT = 100;
-
 /**
  * Stops runs that make no progress, and keeps their steps off the worker for a while. Runners that don't answer are skipped, as
  * their last list of runs is outdated: after a crash each run there would count as a fault of the worker, and two faults close
@@ -62,15 +54,13 @@
 
 /** Expected remaining time: extrapolated from the run's own progress once that is known, from the queue's task durations before. */
 function remainingMs(registry: RunRegistry, assignment: Assignment): number {
-  const { jobId, ref, percent, firstPercent, runningAt, progressAt } = assignment;
+  const { jobId, ref, runningAt } = assignment;
   const job = registry.jobs.get(jobId);
   const step = job?.submission.steps[ref.step];
   if (job === undefined || step === undefined) return 0;
   if (runningAt === undefined) return registry.expectedTaskMs(job, step);
-  const gained = percent - firstPercent;
-  const sinceProgressMs = registry.now() - progressAt;
-  if (gained < MIN_GAIN_PERCENT || progressAt - runningAt < MIN_OBSERVED_MS) {
-    return Math.max(0, registry.expectedTaskMs(job, step) - (registry.now() - runningAt));
-  }
-  return ((progressAt - runningAt) * (FULL_PERCENT - percent)) / gained - sinceProgressMs;
+  return (
+    extrapolatedRemainingMs(assignment, registry.now()) ??
+    Math.max(0, registry.expectedTaskMs(job, step) - (registry.now() - runningAt))
+  );
 }
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -15,6 +15,7 @@
 import type { ReclaimBounds } from './placement-types.js';
 import { planPlacement } from './placement-pass.js';
 import { RunRegistry, type RunRegistryEvents } from './run-registry.js';
+import { StopRecords } from './stop-records.js';
 import { stopRunsBeforeDrainEnds, stopStalledRuns } from './run-watchdog.js';
 import { WaitingReport } from './waiting-report.js';
 import {
@@ -65,10 +66,14 @@
 
   readonly #waitingReport = new WaitingReport();
 
+  /** Undefined if stops aren't weighed by value. */
+  readonly #stopRecords: StopRecords | undefined;
+
   constructor(options: SchedulerOptions) {
     this.#options = options;
     const { ctx, leaseMs, previousOwnerGrantMs, evacuations, events } = options;
     this.#startedAt = ctx.clock.now();
+    this.#stopRecords = options.policy.stopsByValue === 'off' ? undefined : new StopRecords(ctx);
     this.registry = new RunRegistry({
       ctx,
       advice: this.approvals,
@@ -170,7 +175,7 @@
       config()?.accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     );
     const guaranteedJobs = findGuaranteedJobs(jobs, (account) => guarantees.get(account) ?? 0);
-    const { starts, preemptions, approvalRequests } = planPlacement({
+    const { starts, preemptions, weighedStops, approvalRequests } = planPlacement({
       jobs,
       guaranteedJobs,
       workers: this.registry.fleet.availableWorkers(),
@@ -185,7 +190,9 @@
       wallMs: ctx.clock.wall(),
       approvals: this.approvals,
       allWorkersKnown: this.registry.now() - this.#startedAt >= WORKER_DISCOVERY_MS,
+      stopRecords: this.#stopRecords,
     });
+    this.#stopRecords?.record({ starts, weighedStops }, this.#durations);
     starts.forEach((start) => this.registry.assignRuns(start));
     preemptions.forEach(({ unit, forJob }) => {
       const [first] = unit.assignments;
--- a/packages/cell/src/placing/capacity-ledger.ts
+++ b/packages/cell/src/placing/capacity-ledger.ts
@@ -1,6 +1,11 @@
 /** Free capacity of all workers during one placement pass: now, and once all runs that are being stopped have ended. */
 import { placeGroup } from './best-fit.js';
-import type { TaskGroup, TaskPlacement, AvailableWorker } from './available-worker.js';
+import {
+  maxTasks,
+  type TaskGroup,
+  type TaskPlacement,
+  type AvailableWorker,
+} from './available-worker.js';
 import type { Demand } from '../job/submission.js';
 
 /** Capacity that a run holds on one worker. */
@@ -53,6 +58,16 @@
     return placements;
   }
 
+  /** Keeps this capacity from all later groups, as far as it is free or becomes free. */
+  withhold(held: readonly HeldCapacity[]): void {
+    held.forEach(({ vm, demand }) => {
+      const projected = this.#projected.get(vm);
+      if (projected === undefined || maxTasks(projected.free, demand) < 1) return;
+      projected.allocate(demand, 1);
+      this.#free.get(vm)?.limitFree(projected.free);
+    });
+  }
+
   /** Keeps this pass from placing anything more on these workers. */
   excludeWorkers(vms: readonly string[]): void {
     vms.forEach((vm) => {
--- a/packages/cell/src/placing/job-urgency.ts
+++ b/packages/cell/src/placing/job-urgency.ts
@@ -32,13 +32,13 @@
 const MAX_SIZE_FACTOR = 4;
 
 /** A job that ends later than this many times its objective no longer has the value of a late job. */
-const LATE_LIMIT_OBJECTIVES = 3;
+export const LATE_LIMIT_OBJECTIVES = 3;
 
 /** Share of its value that a late job keeps. */
-const LATE_VALUE_FACTOR = 0.27;
+export const LATE_VALUE_FACTOR = 0.27;
 
 /** Share that remains after that: such a job comes last but is still run, as it was accepted. */
-const EXPIRED_VALUE_FACTOR = 0.05;
+export const EXPIRED_VALUE_FACTOR = 0.05;
 
 /** Upper bound of the factor by which waiting raises urgency, so that a large job gets ahead of new small ones of similar value. */
 const MAX_AGING_FACTOR = 2;
@@ -46,17 +46,20 @@
 /** Lower bound of work in divisions, below which their results would be meaningless. */
 const MIN_WORK_ACCELERATOR_MS = 200;
 
-/** Jobs with higher urgency are placed first. */
-export function urgencyOf(factors: UrgencyFactors): number {
-  const weight = PRIORITY_WEIGHTS[Math.min(factors.priority, PRIORITY_WEIGHTS.length - 1)] ?? 1;
+/** Value of the whole job if it is done in time; a job of mean size and the lowest priority has 1. */
+export function jobValue({ priority, totalWork, meanWork }: UrgencyFactors): number {
+  const weight = PRIORITY_WEIGHTS[Math.min(priority, PRIORITY_WEIGHTS.length - 1)] ?? 1;
   const sizeFactor = Math.min(
     MAX_SIZE_FACTOR,
     MIN_SIZE_FACTOR +
-      (1 - MIN_SIZE_FACTOR) *
-        (factors.totalWork / Math.max(MIN_WORK_ACCELERATOR_MS, factors.meanWork)),
+      (1 - MIN_SIZE_FACTOR) * (totalWork / Math.max(MIN_WORK_ACCELERATOR_MS, meanWork)),
   );
-  const valueDensity =
-    (weight * sizeFactor) / Math.max(MIN_WORK_ACCELERATOR_MS, factors.remainingWork);
+  return weight * sizeFactor;
+}
+
+/** Jobs with higher urgency are placed first. */
+export function urgencyOf(factors: UrgencyFactors): number {
+  const valueDensity = jobValue(factors) / Math.max(MIN_WORK_ACCELERATOR_MS, factors.remainingWork);
   const agingFactor = Math.min(
     MAX_AGING_FACTOR,
     1 + factors.ageMs / Math.max(1, factors.objectiveMs),
--- a/packages/cell/src/placing/preemption.ts
+++ b/packages/cell/src/placing/preemption.ts
@@ -16,7 +16,15 @@
 export interface Victim {
   key: string;
   members: readonly HeldCapacity[];
-  /** Accelerator-milliseconds of work that would have to be done again. */
+  /** What stopping it loses; work that would have to be done again, in accelerator-milliseconds, unless a caller measures by value. */
+  loss: number;
+  /** What its job loses once, however many of its runs are stopped. */
+  jobLoss?: JobLoss;
+}
+
+/** Loss of one job, in the unit of `Victim.loss`. */
+export interface JobLoss {
+  jobId: string;
   loss: number;
 }
 
@@ -26,6 +34,131 @@
   loss: number;
 }
 
+/** Removes victims whose capacity turns out not to be needed, the costliest first. */
+function dropUnneeded(
+  group: TaskGroup,
+  worker: AvailableWorker,
+  stopped: readonly Victim[],
+  fittingBefore: number,
+): Victim[] {
+  return [...stopped].reverse().reduce(
+    (kept, victim) => {
+      const rest = kept.filter((each) => each !== victim);
+      const trial = worker.copy();
+      rest.forEach((each) => releaseOn(trial, each));
+      return tasksFitting(group, trial) > fittingBefore ? rest : kept;
+    },
+    [...stopped],
+  );
+}
+
+function releaseOn(worker: AvailableWorker, { members }: Victim): void {
+  members.filter(({ vm }) => vm === worker.vm).forEach(({ demand }) => worker.allocate(demand, -1));
+}
+
+/**
+ * Chooses victims for one group step by step. What each worker's next victims are is kept until that worker changes, so that a plan
+ * takes time in proportion to the runs and not to the runs times the tasks of the group.
+ */
+class VictimSearch {
+  readonly chosen: Victim[] = [];
+
+  loss = 0;
+
+  readonly #group: TaskGroup;
+
+  readonly #workers: ReadonlyMap<string, AvailableWorker>;
+
+  readonly #victimsByVm = new Map<string, Victim[]>();
+
+  readonly #nextByVm = new Map<string, PreemptionPlan | undefined>();
+
+  readonly #chosenSet = new Set<Victim>();
+
+  /** Jobs whose `jobLoss` is part of the loss so far. */
+  readonly #lossyJobs = new Set<string>();
+
+  #fitting: number;
+
+  constructor(group: TaskGroup, workers: readonly AvailableWorker[], victims: readonly Victim[]) {
+    this.#group = group;
+    this.#workers = new Map(workers.map((worker) => [worker.vm, worker.copy()]));
+    this.#fitting = totalTasksFitting(group, this.#workers.values());
+    victims.forEach((victim) =>
+      new Set(victim.members.map(({ vm }) => vm)).forEach((vm) => {
+        const local = this.#victimsByVm.get(vm) ?? [];
+        local.push(victim);
+        this.#victimsByVm.set(vm, local);
+      }),
+    );
+  }
+
+  /** Tasks of the group that fit once the chosen victims have stopped. */
+  get fitting(): number {
+    return this.#fitting;
+  }
+
+  /** Victims on one worker, chosen for the least loss, that must stop so that at least one more task fits there. */
+  cheapestNext(): PreemptionPlan | undefined {
+    let best: PreemptionPlan | undefined;
+    this.#workers.forEach((worker, vm) => {
+      if (!this.#nextByVm.has(vm)) this.#nextByVm.set(vm, this.#nextOn(worker));
+      const next = this.#nextByVm.get(vm);
+      if (next !== undefined && (best === undefined || next.loss < best.loss)) best = next;
+    });
+    return best;
+  }
+
+  choose({ victims, loss }: PreemptionPlan): void {
+    this.loss += loss;
+    const jobsBefore = this.#lossyJobs.size;
+    victims.forEach((victim) => {
+      this.chosen.push(victim);
+      this.#chosenSet.add(victim);
+      if (victim.jobLoss !== undefined) this.#lossyJobs.add(victim.jobLoss.jobId);
+      victim.members.forEach((member) => this.#release(member));
+    });
+    // Further victims of the same job have become cheaper, on whatever worker they are.
+    if (this.#lossyJobs.size > jobsBefore) this.#nextByVm.clear();
+  }
+
+  #release({ vm, demand }: HeldCapacity): void {
+    const worker = this.#workers.get(vm);
+    if (worker === undefined) return;
+    this.#fitting -= tasksFitting(this.#group, worker);
+    worker.allocate(demand, -1);
+    this.#fitting += tasksFitting(this.#group, worker);
+    this.#nextByVm.delete(vm);
+  }
+
+  #nextOn(worker: AvailableWorker): PreemptionPlan | undefined {
+    const local = (this.#victimsByVm.get(worker.vm) ?? [])
+      .filter((victim) => !this.#chosenSet.has(victim))
+      .sort((a, b) => this.#lossOf([a]) - this.#lossOf([b]));
+    const fittingBefore = tasksFitting(this.#group, worker);
+    const trial = worker.copy();
+    const stopped: Victim[] = [];
+    local.some((victim) => {
+      stopped.push(victim);
+      releaseOn(trial, victim);
+      return tasksFitting(this.#group, trial) > fittingBefore;
+    });
+    if (tasksFitting(this.#group, trial) <= fittingBefore) return undefined;
+    const victims = dropUnneeded(this.#group, worker, stopped, fittingBefore);
+    return { victims, loss: this.#lossOf(victims) };
+  }
+
+  /** Loss of stopping these as well. */
+  #lossOf(victims: readonly Victim[]): number {
+    const counted = new Set(this.#lossyJobs);
+    return victims.reduce((sum, { loss, jobLoss }) => {
+      if (jobLoss === undefined || counted.has(jobLoss.jobId)) return sum + loss;
+      counted.add(jobLoss.jobId);
+      return sum + loss + jobLoss.loss;
+    }, 0);
+  }
+}
+
 /**
  * The cheapest victims whose capacity takes the whole group; undefined if there are none. With a bound on their loss, a group
  * that isn't a gang gets capacity for as many of its tasks as the bound allows.
@@ -50,86 +183,14 @@
   victims: readonly Victim[],
   maxLoss: number,
 ): PreemptionPlan | undefined {
-  const workersByVm = new Map(workers.map((worker) => [worker.vm, worker.copy()]));
-  const chosen: Victim[] = [];
-  let loss = 0;
-  while (totalTasksFitting(group, workersByVm.values()) < group.indexes.length) {
-    const nextVictims = cheapestNextVictims(group, workersByVm, victims, chosen);
-    const nextLoss = totalLoss(nextVictims ?? []);
-    if (nextVictims === undefined || loss + nextLoss > maxLoss) {
-      const isPartialPlanUseful = !group.gang && maxLoss < Infinity && chosen.length > 0;
-      return isPartialPlanUseful ? { victims: chosen, loss } : undefined;
+  const search = new VictimSearch(group, workers, victims);
+  while (search.fitting < group.indexes.length) {
+    const next = search.cheapestNext();
+    if (next === undefined || search.loss + next.loss > maxLoss) {
+      const isPartialPlanUseful = !group.gang && maxLoss < Infinity && search.chosen.length > 0;
+      return isPartialPlanUseful ? { victims: search.chosen, loss: search.loss } : undefined;
     }
-    nextVictims.forEach((victim) => releaseCapacity(workersByVm, victim));
-    chosen.push(...nextVictims);
-    loss += nextLoss;
+    search.choose(next);
   }
-  return { victims: chosen, loss };
-}
-
-function totalLoss(victims: readonly Victim[]): number {
-  return victims.reduce((sum, { loss }) => sum + loss, 0);
-}
-
-/** Victims on one worker, chosen for the least loss, that must stop so that at least one more task fits there. */
-function cheapestNextVictims(
-  group: TaskGroup,
-  workersByVm: ReadonlyMap<string, AvailableWorker>,
-  victims: readonly Victim[],
-  chosen: readonly Victim[],
-): Victim[] | undefined {
-  let best: { victims: Victim[]; loss: number } | undefined;
-  workersByVm.forEach((worker, vm) => {
-    const localVictims = victims
-      .filter((victim) => !chosen.includes(victim))
-      .filter(({ members }) => members.some((member) => member.vm === vm))
-      .sort((a, b) => a.loss - b.loss);
-    const fittingBefore = tasksFitting(group, worker);
-    const trial = worker.copy();
-    const stopped: Victim[] = [];
-    localVictims.some((victim) => {
-      stopped.push(victim);
-      victim.members
-        .filter((member) => member.vm === vm)
-        .forEach(({ demand }) => trial.allocate(demand, -1));
-      return tasksFitting(group, trial) > fittingBefore;
-    });
-    if (tasksFitting(group, trial) <= fittingBefore) return;
-    const needed = dropUnneeded(group, worker, stopped, fittingBefore);
-    const loss = totalLoss(needed);
-    if (best === undefined || loss < best.loss) best = { victims: needed, loss };
-  });
-  return best?.victims;
-}
-
-/** Removes victims whose capacity turns out not to be needed, the costliest first. */
-function dropUnneeded(
-  group: TaskGroup,
-  worker: AvailableWorker,
-  stopped: readonly Victim[],
-  fittingBefore: number,
-): Victim[] {
-  return [...stopped].reverse().reduce(
-    (kept, victim) => {
-      const rest = kept.filter((each) => each !== victim);
-      const trial = worker.copy();
-      rest.forEach(({ members }) =>
-        members
-          .filter(({ vm }) => vm === worker.vm)
-          .forEach(({ demand }) => trial.allocate(demand, -1)),
-      );
-      return tasksFitting(group, trial) > fittingBefore ? rest : kept;
-    },
-    [...stopped],
-  );
-}
-
-function releaseCapacity(
-  workersByVm: ReadonlyMap<string, AvailableWorker>,
-  { members }: Victim,
-): void {
-  members.forEach(({ vm, demand }) => {
-    const worker = workersByVm.get(vm);
-    worker?.allocate(demand, -1);
-  });
+  return { victims: search.chosen, loss: search.loss };
 }
