--- a/packages/cell/src/owner/preemptor.ts
+++ b/packages/cell/src/owner/preemptor.ts
@@ -73,8 +73,9 @@
     if (!this.#input.allWorkersKnown) return pending;
     if (!factors.claim && !this.#mayPreempt(pending.job, factors)) return pending;
     const victims = this.#victimsFor(factors, pending.job);
-    if (this.#valuedStops !== undefined)
-      { return this.#stopByValue(ranked, victims, this.#valuedStops); }
+    if (this.#valuedStops !== undefined) {
+      return this.#stopByValue(ranked, victims, this.#valuedStops);
+    }
     const maxLoss = factors.claim ? Infinity : MAX_PREEMPTION_LOSS_ACCELERATOR_MS;
     const plan = planPreemption(pending.group, this.#ledger.projected, victims, maxLoss);
     if (plan === undefined) return pending;
