--- a/packages/cell/src/owner/stop-costs.ts
+++ b/packages/cell/src/owner/stop-costs.ts
@@ -1,7 +1,7 @@
 /** What stopping each running unit would cost, in the unit of `jobValue`, and when what runs is expected to end. One instance per pass. */
 import type { UrgencyFactors } from '../placing/job-urgency.js';
 import { CapacityForecast } from '../placing/capacity-forecast.js';
-import { valueOfDelay, valueOfWork } from '../placing/stop-value.js';
+import { meanValuePerWork, valueOfDelay, valueOfWork } from '../placing/stop-value.js';
 import type { OwnedJob } from './owned-job.js';
 import type { PlacementInput, RunningUnit } from './placement-types.js';
 import { forecastRemainingMs } from './remaining-time.js';
@@ -29,6 +29,8 @@
 
   readonly #restartMs: number;
 
+  #meanValuePerWork: number | undefined;
+
   constructor(input: PlacementInput, factorsOf: (job: OwnedJob) => UrgencyFactors) {
     this.#input = input;
     this.#factorsOf = factorsOf;
@@ -72,11 +74,17 @@
     });
     return {
       ...unit,
-      loss: valueOfWork(factors, lostWork),
+      loss: valueOfWork(factors, { lostWork, valuePerWork: this.#meanValue() }),
       jobLoss: { jobId: job.id, loss: delay },
     };
   }
 
+  /** Value for each accelerator-ms of the jobs that run or wait. */
+  #meanValue(): number {
+    this.#meanValuePerWork ??= meanValuePerWork(this.#input.jobs.map(this.#factorsOf));
+    return this.#meanValuePerWork;
+  }
+
   #computeRemainingMs({ job, assignments }: RunningUnit): number {
     const expectedMs = expectedDurations(job, this.#input.durations);
     const remaining = assignments.map((assignment) => {
--- a/packages/cell/src/owner/valued-stops.ts
+++ b/packages/cell/src/owner/valued-stops.ts
@@ -15,6 +15,12 @@
 /** A smaller gain isn't weighed: it is a hundredth of the value of a job of mean size and the lowest priority. */
 const MIN_GAIN = 0.01;
 
+/**
+ * A group that stops nothing and is expected to fit within this time, in ms, keeps what is free of that room: smaller groups would
+ * take it meanwhile. Longer waits would leave too much idle.
+ */
+const MAX_AWAITED_MS = 1000;
+
 /** A stop to be made. */
 export interface ChosenStop {
   units: RunningUnit[];
@@ -23,6 +29,14 @@
   waitMs: number;
 }
 
+interface Weighing {
+  victims: readonly RunningUnit[];
+  costs: StopCosts;
+  waitMs: number;
+  canWait: boolean;
+}
+
+/** State of a pass. */
 export interface ValuedStopsOptions {
   input: PlacementInput;
   records: StopRecords;
@@ -64,18 +78,32 @@
    * need not start yet.
    */
   choose(
-    { pending, factors }: RankedGroup,
+    ranked: RankedGroup,
     victims: readonly RunningUnit[],
     canWait: boolean,
   ): ChosenStop | undefined {
-    this.expectEnds();
+    const { pending, factors } = ranked;
     const costs = this.#costs;
     if (costs === undefined || (!factors.claim && gangFailures(pending) > 0)) return undefined;
-    const waitMs = costs.forecast.waitMs(
+    const { waitMs, members } = costs.forecast.roomFor(
       pending.group,
       this.#ledger.projected,
       expectedDurations(pending.job, this.#input.durations)(pending.step),
     );
+    const stop = this.#weigh(ranked, { victims, costs, waitMs, canWait });
+    if (stop === undefined && waitMs <= MAX_AWAITED_MS) this.#ledger.withhold(members);
+    return stop;
+  }
+
+  /** Records a stop that is made, with the capacity that the group gets by it. */
+  noteMade(pending: PendingGroup, stop: ChosenStop, held: WeighedStop['held']): void {
+    this.#note(pending, stop, { isMade: true, held });
+  }
+
+  #weigh(
+    { pending, factors }: RankedGroup,
+    { victims, costs, waitMs, canWait }: Weighing,
+  ): ChosenStop | undefined {
     const gain = gainOfStop(factors, { stopMs: this.#input.bounds.stopMs, waitMs });
     const mayDecline = !factors.claim || canWait;
     if (mayDecline && gain < MIN_GAIN) return undefined;
@@ -88,11 +116,6 @@
     return undefined;
   }
 
-  /** Records a stop that is made, with the capacity that the group gets by it. */
-  noteMade(pending: PendingGroup, stop: ChosenStop, held: WeighedStop['held']): void {
-    this.#note(pending, stop, { isMade: true, held });
-  }
-
   #plan(
     pending: PendingGroup,
     { claim }: UrgencyFactors,
--- a/packages/cell/src/placing/capacity-forecast.ts
+++ b/packages/cell/src/placing/capacity-forecast.ts
@@ -15,6 +15,13 @@
   members: readonly HeldCapacity[];
 }
 
+/** When a group is expected to fit, and where. */
+export interface ExpectedRoom {
+  /** From now, in ms; Infinity: never. */
+  waitMs: number;
+  members: readonly HeldCapacity[];
+}
+
 /** Groups are asked about in placement order: what one waits for, the next doesn't count on. */
 export class CapacityForecast {
   #releases: ExpectedRelease[];
@@ -33,10 +40,8 @@
     return this.#releases[Math.floor(this.#releases.length * share)]?.inMs ?? 0;
   }
 
-  /**
-   * Time until the whole group fits into these workers, in ms; Infinity if it never does. The workers are changed.
-   */
-  waitMs(group: TaskGroup, workers: readonly AvailableWorker[], durationMs: number): number {
+  /** When the whole group first fits into these workers, which are changed. It then takes its capacity for `durationMs`. */
+  roomFor(group: TaskGroup, workers: readonly AvailableWorker[], durationMs: number): ExpectedRoom {
     const byVm = new Map(
       workers.filter((worker) => isEligible(group, worker)).map((worker) => [worker.vm, worker]),
     );
@@ -54,15 +59,18 @@
         }
       }
       if (members.some(({ vm }) => isEnough(room, byVm.get(vm), group, wanted))) {
-        this.#await(group, [...byVm.values()], inMs + durationMs);
-        return inMs;
+        const held = placeGroup(group, [...byVm.values()]).map(({ vm }) => ({
+          vm,
+          demand: group.demand,
+        }));
+        this.#await(held, inMs + durationMs);
+        return { waitMs: inMs, members: held };
       }
     }
-    return Infinity;
+    return { waitMs: Infinity, members: [] };
   }
 
-  #await(group: TaskGroup, workers: readonly AvailableWorker[], untilMs: number): void {
-    const members = placeGroup(group, workers).map(({ vm }) => ({ vm, demand: group.demand }));
+  #await(members: readonly HeldCapacity[], untilMs: number): void {
     members.forEach(({ vm, demand }) => {
       const earlier = this.#awaited.get(vm);
       this.#awaited.set(vm, earlier === undefined ? demand : addDemands(earlier, demand));
--- a/packages/cell/src/placing/capacity-ledger.ts
+++ b/packages/cell/src/placing/capacity-ledger.ts
@@ -1,11 +1,6 @@
 /** Free capacity of all workers during one placement pass: now, and once all runs that are being stopped have ended. */
 import { placeGroup } from './best-fit.js';
-import {
-  maxTasks,
-  type TaskGroup,
-  type TaskPlacement,
-  type AvailableWorker,
-} from './available-worker.js';
+import type { TaskGroup, TaskPlacement, AvailableWorker } from './available-worker.js';
 import type { Demand } from '../job/submission.js';
 
 /** Capacity that a run holds on one worker. */
@@ -62,8 +57,13 @@
   withhold(held: readonly HeldCapacity[]): void {
     held.forEach(({ vm, demand }) => {
       const projected = this.#projected.get(vm);
-      if (projected === undefined || maxTasks(projected.free, demand) < 1) return;
-      projected.allocate(demand, 1);
+      if (projected === undefined) return;
+      const { milliCores, memoryMb, accelerators } = projected.free;
+      projected.limitFree({
+        milliCores: Math.max(0, milliCores - demand.milliCores),
+        memoryMb: Math.max(0, memoryMb - demand.memoryMb),
+        accelerators: Math.max(0, accelerators - demand.accelerators),
+      });
       this.#free.get(vm)?.limitFree(projected.free);
     });
   }
--- a/packages/cell/src/placing/stop-value.ts
+++ b/packages/cell/src/placing/stop-value.ts
@@ -19,13 +19,22 @@
 /** A logistic distribution with this scale has nearly the quantiles of a normal one with standard deviation 1. */
 const LOGISTIC_SCALE = 1.702;
 
+/**
+ * What becomes free by itself goes partly to others, and some runs become slow: a group is assumed to wait this many times as long
+ * as forecast. A choice; trials with 1 to 3 are in docs/design/stops-by-value.md.
+ */
+const WAIT_FACTOR = 2;
+
 /** Gain of starting a job's group after a stop, at `stopMs` from now, instead of at `waitMs`, when capacity becomes free by itself. */
 export function gainOfStop(
   factors: UrgencyFactors,
   { stopMs, waitMs }: { stopMs: number; waitMs: number },
 ): number {
   const { ageMs } = factors;
-  return jobValue(factors) * lostShare(factors, { from: ageMs + stopMs, to: ageMs + waitMs });
+  return (
+    jobValue(factors) *
+    lostShare(factors, { from: ageMs + stopMs, to: ageMs + Math.max(stopMs, WAIT_FACTOR * waitMs) })
+  );
 }
 
 /** What is known about runs of one job that would be stopped. */
@@ -39,9 +48,23 @@
   restartMs: number;
 }
 
-/** Value of the work that a stop throws away: its share of the job's work times the job's value. */
-export function valueOfWork(factors: UrgencyFactors, lostWork: number): number {
-  return jobValue(factors) * Math.min(1, lostWork / Math.max(1, factors.totalWork));
+/**
+ * Value of the work that a stop throws away: its share of the job's work times the job's value. Doing it again also displaces as
+ * much of what the cell's jobs need, at their mean value for each accelerator-ms.
+ */
+export function valueOfWork(
+  factors: UrgencyFactors,
+  { lostWork, valuePerWork }: { lostWork: number; valuePerWork: number },
+): number {
+  const ownShare = Math.min(1, lostWork / Math.max(1, factors.totalWork));
+  return jobValue(factors) * ownShare + valuePerWork * lostWork;
+}
+
+/** Value of all these jobs for each accelerator-ms of their work. */
+export function meanValuePerWork(jobs: readonly UrgencyFactors[]): number {
+  const value = jobs.reduce((sum, factors) => sum + jobValue(factors), 0);
+  const work = jobs.reduce((sum, { totalWork }) => sum + totalWork, 0);
+  return value / Math.max(1, work);
 }
 
 /** Value that the job of the stopped runs loses by ending later. */
