--- a/packages/cell/src/owner/valued-stops.ts
+++ b/packages/cell/src/owner/valued-stops.ts
@@ -91,10 +91,19 @@
       expectedDurations(pending.job, this.#input.durations)(pending.step),
     );
     const stop = this.#weigh(ranked, { victims, costs, waitMs, canWait });
-    if (stop === undefined && waitMs <= MAX_AWAITED_MS) this.#ledger.withhold(members);
+    const keepsRoom = waitMs <= MAX_AWAITED_MS && this.#isBusy(pending.group.service);
+    if (stop === undefined && keepsRoom) this.#ledger.withhold(members);
     return stop;
   }
 
+  /** At least half of the service's accelerators are in use. Below that, nothing that could start waits. */
+  #isBusy(service: string): boolean {
+    const ofService = this.#input.workers.filter((worker) => worker.service === service);
+    const free = ofService.reduce((sum, worker) => sum + worker.free.accelerators, 0);
+    const capacity = ofService.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
+    return free * 2 <= capacity;
+  }
+
   /** Records a stop that is made, with the capacity that the group gets by it. */
   noteMade(pending: PendingGroup, stop: ChosenStop, held: WeighedStop['held']): void {
     this.#note(pending, stop, { isMade: true, held });
