--- a/packages/cell/src/owner/valued-stops.feature
+++ b/packages/cell/src/owner/valued-stops.feature
@@ -110,3 +110,11 @@
     When a pass is planned
     # Guards against throwing work away for a group that would be in time anyway.
     Then 0 runs are stopped
+
+  Scenario: a declined stop is counted each time and logged once per second
+    Given 7 workers, each full of 8 small tasks that have run for 6 s of 8 s, each two a job of their own
+    And an urgent gang of 6 tasks that need a whole worker each, of 3 s
+    When a pass is planned
+    And a pass is planned 200 ms later
+    # Guards against a log line for each pass while a group waits.
+    Then 2 declined stops are counted and 1 is logged
--- a/packages/cell/src/owner/valued-stops.steps.ts
+++ b/packages/cell/src/owner/valued-stops.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { Before, Given, Then, When } from '@cucumber/cucumber';
-import { quietContext } from '@zincspan/core';
+import { CountingMetrics, quietContext } from '@zincspan/core';
 import { DurationEstimator } from '../placing/duration-estimator.js';
+import { LogRecorder } from '../testing/log-recorder.support.js';
 import type { PlacementResult } from './placement-types.js';
 import { StopRecords } from './stop-records.js';
 import {
@@ -21,13 +22,18 @@
 
 Before(function (this: ValuedStopSteps) {
   const clock = { now: () => this.now, wall: () => this.now };
+  const log = new LogRecorder();
+  const metrics = new CountingMetrics();
+  const ctx = quietContext({ id: 'entry-1', clock, log: log.logFor('entry-1') });
   Object.assign(this, {
     now: 20_000,
     workers: [],
     runs: [],
     jobs: [],
     guaranteed: new Set(),
-    records: new StopRecords(quietContext({ id: 'entry-1', clock })),
+    log,
+    metrics,
+    records: new StopRecords({ ...ctx, metrics }),
     stops: new Map(),
   });
 });
@@ -184,6 +190,14 @@
   assert.ok(declined.every(({ gain, cost }) => cost >= gain));
 });
 
+Then(
+  '{int} declined stops are counted and {int} is logged',
+  function (this: ValuedStopSteps, counted: number, logged: number) {
+    assert.equal(this.metrics.counters.get('stop.declined'), counted);
+    assert.equal(this.log.withMessage('stop declined').length, logged);
+  },
+);
+
 Then('no task is stopped twice', function (this: ValuedStopSteps) {
   assert.equal(this.stops.size, 3 * PER_WORKER);
   assert.deepEqual(new Set(this.stops.values()), new Set([1]));
--- a/packages/cell/src/owner/valued-stops.support.ts
+++ b/packages/cell/src/owner/valued-stops.support.ts
@@ -1,5 +1,7 @@
 /** A cell's workers and runs for scenarios of stops by value, without a network. */
 import assert from 'node:assert/strict';
+import type { CountingMetrics } from '@zincspan/core';
+import type { LogRecorder } from '../testing/log-recorder.support.js';
 import { ApprovalCache } from '../advice/approval-cache.js';
 import { DEFAULT_CELL_POLICY } from '../config/cell-policy.js';
 import type { Demand, Step } from '../job/submission.js';
@@ -30,6 +32,8 @@
   runs: TestRun[];
   jobs: OwnedJob[];
   guaranteed: Set<OwnedJob>;
+  log: LogRecorder;
+  metrics: CountingMetrics;
   records: StopRecords;
   result: PlacementResult;
   /** How often each task was stopped. */
