--- a/packages/cell/src/owner/placement-pass.ts
+++ b/packages/cell/src/owner/placement-pass.ts
@@ -3,6 +3,7 @@
 import { CapacityLedger } from '../placing/capacity-ledger.js';
 import type { TaskGroup } from '../placing/available-worker.js';
 import { CapacityFit } from './capacity-fit.js';
+import { orderForStops } from './group-order.js';
 import { GroupApprovals } from './group-approvals.js';
 import { rankPendingGroups, type RankedGroup } from './ranked-groups.js';
 import type { PlacementInput, PlacementResult } from './placement-types.js';
@@ -42,6 +43,7 @@
     return {
       starts: this.#starts,
       preemptions: this.#preemptor.preemptions,
+      weighedStops: this.#preemptor.weighedStops,
       approvalRequests: this.#approvalRequests,
       fit: this.#fit.summary(),
     };
@@ -131,6 +133,6 @@
 /** Plans one pass. */
 export function planPlacement(input: PlacementInput): PlacementResult {
   const pass = new PlacementPass(input);
-  rankPendingGroups(input).forEach((ranked) => pass.place(ranked));
+  orderForStops(rankPendingGroups(input), input).forEach((ranked) => pass.place(ranked));
   return pass.result;
 }
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -20,6 +20,7 @@
 import type { ReclaimBounds } from './placement-types.js';
 import { planPlacement } from './placement-pass.js';
 import { RunRegistry, type RunRegistryEvents } from './run-registry.js';
+import { StopRecords } from './stop-records.js';
 import { stopRunsBeforeDrainEnds, stopStalledRuns } from './run-watchdog.js';
 import { WaitingReport } from './waiting-report.js';
 import {
@@ -76,15 +77,20 @@
   readonly #wholeWorkers: WholeWorkerDemand;
 
   readonly #fitReport = new FitReport();
+
   readonly #shareTracker: ShareTracker;
 
   readonly #waitingReport = new WaitingReport();
 
+  /** Undefined if stops aren't weighed by value. */
+  readonly #stopRecords: StopRecords | undefined;
+
   constructor(options: SchedulerOptions) {
     this.#options = options;
     const { ctx, leaseMs, previousOwnerGrantMs, evacuations, events } = options;
     this.#startedAt = ctx.clock.now();
     this.#wholeWorkers = new WholeWorkerDemand(this.#startedAt);
+    this.#stopRecords = options.policy.stopsByValue === 'off' ? undefined : new StopRecords(ctx);
     this.registry = new RunRegistry({
       ctx,
       advice: this.approvals,
@@ -208,7 +214,7 @@
     this.load?.update({ profile, guaranteedJobs });
     const allWorkersKnown = this.registry.now() - this.#startedAt >= WORKER_DISCOVERY_MS;
     const shares = this.#shareTracker.beginPass({ accounts, profile, allWorkersKnown });
-    const { starts, preemptions, approvalRequests, fit } = planPlacement({
+    const { starts, preemptions, approvalRequests, weighedStops, fit } = planPlacement({
       jobs,
       guaranteedJobs,
       workers: this.registry.fleet.availableWorkers(),
@@ -225,9 +231,11 @@
       wallMs: ctx.clock.wall(),
       approvals: this.approvals,
       allWorkersKnown,
+      stopRecords: this.#stopRecords,
     });
     this.#fitReport.report(ctx, fit, (msg, fields) => this.registry.log(msg, fields));
     this.#shareTracker.report(shares);
+    this.#stopRecords?.record({ starts, weighedStops }, this.#durations);
     starts.forEach((start) => this.registry.assignRuns(start));
     preemptions.forEach(({ unit, forJob }) => {
       const [first] = unit.assignments;
--- a/packages/cell/src/placing/capacity-ledger.ts
+++ b/packages/cell/src/placing/capacity-ledger.ts
@@ -62,6 +62,21 @@
     return placements;
   }
 
+  /** Keeps this capacity from all later groups, as far as it is free or becomes free. */
+  withhold(held: readonly HeldCapacity[]): void {
+    held.forEach(({ vm, demand }) => {
+      const projected = this.#projected.get(vm);
+      if (projected === undefined) return;
+      const { milliCores, memoryMb, accelerators } = projected.free;
+      projected.limitFree({
+        milliCores: Math.max(0, milliCores - demand.milliCores),
+        memoryMb: Math.max(0, memoryMb - demand.memoryMb),
+        accelerators: Math.max(0, accelerators - demand.accelerators),
+      });
+      this.#free.get(vm)?.limitFree(projected.free);
+    });
+  }
+
   /** Keeps this pass from placing anything more on these workers. */
   excludeWorkers(vms: readonly string[]): void {
     vms.forEach((vm) => {
