--- a/packages/cell/src/guard/guard-app.ts
+++ b/packages/cell/src/guard/guard-app.ts
@@ -74,6 +74,7 @@
       store,
       linkKey,
       handlers: this.#handlers(),
+      status: () => ({ workerSpeed: this.#supervisor.heldSpeed() }),
       onLinkUp: () => this.#requestContact(),
     });
   }
--- a/packages/cell/src/guard/owner-link.ts
+++ b/packages/cell/src/guard/owner-link.ts
@@ -33,6 +33,8 @@
   store: RowStore;
   linkKey: string;
   handlers: Handlers;
+  /** Sent when a link is up, before the first contact, and with each heartbeat. */
+  status: () => Record<string, unknown>;
   onLinkUp: () => void;
 }
 
@@ -117,7 +119,7 @@
   }
 
   #connect(term: number, holder: Holder | undefined): void {
-    const { ctx, linkKey, handlers, onLinkUp } = this.#options;
+    const { ctx, linkKey, handlers, status, onLinkUp } = this.#options;
     ctx.log.info({ term, owner: holder?.id, address: holder?.address }, 'cell owner found');
     this.#term = term;
     this.#dialer?.close();
@@ -128,6 +130,7 @@
       ctx,
       keys: [linkKey],
       handlers,
+      status,
       heartbeat: LINK_HEARTBEAT,
       address: holder.address,
       expectId: holder.id,
--- a/packages/cell/src/guard/runner-supervisor.ts
+++ b/packages/cell/src/guard/runner-supervisor.ts
@@ -6,6 +6,7 @@
 import { RunOrderDispatcher, type OrderTarget } from './run-order-dispatcher.js';
 import type { RunListing, RunnerAnswer, RunnerApi, RunnerHeartbeat } from './runner-api.js';
 import { RunnerState } from './runner-state.js';
+import { SpeedHolder } from './speed-holder.js';
 import { sleep } from '../clock/sleep.js';
 import { isSameIncarnation, incarnationId, type RunnerIdentity } from '../runner/incarnation-id.js';
 
@@ -51,6 +52,8 @@
 
   #current: SupervisedIncarnation | undefined;
 
+  readonly #speed = new SpeedHolder();
+
   /** The last crash of the runner. */
   #crash: RunnerCrash | undefined;
 
@@ -134,6 +137,11 @@
     return { ...contact, running, ...(this.#crash === undefined ? {} : { crash: this.#crash }) };
   }
 
+  /** What owners have learned about the speed of the present incarnation, for the next owner. */
+  heldSpeed(): ReturnType<SpeedHolder['of']> {
+    return this.#speed.of(this.#current?.state.incarnationId ?? '', this.#now());
+  }
+
   /** Applies the owner's answer to a contact that was sent at `sentAt` that carried the report `sent`. */
   apply(orders: CellOrders, { sentAt, sent }: { sentAt: number; sent: CellContact }): void {
     if (orders.term < this.#term) return;
@@ -145,6 +153,7 @@
     if (incarnation === undefined || orders.runner !== incarnation.state.incarnationId) return;
     if (sent.crash !== undefined && sent.crash === this.#crash) this.#crashAckedAt ??= this.#now();
     const { state } = incarnation;
+    this.#speed.note(orders.runner, orders.workerSpeed, this.#now());
     if (orders.leaseMs > 0) state.lease.grant(sentAt, orders.leaseMs);
     state.noteReported(sent, orders.confirmedEnd);
     const target = this.#target(incarnation);
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -266,10 +266,12 @@
     this.#guardPeers.set(vm, peer);
     const worker = this.#registry.fleet.get(vm);
     this.#grantToReplacedRunner(worker, req);
+    const { speeds } = this.#registry;
+    if (req.runner !== undefined) speeds.restore(worker, req.runner.id, peer.status);
     if (applyContact(this.#registry, worker, req)) this.#schedulePass();
     const orders = ordersFor(this.#registry, worker, req);
     const unconfirmedMs = this.#unconfirmedMs();
-    const answer = { term, unconfirmedMs, ...orders };
+    const answer = { term, unconfirmedMs, ...orders, ...speeds.orderFor(worker, peer.status) };
     if (unconfirmedMs >= LEASE_MAX_UNCONFIRMED_MS) return { ...answer, leaseMs: 0, starts: [] };
     const leaseMs = leaseDurationMs(worker.runner, this.#options.leaseMs);
     worker.grantLease(this.#registry.now(), leaseMs);
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -59,6 +59,7 @@
     assignment.percent = status.percent;
     assignment.checkpoint = status.checkpoint;
   });
+  registry.speeds.noteContact(worker, (assignment) => registry.observedRun(assignment));
   if (contact.crash !== undefined) recordReportedCrash(registry, worker, contact.crash);
   noteUnreportedCrash(registry, worker, { earlier, contact });
   markImpossibleRunsLost(registry, worker, contact);
--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -129,6 +129,8 @@
     startingJobs: new Set(recentRuns.map(({ jobId }) => jobId)),
     suspectJob: recentRuns.find(({ isOnProbation }) => isOnProbation)?.jobId,
     isCold: worker.isCold(now),
+    speed: worker.speed.speed,
+    isRestarting: worker.speed.isRestarting(now),
     isRecentlyRestarted: now - worker.incarnationSince < RECENT_RESTART_MS,
   });
 }
--- a/packages/cell/src/owner/owned-job.ts
+++ b/packages/cell/src/owner/owned-job.ts
@@ -106,6 +106,14 @@
     return new Set(recent.map(([vm]) => vm));
   }
 
+  /** Workers of the active tasks that started with this run, of the same step. */
+  activeVms({ ref, run }: { ref: StepRef; run: number }): string[] {
+    return this.progress
+      .activeRuns()
+      .filter((other) => other.ref.occurrence === ref.occurrence && other.ref.step === ref.step)
+      .flatMap(({ active }) => (active.run === run ? [active.vm] : []));
+  }
+
   /** Records the duration of a task of this step that ran from its beginning to its end. */
   noteTaskDuration(step: Step, durationMs: number): void {
     this.#lastTaskMs.set(step, durationMs);
--- a/packages/cell/src/owner/run-registry.ts
+++ b/packages/cell/src/owner/run-registry.ts
@@ -7,6 +7,7 @@
 import { taskName } from '../job/task-name.js';
 import type { DurationEstimator } from '../placing/duration-estimator.js';
 import { FleetHealth } from '../worker/fleet-health.js';
+import { SpeedLearner, type ObservedRun } from '../worker/speed-learner.js';
 import type { Assignment, Worker } from '../worker/worker.js';
 import type { Fleet } from './fleet.js';
 import type { OwnedJob } from './owned-job.js';
@@ -38,6 +39,9 @@
   /** Decides which starts may be ordered from guards. */
   readonly orders: StartOrders;
 
+  /** Learns how fast the workers are. */
+  readonly speeds: SpeedLearner;
+
   readonly #ctx: ProcessContext;
 
   readonly #durations: DurationEstimator;
@@ -56,12 +60,15 @@
     advice,
     durations,
     events,
+    learnsSpeeds = false,
   }: {
     ctx: ProcessContext;
     fleet: Fleet;
     advice: ApprovalCache;
     durations: DurationEstimator;
     events: RunRegistryEvents;
+    /** False: all workers count as equally fast. */
+    learnsSpeeds?: boolean;
   }) {
     this.#ctx = ctx;
     this.fleet = fleet;
@@ -72,6 +79,7 @@
       now: () => this.now(),
     });
     this.#durations = durations;
+    this.speeds = new SpeedLearner({ ctx, durations, isOn: learnsSpeeds });
     this.#health = new FleetHealth(() => [...fleet.all()].map(({ health }) => health));
     this.#events = events;
     this.#stopper = new RunStopper({
@@ -183,6 +191,16 @@
     return this.jobs.get(assignment.jobId)?.submission.steps[assignment.ref.step];
   }
 
+  /** The run as the speeds of workers are learned from it; undefined if its job isn't known. */
+  observedRun(assignment: Assignment): ObservedRun | undefined {
+    const job = this.jobs.get(assignment.jobId);
+    const step = this.stepOf(assignment);
+    if (job === undefined || step === undefined) return undefined;
+    const gangWorkers = (): Worker[] =>
+      step.gang ? job.activeVms(assignment).map((vm) => this.fleet.get(vm)) : [];
+    return { assignment, queue: job.submission.queue, step, gangWorkers };
+  }
+
   /** Expected duration of a task of this step, in ms. */
   expectedTaskMs(job: OwnedJob, step: Step): number {
     return expectedDurations(job, this.#durations)(step);
@@ -194,7 +212,7 @@
     const job = this.jobs.get(jobId);
     if (how === 'done') {
       worker.health.noteSuccess();
-      if (job !== undefined) this.#recordDuration(job, assignment);
+      if (job !== undefined) this.#recordDuration(worker, job, assignment);
     }
     if (how !== 'failed') return;
     job?.avoidWorker(ref, worker.vm, this.now());
@@ -330,11 +348,16 @@
     return { assignedMs, runningMs: Math.round(this.now() - runningAt), percent };
   }
 
-  #recordDuration(job: OwnedJob, { ref, runningAt, resumed }: Assignment): void {
+  #recordDuration(worker: Worker, job: OwnedJob, assignment: Assignment): void {
+    const { ref, runningAt, resumed } = assignment;
     const step = job.submission.steps[ref.step];
     if (step === undefined || step.lasting || runningAt === undefined || resumed) return;
     const { estimateMs } = step;
-    const actualMs = this.now() - runningAt;
+    const observed = this.observedRun(assignment);
+    const ranMs = this.now() - runningAt;
+    // On a slow worker a task takes longer, which says nothing about the queue's tasks.
+    const actualMs =
+      observed === undefined ? ranMs : this.speeds.noteEnded(worker, observed, ranMs);
     this.#durations.recordRun(job.submission.queue, { estimateMs, actualMs });
     job.noteTaskDuration(step, actualMs);
   }
--- a/packages/cell/src/owner/run-watchdog.ts
+++ b/packages/cell/src/owner/run-watchdog.ts
@@ -1,6 +1,6 @@
 /** Stops runs that should continue elsewhere: stalled ones, and those on runners that are about to exit. */
 import { isStalled } from '../worker/stalled-run.js';
-import type { Assignment } from '../worker/worker.js';
+import type { Assignment, Worker } from '../worker/worker.js';
 import type { RunRegistry } from './run-registry.js';
 
 /**
@@ -54,23 +54,24 @@
       const mayStopLate = step.checkpointing || step.lasting;
       const isDue = mayStopLate
         ? untilExitMs < STOP_BEFORE_EXIT_MS
-        : remainingMs(registry, assignment) > untilExitMs;
+        : remainingMs(registry, worker, assignment) > untilExitMs;
       if (isDue) registry.stopRun(assignment, 'runner exits soon');
     });
   });
 }
 
 /** Expected remaining time: extrapolated from the run's own progress once that is known, from the queue's task durations before. */
-function remainingMs(registry: RunRegistry, assignment: Assignment): number {
+function remainingMs(registry: RunRegistry, worker: Worker, assignment: Assignment): number {
   const { jobId, ref, percent, firstPercent, runningAt, progressAt } = assignment;
   const job = registry.jobs.get(jobId);
   const step = job?.submission.steps[ref.step];
   if (job === undefined || step === undefined) return 0;
-  if (runningAt === undefined) return registry.expectedTaskMs(job, step);
+  const expectedMs = registry.expectedTaskMs(job, step) / worker.speed.speed;
+  if (runningAt === undefined) return expectedMs;
   const gained = percent - firstPercent;
   const sinceProgressMs = registry.now() - progressAt;
   if (gained < MIN_GAIN_PERCENT || progressAt - runningAt < MIN_OBSERVED_MS) {
-    return Math.max(0, registry.expectedTaskMs(job, step) - (registry.now() - runningAt));
+    return Math.max(0, expectedMs - (registry.now() - runningAt));
   }
   return ((progressAt - runningAt) * (FULL_PERCENT - percent)) / gained - sinceProgressMs;
 }
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -80,6 +80,7 @@
         previousOwnerGrantMs,
       }),
       events,
+      learnsSpeeds: options.policy.workerSpeeds === 'auto',
     });
   }
 
--- a/packages/cell/src/placing/available-worker.ts
+++ b/packages/cell/src/placing/available-worker.ts
@@ -21,6 +21,10 @@
   isRecentlyRestarted?: boolean;
   /** Runs tasks slowly for now, as after a cold start. */
   isCold?: boolean;
+  /** As learned from its tasks; 1 is usual. */
+  speed?: number;
+  /** Its runner has restarted twice in quick succession. */
+  isRestarting?: boolean;
 }
 
 /** A worker during one placement pass, with the capacity that the pass has left free. */
@@ -43,6 +47,10 @@
 
   readonly isCold: boolean;
 
+  readonly speed: number;
+
+  readonly isRestarting: boolean;
+
   #free: Demand;
 
   #startingJobs: ReadonlySet<string>;
@@ -62,6 +70,8 @@
     suspectJob,
     isRecentlyRestarted = false,
     isCold = false,
+    speed = 1,
+    isRestarting = false,
   }: AvailableWorkerOptions) {
     this.vm = vm;
     this.runner = runner;
@@ -72,6 +82,8 @@
     this.penalty = penalty;
     this.isRecentlyRestarted = isRecentlyRestarted;
     this.isCold = isCold;
+    this.speed = speed;
+    this.isRestarting = isRestarting;
     this.#free = free;
     this.#startingJobs = startingJobs;
     this.#suspectJob = suspectJob;
--- a/packages/cell/src/placing/best-fit.ts
+++ b/packages/cell/src/placing/best-fit.ts
@@ -10,10 +10,14 @@
   type TaskPlacement,
   type AvailableWorker,
 } from './available-worker.js';
+import { isSlow, suitableForGang } from './speed-preference.js';
 
 /** Places as many tasks of the group as fit and takes their capacity. A gang is placed whole or not at all. */
 export function placeGroup(group: TaskGroup, workers: readonly AvailableWorker[]): TaskPlacement[] {
-  const fitting = workers.filter((worker) => tasksFitting(group, worker) > 0);
+  const fitting = suitableForGang(
+    group,
+    workers.filter((worker) => tasksFitting(group, worker) > 0),
+  );
   if (group.gang && group.oneRack) return placeOnOneRack(group, fitting);
   return placeOnWorkers(group, fitting);
 }
@@ -46,8 +50,10 @@
     (a, b) =>
       a.penalty - b.penalty ||
       (isUrgent ? Number(a.isCold) - Number(b.isCold) : 0) ||
+      (isUrgent ? Number(isSlow(a)) - Number(isSlow(b)) : 0) ||
       a.free.accelerators - b.free.accelerators ||
-      a.free.milliCores - b.free.milliCores,
+      a.free.milliCores - b.free.milliCores ||
+      (isUrgent ? b.speed - a.speed : 0),
   );
 }
 
--- a/packages/cell/src/worker/worker.ts
+++ b/packages/cell/src/worker/worker.ts
@@ -6,6 +6,7 @@
 import type { Demand } from '../job/submission.js';
 import { PaceController } from '../pacing/pace-controller.js';
 import { WorkerHealth } from './worker-health.js';
+import { WorkerSpeed } from './worker-speed.js';
 
 /** A run that occupies capacity on a worker until its end is known. */
 export interface Assignment {
@@ -60,6 +61,8 @@
 
   readonly paceController = new PaceController();
 
+  readonly speed = new WorkerSpeed();
+
   readonly #pendingEnds = new Map<number, PendingEnd>();
 
   #contactAt = -Infinity;
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -112,6 +112,13 @@
 export const paceOrderSchema = runNameSchema.extend({ percent: z.int().min(0).max(100) });
 export type PaceOrder = z.infer<typeof paceOrderSchema>;
 
+/** A runner's speed in percent of the usual, and the number of observations behind it. */
+export const heldSpeedSchema = z.strictObject({
+  speed: z.int().min(1).max(1000),
+  weight: z.int().min(0),
+});
+export type HeldSpeed = z.infer<typeof heldSpeedSchema>;
+
 /** What is to be so on the guard's runner, and how long its tasks may go on without another contact. */
 export const cellOrdersSchema = z.strictObject({
   term: z.int().min(1),
@@ -127,6 +134,11 @@
   stops: z.array(runNameSchema),
   /** At which share runs that fill a worker may work, in percent. */
   paces: z.array(paceOrderSchema),
+  /**
+   * What the sender has learned about the runner's speed, for the guard to hold for a later owner. Sent only to a guard whose
+   * heartbeats show that it knows this field.
+   */
+  workerSpeed: z.optional(heldSpeedSchema),
 });
 export type CellOrders = z.infer<typeof cellOrdersSchema>;
 
--- a/packages/core/src/message/peer.ts
+++ b/packages/core/src/message/peer.ts
@@ -20,6 +20,8 @@
 export interface Peer {
   readonly process: ProcessId;
   readonly closed: boolean;
+  /** Latest status from the peer's heartbeats. Peers of other versions may send other fields. */
+  readonly status?: Record<string, unknown>;
   /** Rejects with ProblemError (the peer refused) or LinkError (the link failed or timed out). */
   call<M extends Method>(
     method: M,
