--- a/packages/cell/src/worker/speed-learner.ts
+++ b/packages/cell/src/worker/speed-learner.ts
@@ -87,6 +87,7 @@
 
   /** What the guard is to hold for a later owner; nothing for a guard of a version that doesn't know the field. */
   orderFor({ speed }: Worker, guardStatus: unknown): Pick<CellOrders, 'workerSpeed'> {
+    if (!this.#isOn) return {};
     const { speed: value, weight } = speed.known;
     const rounded = { speed: Math.round(value * PERCENT), weight: Math.round(weight) };
     if (rounded.weight === 0 || !guardStatusSchema.safeParse(guardStatus).success) return {};
--- a/packages/cell/src/worker/weighted-median.ts
+++ b/packages/cell/src/worker/weighted-median.ts
@@ -6,6 +6,9 @@
   weight: number;
 }
 
+/** Weights that differ by less than this share are equal: sums of them are rounded. */
+const TOLERANCE = 1e-6;
+
 /** The value with half of the weight on either side; between two of them, the one that is closer to 0. 0 without values. */
 export function weightedMedian(values: readonly Weighted[]): number {
   const sorted = [...values].sort((a, b) => a.value - b.value);
@@ -13,10 +16,10 @@
   let below = 0;
   const index = sorted.findIndex(({ weight }) => {
     below += weight;
-    return below >= half;
+    return below >= half * (1 - TOLERANCE);
   });
   const low = sorted[index]?.value ?? 0;
-  if (below > half) return low;
+  if (below > half * (1 + TOLERANCE)) return low;
   const high = sorted[index + 1]?.value ?? low;
   return Math.abs(high) < Math.abs(low) ? high : low;
 }
--- a/packages/cell/src/worker/worker-speed.steps.ts
+++ b/packages/cell/src/worker/worker-speed.steps.ts
@@ -20,6 +20,9 @@
 const TASK_SPREAD = 0.15;
 const JOB_SPREAD = 0.3;
 
+/** Of a multiplicative generator. */
+const MODULUS = 2 ** 31 - 1;
+
 interface SimulatedTask {
   run: ObservedRun;
   workMs: number;
@@ -44,8 +47,8 @@
 
 /** Uniform numbers from 0 to 1, the same in each run. */
 function uniform(world: SpeedSteps): number {
-  Object.assign(world, { drawn: (Math.imul(world.drawn, 1_664_525) + 1_013_904_223) >>> 0 });
-  return world.drawn / 2 ** 32;
+  Object.assign(world, { drawn: (world.drawn * 48_271) % MODULUS });
+  return world.drawn / MODULUS;
 }
 
 /** About normal, of standard deviation 1. */
@@ -327,7 +330,8 @@
 });
 
 Then('its speed is 1', function (this: SpeedSteps) {
-  assert.equal(workerAt(this, 2).speed.speed, 1);
+  const { speed, known } = workerAt(this, 2).speed;
+  assert.equal(speed, 1, `speed ${speed} of weight ${known.weight}`);
 });
 
 Then('all workers have the speed 1', function (this: SpeedSteps) {
--- a/packages/cell/src/worker/worker-speed.ts
+++ b/packages/cell/src/worker/worker-speed.ts
@@ -20,8 +20,12 @@
 /** Ended tasks that are kept. */
 const MAX_ENDED = 24;
 
-/** With at least this many paces of running tasks, ended tasks together count at most `MAX_ENDED_SHARE` of the paces. */
+/**
+ * With at least this many paces of running tasks that agree, ended tasks together count at most `MAX_ENDED_SHARE` of the paces:
+ * the worker's speed has changed since. Paces that differ more, by the mean deviation of their logarithms, are long tasks.
+ */
 const MIN_PACES = 3;
+const MAX_PACE_DEVIATION = 0.3;
 const MAX_ENDED_SHARE = 0.5;
 
 /** Most that a predecessor's speed counts, in observations. */
@@ -93,7 +97,7 @@
   /** Takes over what an earlier owner has learned, unless this one has learned something itself. */
   restore({ speed, weight }: KnownSpeed, now: number): void {
     if (this.#ended.length > 0 || this.#paces.length > 0 || weight <= 0) return;
-    const restored = Math.min(MAX_RESTORED_WEIGHT, PRIOR_WEIGHT + weight);
+    const restored = Math.min(MAX_RESTORED_WEIGHT, weight);
     this.#ended.push({ ratio: speed, key: '', weight: restored, at: now });
     this.update(now);
   }
@@ -115,8 +119,11 @@
         weight: each.weight * decay(now - each.at),
       })),
     );
-    const paces = weigh(this.#paces);
-    const limit = paces.length < MIN_PACES ? Infinity : MAX_ENDED_SHARE * totalWeight(paces);
+    const paces = withoutLengthBias(weigh(this.#paces));
+    const agree =
+      paces.length >= MIN_PACES &&
+      meanDeviation(paces, weightedMedian(paces)) <= MAX_PACE_DEVIATION;
+    const limit = agree ? MAX_ENDED_SHARE * totalWeight(paces) : Infinity;
     const scale = Math.min(1, limit / Math.max(totalWeight(ended), Number.MIN_VALUE));
     const observed = [
       ...paces,
@@ -124,15 +131,19 @@
     ];
     const median = weightedMedian([...observed, { value: 0, weight: PRIOR_WEIGHT }]);
     const weight = totalWeight(observed);
-    const deviation = observed.reduce(
-      (sum, each) => sum + each.weight * Math.abs(each.value - median),
-      0,
-    );
-    this.#spread = weight > 0 ? deviation / weight : 0;
+    this.#spread = meanDeviation(observed, median);
     this.#known = { speed: limitSpeed(Math.exp(median)), weight };
   }
 }
 
+function meanDeviation(values: readonly Weighted[], center: number): number {
+  const sum = values.reduce(
+    (total, { value, weight }) => total + weight * Math.abs(value - center),
+    0,
+  );
+  return sum / Math.max(totalWeight(values), Number.MIN_VALUE);
+}
+
 /** Share of its weight that an observation has after this time. */
 export function decay(ageMs: number): number {
   return 2 ** (-Math.max(0, ageMs) / SPEED_HALF_LIFE_MS);
@@ -143,6 +154,16 @@
   return Math.min(MAX_SPEED, Math.max(MIN_SPEED, speed));
 }
 
+/**
+ * Weighs the paces of running tasks by what they would be among ended ones: a task that is seven times as long is seven times as
+ * likely to be seen running, so that at 3% of such tasks half of a worker's eight can be long. Keeps the total weight.
+ */
+function withoutLengthBias(paces: readonly Weighted[]): Weighted[] {
+  const corrected = paces.map(({ value, weight }) => ({ value, weight: weight * Math.exp(value) }));
+  const scale = totalWeight(paces) / Math.max(totalWeight(corrected), Number.MIN_VALUE);
+  return corrected.map(({ value, weight }) => ({ value, weight: weight * scale }));
+}
+
 function weigh(observations: readonly SpeedObservation[]): Weighted[] {
   const counts = new Map<string, number>();
   observations.forEach(({ key }) => counts.set(key, (counts.get(key) ?? 0) + 1));
