--- a/packages/cell/src/worker/worker-speed.feature
+++ b/packages/cell/src/worker/worker-speed.feature
@@ -69,3 +69,13 @@
     Given the speeds of workers aren't learned
     When tasks run for 60 s
     Then all workers have the speed 1
+
+  Scenario: a runner that restarts twice within 10 s is known for as long
+    When tasks run for 5 s
+    And the runner of worker 2 restarts
+    Then it doesn't count as restarting
+    When tasks run for 5 s
+    And the runner of worker 2 restarts
+    Then it counts as restarting
+    When tasks run for 11 s
+    Then it doesn't count as restarting
--- a/packages/cell/src/worker/worker-speed.steps.ts
+++ b/packages/cell/src/worker/worker-speed.steps.ts
@@ -267,7 +267,7 @@
 
 When('the runner of worker {int} restarts', function (this: SpeedSteps, number: number) {
   const worker = workerAt(this, number);
-  this.lives.set(worker, 1);
+  this.lives.set(worker, (this.lives.get(worker) ?? 0) + 1);
   this.tasks.set(worker, []);
   worker.assignments.clear();
   contact(this, worker);
@@ -358,3 +358,7 @@
   assert.deepEqual(this.learner.orderFor(workerAt(this, 1), {}), {});
   assert.deepEqual(this.learner.orderFor(workerAt(this, 1), undefined), {});
 });
+
+Then(/^it (counts|doesn't count) as restarting$/, function (this: SpeedSteps, does: string) {
+  assert.equal(workerAt(this, 2).speed.isRestarting(this.now), does === 'counts');
+});
