--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -12,6 +12,7 @@
 import { parseTaskName, runKey } from '../job/task-name.js';
 import type { Assignment, Worker } from '../worker/worker.js';
 import { recordReportedCrash, recordUnreportedCrash } from './crash-attribution.js';
+import { observedRun } from './observed-run.js';
 import type { RunRegistry } from './run-registry.js';
 import { trackUnaccountedRuns } from './unaccounted-runs.js';
 
@@ -59,7 +60,7 @@
     assignment.percent = status.percent;
     assignment.checkpoint = status.checkpoint;
   });
-  registry.speeds.noteContact(worker, (assignment) => registry.observedRun(assignment));
+  registry.speeds.noteContact(worker, (assignment) => observedRun(registry, assignment));
   if (contact.crash !== undefined) recordReportedCrash(registry, worker, contact.crash);
   noteUnreportedCrash(registry, worker, { earlier, contact });
   markImpossibleRunsLost(registry, worker, contact);
--- a/packages/cell/src/owner/run-registry.ts
+++ b/packages/cell/src/owner/run-registry.ts
@@ -7,9 +7,10 @@
 import { taskName } from '../job/task-name.js';
 import type { DurationEstimator } from '../placing/duration-estimator.js';
 import { FleetHealth } from '../worker/fleet-health.js';
-import { SpeedLearner, type ObservedRun } from '../worker/speed-learner.js';
+import { SpeedLearner } from '../worker/speed-learner.js';
 import type { Assignment, Worker } from '../worker/worker.js';
 import type { Fleet } from './fleet.js';
+import { observedRun } from './observed-run.js';
 import type { OwnedJob } from './owned-job.js';
 import type { PlannedStart } from './placement-types.js';
 import { RunStopper } from './run-stopper.js';
@@ -191,16 +192,6 @@
     return this.jobs.get(assignment.jobId)?.submission.steps[assignment.ref.step];
   }
 
-  /** The run as the speeds of workers are learned from it; undefined if its job isn't known. */
-  observedRun(assignment: Assignment): ObservedRun | undefined {
-    const job = this.jobs.get(assignment.jobId);
-    const step = this.stepOf(assignment);
-    if (job === undefined || step === undefined) return undefined;
-    const gangWorkers = (): Worker[] =>
-      step.gang ? job.activeVms(assignment).map((vm) => this.fleet.get(vm)) : [];
-    return { assignment, queue: job.submission.queue, step, gangWorkers };
-  }
-
   /** Expected duration of a task of this step, in ms. */
   expectedTaskMs(job: OwnedJob, step: Step): number {
     return expectedDurations(job, this.#durations)(step);
@@ -353,7 +344,7 @@
     const step = job.submission.steps[ref.step];
     if (step === undefined || step.lasting || runningAt === undefined || resumed) return;
     const { estimateMs } = step;
-    const observed = this.observedRun(assignment);
+    const observed = observedRun(this, assignment);
     const ranMs = this.now() - runningAt;
     // On a slow worker a task takes longer, which says nothing about the queue's tasks.
     const actualMs =
