--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -102,6 +102,7 @@
         previousOwnerGrantMs,
       }),
       events,
+      learnsSpeeds: options.policy.workerSpeeds === 'auto',
     });
     this.#shareTracker = new ShareTracker({ ctx, registry: this.registry, policy: options.policy });
     const { registry } = this;
--- a/packages/cell/src/placing/best-fit.ts
+++ b/packages/cell/src/placing/best-fit.ts
@@ -11,6 +11,7 @@
   type TaskPlacement,
   type AvailableWorker,
 } from './available-worker.js';
+import { isSlow, suitableForGang } from './speed-preference.js';
 import { fitOf } from './worker-fit.js';
 
 /** How to fit in all resource dimensions. */
@@ -27,7 +28,10 @@
   workers: readonly AvailableWorker[],
   fit?: FitTerms,
 ): TaskPlacement[] {
-  const fitting = workers.filter((worker) => tasksFitting(group, worker) > 0);
+  const fitting = suitableForGang(
+    group,
+    workers.filter((worker) => tasksFitting(group, worker) > 0),
+  );
   if (group.gang && group.oneRack) return placeOnOneRack(group, fitting, fit);
   return placeOnWorkers(group, fitting, fit);
 }
@@ -108,8 +112,10 @@
     (a, b) =>
       a.penalty - b.penalty ||
       (isUrgent ? Number(a.isCold) - Number(b.isCold) : 0) ||
+      (isUrgent ? Number(isSlow(a)) - Number(isSlow(b)) : 0) ||
       a.free.accelerators - b.free.accelerators ||
-      a.free.milliCores - b.free.milliCores,
+      a.free.milliCores - b.free.milliCores ||
+      (isUrgent ? b.speed - a.speed : 0),
   );
 }
 
@@ -125,9 +131,11 @@
       (a, b) =>
         a.worker.penalty - b.worker.penalty ||
         (isUrgent ? Number(a.worker.isCold) - Number(b.worker.isCold) : 0) ||
+        (isUrgent ? Number(isSlow(a.worker)) - Number(isSlow(b.worker)) : 0) ||
         Number(a.fit.opens) - Number(b.fit.opens) ||
         a.fit.stranded - b.fit.stranded ||
-        a.fit.left - b.fit.left,
+        a.fit.left - b.fit.left ||
+        (isUrgent ? b.worker.speed - a.worker.speed : 0),
     )
     .map(({ worker }) => worker);
 }
