--- a/packages/cell/src/owner/valued-stops.support.ts
+++ b/packages/cell/src/owner/valued-stops.support.ts
@@ -164,7 +164,7 @@
     guaranteedJobs: world.guaranteed,
     workers,
     profile: new FleetProfile(workers),
-    policy: DEFAULT_CELL_POLICY,
+    policy: { ...DEFAULT_CELL_POLICY, stopsByValue: 'auto' },
     evacuatedRacks: new Set(),
     runningUnits: unitsOf(world),
     queueMeans,
