Refuse nothing because of the load while an earlier attempt may still be stored

Cause: the store may carry out a write whose answer was lost, seconds later. An entry that found no row of the job would refuse it, and the job would run all the same. Change: no refusal because of the load while the store is slow, or within 5 s of a failed call of this entry. A link no longer counts frames that it has sent as unsent when they don't postpone its heartbeat. Ruled out: a row that bars the late write, as refusals write nothing.

--- a/packages/cell/src/entry/job-api.ts
+++ b/packages/cell/src/entry/job-api.ts
@@ -287,7 +287,6 @@
   #log<const T extends { outcome: string }>(what: string, { path }: CallerCall, result: T): T {
     const { ctx, config } = this.#options;
     ctx.metrics.count(`call.${what}.${result.outcome}`);
-
     const version = config.current?.config.version;
     const configAgeMs = Math.round(Math.min(config.ageMs, Number.MAX_SAFE_INTEGER));
     const id = path.slice(path.lastIndexOf('/') + 1);
--- a/packages/cell/src/entry/load-check.ts
+++ b/packages/cell/src/entry/load-check.ts
@@ -5,6 +5,7 @@
 import type { CallAdmission, CallerCall } from './call-admission.js';
 import type { CallRefusal } from './call-result.js';
 import { JOB_ID_PATTERN } from './job-id.js';
+import type { MonitoredStore } from '../store/monitored-store.js';
 import type { JobLookup } from './job-lookup.js';
 
 /**
@@ -36,15 +37,18 @@
     gate,
     admission,
     jobs,
+    store,
   }: {
     ctx: ProcessContext;
     gate?: AdmissionGate | undefined;
     admission: CallAdmission;
     jobs: JobLookup;
+    store: MonitoredStore;
   },
   { call, decode, deadline }: CheckedSubmission,
 ): Promise<LoadCheck> {
-  if (!gate?.mayRefuse) return {};
+  // An earlier attempt, perhaps at another entry, may still be stored: the refusal would turn out to be untrue.
+  if (!gate?.mayRefuse || store.mayHaveLateWrites) return {};
   const admitted = await admission.admit(call);
   if (admitted.outcome !== 'admitted') return {};
   const { rest: id, queue, account } = admitted;
--- a/packages/cell/src/load/overloaded-cell.feature
+++ b/packages/cell/src/load/overloaded-cell.feature
@@ -15,6 +15,13 @@
     When more is submitted than it can do in time, until a job is refused
     Then each accepted job is still accepted at the other entry
 
+  # An attempt without an answer may be stored seconds later, after another entry has found no row of the job.
+  Scenario: nothing is refused because of the load while an earlier attempt may still be stored
+    Given a cell of 2 entries and 2 workers whose entries know its load
+    When more is submitted than it can do in time, until a job is refused
+    And an answer of the store is lost, and the job is submitted again
+    Then it was accepted
+
   Scenario: after the loss of the owner everything is accepted until the new owner knows the load
     Given a cell of 3 entries and 2 workers whose entries know its load
     When more is submitted than it can do in time, until a job is refused
--- a/packages/cell/src/load/overloaded-cell.steps.ts
+++ b/packages/cell/src/load/overloaded-cell.steps.ts
@@ -133,6 +133,22 @@
   },
 );
 
+When(
+  'an answer of the store is lost, and the job is submitted again',
+  async function (this: OverloadWorld) {
+    const entry = nonOwnerEntry(this);
+    const lost = cellOf(this).newJobId();
+    entry.store.fault = 'lost';
+    const unanswered = entry.app.jobApi.submit(jobCall(lost), {
+      decode: () => ({ job: { spec: '', steps: [testStep()] } }),
+      budgetMs: 500,
+    });
+    await unanswered;
+    entry.store.fault = 'none';
+    this.result = await submit(entry, this.refused.id);
+  },
+);
+
 When(
   'the owner is lost, and after the take-over a job is submitted',
   async function (this: OverloadWorld) {
--- a/packages/cell/src/store/monitored-store.ts
+++ b/packages/cell/src/store/monitored-store.ts
@@ -15,6 +15,9 @@
 /** Read time from which the store counts as slow, in ms: ten times the usual. It is then slow for all processes. */
 const SLOW_READ_MS = 100;
 
+/** The store may carry out a write whose answer was lost for this long, in ms: it does so seconds later, if its condition still holds. */
+const LATE_WRITE_MS = 5000;
+
 /** A row store that forwards each call and records its result. */
 export class MonitoredStore implements RowStore {
   readonly #store: RowStore;
@@ -27,6 +30,8 @@
 
   #lastReadMs = 0;
 
+  #lastFailureAt = -Infinity;
+
   constructor({ store, clock }: { store: RowStore; clock: Clock }) {
     this.#store = store;
     this.#clock = clock;
@@ -45,6 +50,11 @@
     return this.#lastReadMs >= SLOW_READ_MS;
   }
 
+  /** True if writes without an answer, also those of other processes, may still be carried out: the store is slow, or a call failed lately. */
+  get mayHaveLateWrites(): boolean {
+    return this.isSlow || this.#clock.now() - this.#lastFailureAt < LATE_WRITE_MS;
+  }
+
   async transact(tx: Transaction, options: { timeoutMs: number }): Promise<TransactResult> {
     const result = await this.#store.transact(tx, options);
     this.#recordCall(result.outcome === 'done' || result.outcome === 'conflict');
@@ -76,6 +86,7 @@
       this.#consecutiveFailures = 0;
       return;
     }
+    this.#lastFailureAt = this.#clock.now();
     if (this.#consecutiveFailures === 0) this.#failingSince = this.#clock.now();
     this.#consecutiveFailures += 1;
   }
--- a/packages/link/src/link.ts
+++ b/packages/link/src/link.ts
@@ -140,8 +140,8 @@
 
   #sendFrame(frame: { t: string } & Record<string, unknown>): SendResult {
     const result = this.#socket.send({ ...frame, hlc: this.#options.ctx.hybrid.tick() });
-    if (result === 'sent' && this.#postponesHeartbeat(frame.t)) this.#keepAlive.noteSent();
-    else this.#options.ctx.metrics.count(`link.unsent.${result}`);
+    if (result !== 'sent') this.#options.ctx.metrics.count(`link.unsent.${result}`);
+    else if (this.#postponesHeartbeat(frame.t)) this.#keepAlive.noteSent();
     return result;
   }
 
