Keep the limit of tasks per worker when small tasks are placed in parts, and switch parts without a shown gain off by default

Cause: the capacity fit places a wide group of small tasks in parts within one pass, and each part was checked against the limit of tasks per worker by itself, so that twice as many could start on a worker. "a reopened hall is used again" failed for it: 16 tasks with at most four on a worker all started on the two workers of the other hall. Ruled out: the limit kept across the parts of a pass, which the placement doesn't know.

--- a/packages/cell/src/config/cell-policy.ts
+++ b/packages/cell/src/config/cell-policy.ts
@@ -10,15 +10,15 @@
   admission: switchSchema.default('auto'),
   /** Orders jobs by what their client accounts use. */
   fairShares: switchSchema.default('auto'),
-  /** Keeps whole workers free for tasks that need them. */
-  capacityFit: switchSchema.default('auto'),
+  /** Keeps whole workers free for tasks that need them. Off by default: no gain is shown, see docs/design/capacity-fit.md. */
+  capacityFit: switchSchema.default('off'),
   /**
    * Preempts only where that saves more than it loses. Off by default: fewer urgent jobs are in time than with a bound on the work
    * that a stop discards, see docs/design/stops-by-value.md.
    */
   stopsByValue: switchSchema.default('off'),
-  /** Learns how fast each worker is. */
-  workerSpeeds: switchSchema.default('auto'),
+  /** Learns how fast each worker is. Off by default: no gain is shown, see docs/design/worker-speeds.md. */
+  workerSpeeds: switchSchema.default('off'),
   /** Runs copies of tasks that allow it, and moves long tasks. */
   taskCopies: switchSchema.default('auto'),
 });
--- a/packages/cell/src/owner/capacity-fit.feature
+++ b/packages/cell/src/owner/capacity-fit.feature
@@ -30,6 +30,15 @@
       | 7    | 36      |
       | 4    | 20      |
 
+  # Placed in parts, each part within the limit, 24 tasks started in one pass, two on a worker.
+  Scenario: a limit of tasks per worker holds
+    Given a service of 12 workers, 0 of them in use
+    And a gang of 3 whole workers for 10 s that arrived 1 s ago
+    And a waiting job of priority 2 and age 0 s with 40 tasks of one accelerator for 4 s
+    And at most one of its tasks may run on each worker
+    When small tasks are placed with the part "auto"
+    Then 12 of the tasks start
+
   Scenario: deferred tasks are logged and counted once per second
     When 3 passes defer tasks of a job, 500 ms apart
     Then 2 deferrals are logged and counted
--- a/packages/cell/src/owner/capacity-fit.steps.ts
+++ b/packages/cell/src/owner/capacity-fit.steps.ts
@@ -27,10 +27,15 @@
 const CAPACITY = { milliCores: 8000, memoryMb: 8000, accelerators: 8 };
 const NOTHING = { milliCores: 0, memoryMb: 0, accelerators: 0 };
 
-function smallTasksJob(priority: number, tasks: number, gang = false): OwnedJob {
+function smallTasksJob(
+  priority: number,
+  tasks: number,
+  { gang = false, maxPerWorker }: { gang?: boolean; maxPerWorker?: number } = {},
+): OwnedJob {
   const terms = { service: 'render', priority, maxAttempts: 2, stretch: 4, needsAdvice: false };
   const demand = { milliCores: 1000, memoryMb: 1000, accelerators: 1 };
-  const steps = [testStep({ tasks, demand, gang, estimateMs: 4000 })];
+  const limit = maxPerWorker === undefined ? {} : { maxPerWorker };
+  const steps = [testStep({ tasks, demand, gang, estimateMs: 4000, ...limit })];
   return testOwnedJob(testSubmission({ terms: { ...terms, targetLatencyMs: 0 }, steps }));
 }
 
@@ -68,11 +73,16 @@
 Given(
   /^a waiting (job|gang) of priority (\d) and age (\d) s with (\d+) tasks of one accelerator for 4 s$/,
   function (this: CapacityFitSteps, kind: string, priority: string, age: string, tasks: string) {
-    this.job = smallTasksJob(Number(priority), Number(tasks), kind === 'gang');
+    this.job = smallTasksJob(Number(priority), Number(tasks), { gang: kind === 'gang' });
     this.ageMs = Number(age) * 1000;
   },
 );
 
+Given('at most one of its tasks may run on each worker', function (this: CapacityFitSteps) {
+  const { terms, steps } = this.job.submission;
+  this.job = smallTasksJob(terms.priority, steps[0]?.tasks ?? 0, { maxPerWorker: 1 });
+});
+
 When('small tasks are placed with the part {string}', function (this: CapacityFitSteps, part) {
   const { starts } = planPlacement({
     jobs: [this.job],
--- a/packages/cell/src/owner/capacity-fit.ts
+++ b/packages/cell/src/owner/capacity-fit.ts
@@ -143,6 +143,8 @@
   isLimitable({ pending: { group, step }, factors }: RankedGroup): boolean {
     if (!this.isOn || factors.claim || factors.priority === 0) return false;
     if (group.isSuspect) return false;
+    // The limit of tasks per worker counts over tasks that are placed together, and these are placed in parts.
+    if (group.maxPerWorker !== undefined) return false;
     const typical = this.#input.profile.of(group.service)?.typical;
     if (typical === undefined) return false;
     const share = dominantShare(group.demand, typical);
--- a/packages/cell/src/owner/speed-handover.steps.ts
+++ b/packages/cell/src/owner/speed-handover.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
-import { Then, When } from '@cucumber/cucumber';
-import { eventually } from '../testing/test-cell.support.js';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { DEFAULT_CELL_POLICY } from '../config/cell-policy.js';
+import { TestCell, eventually } from '../testing/test-cell.support.js';
 import { testStep } from '../testing/test-jobs.support.js';
 import { SLOW_SPEED } from '../worker/worker-speed.js';
 import {
@@ -24,6 +25,16 @@
     .map(({ by }) => by);
 }
 
+Given(
+  'a cell of {int} entries and {int} workers that learns their speeds',
+  async function (this: CellTestContext, entries: number, workers: number) {
+    this.jobs = [];
+    this.cell = new TestCell();
+    this.cell.policy = { ...DEFAULT_CELL_POLICY, workerSpeeds: 'auto' };
+    await this.cell.start(entries, workers);
+  },
+);
+
 When(
   'a job is submitted whose tasks take three times as long on the first worker',
   async function (this: CellTestContext) {
