--- a/packages/cell/src/placing/stop-value.ts
+++ b/packages/cell/src/placing/stop-value.ts
@@ -21,7 +21,7 @@
 
 /**
  * What becomes free by itself goes partly to others, and some runs become slow: a group is assumed to wait this many times as long
- * as forecast. A choice; trials with 1 to 3 are in docs/design/stops-by-value.md.
+ * as forecast, see docs/design/stops-by-value.md.
  */
 const WAIT_FACTOR = 2;
 
--- a/packages/cell/src/placing/whole-worker-demand.ts
+++ b/packages/cell/src/placing/whole-worker-demand.ts
@@ -10,8 +10,8 @@
 const BURST_FACTOR = 2;
 
 /**
- * At most this share of a service's workers is kept free. A third made `bench:cell`'s hundreds discard more work, as deferred jobs
- * that had used up their slack took all at once.
+ * At most this share of a service's workers is kept free. With a third, deferred jobs use up their slack and then take all of these
+ * workers at once, and more of their work is discarded.
  */
 const MAX_KEPT_SHARE = 1 / 5;
 
