--- a/packages/cell/src/load/overloaded-cell.steps.ts
+++ b/packages/cell/src/load/overloaded-cell.steps.ts
@@ -111,10 +111,9 @@
     };
     assert.ok(await eventually(isAccepted, 60_000));
     this.jobs.push(id);
-    // It may rank behind what was accepted meanwhile.
     const hasEnded = async (): Promise<boolean> =>
       (await cellOf(this).jobState(id)) === 'completed';
-    assert.ok(await eventually(hasEnded, 60_000));
+    assert.ok(await eventually(hasEnded, 10_000));
   },
 );
 
--- a/packages/cell/src/worker/worker-speed.feature
+++ b/packages/cell/src/worker/worker-speed.feature
@@ -5,7 +5,7 @@
 
   Scenario: a fleet's slower third is known
     When tasks run for 90 s
-    Then the median speed of the slower third is from 0.68 to 0.88
+    Then the median speed of the slower third is from 0.68 to 0.86
     And the median speed of the others is from 0.92 to 1.08
     And at least 85 in 100 workers are on the right side of 0.88
     And all speeds are at least 0.6
