--- a/packages/cell/src/load/admission-gate.ts
+++ b/packages/cell/src/load/admission-gate.ts
@@ -5,7 +5,7 @@
 import { decideAdmission, type AdmissionDecision } from './admission-decision.js';
 import type { UsableSummary } from './load-reader.js';
 import type { PredictedJob } from './prediction.js';
-import { RefusalBook, type RefusalReport } from './refusal-book.js';
+import { RefusalBook, type Refusal, type RefusalReport } from './refusal-book.js';
 
 /** Shortest time between two log lines about the same job, in ms. */
 const MIN_LOG_INTERVAL_MS = 1000;
@@ -147,8 +147,10 @@
   noteAccepted({ id, queue }: GatedSubmission, decision: AdmissionDecision): void {
     const { metrics } = this.#ctx;
     metrics.count('admission.accepted');
-    if (this.#book.get(id) !== undefined) {
+    const refusal = this.#book.get(id);
+    if (refusal !== undefined) {
       metrics.count('admission.returned');
+      this.#logReturned(refusal, decision);
       this.#book.forget(id);
     }
     if (decision.prediction === undefined) return;
@@ -158,6 +160,25 @@
     this.#accepted.push({ service: queue.service, work, width });
   }
 
+  #logReturned({ id, queue, firstRefusedAt }: Refusal, decision: AdmissionDecision): void {
+    const now = this.#ctx.clock.now();
+    const current = this.#sinceSummary;
+    this.#ctx.log.info(
+      {
+        id,
+        queue,
+        reason: decision.outcome === 'accept' ? decision.reason : 'known',
+        predictedMs: Math.round(decision.prediction?.completionMs ?? -1),
+        sinceFirstRefusalMs: Math.round(now - firstRefusedAt),
+        errorLow: current?.summary.error.low,
+        summaryAgeMs: Math.round(now - (current?.computedAt ?? now)),
+        term: current?.summary.term,
+        sequence: current?.summary.sequence,
+      },
+      'refused submission accepted',
+    );
+  }
+
   /** A new summary contains what was accepted before. */
   #refresh(): UsableSummary | undefined {
     const current = this.#current();
--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
-import { After, Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Status, Then, When } from '@cucumber/cucumber';
 import { MAX_CLOCK_SLOWDOWN } from '../clock/lease-margin.js';
 import { sleep } from '../clock/sleep.js';
 import type { Step } from '../job/submission.js';
+import { keepCellEvidence } from '../testing/cell-evidence.support.js';
 import { TestCell, jobCall, eventually, submitToEntry } from '../testing/test-cell.support.js';
 import { TEST_LEASE_MS } from '../testing/test-worker.support.js';
 import { testStep } from '../testing/test-jobs.support.js';
@@ -26,8 +27,10 @@
   },
 );
 
-After(async function (this: CellTestContext) {
-  await this.cell?.stop();
+After(async function (this: CellTestContext, { pickle, result }) {
+  if (this.cell === undefined) return;
+  if (result?.status === Status.FAILED) await keepCellEvidence(this.cell, pickle.name);
+  await this.cell.stop();
 });
 
 Then('its second run has started within 1 s', async function (this: CellTestContext) {
--- a/packages/cell/src/testing/test-cell.support.ts
+++ b/packages/cell/src/testing/test-cell.support.ts
@@ -277,6 +277,11 @@
     return this.#log.withMessage(msg);
   }
 
+  /** All log lines of all entries, oldest first. */
+  get logLines(): readonly LoggedLine[] {
+    return this.#log.lines;
+  }
+
   #nextEntryNumber(): number {
     this.#entryCount += 1;
     return this.#entryCount;
--- a/packages/e2e/src/deployment/deployment.ts
+++ b/packages/e2e/src/deployment/deployment.ts
@@ -15,6 +15,7 @@
 } from './machines.js';
 import { SettingsFiles, type SettingsFilesOptions } from './settings-files.js';
 import { mainOf } from './main-of.js';
+import { MetricsCollector } from './metrics-collector.js';
 import { VmProcess } from './vm-process.js';
 
 /** What a deployment is made of. */
@@ -50,14 +51,20 @@
   /** Two operators' shells: a bundle needs both signatures. */
   readonly operators: OperatorShell[];
 
+  /** Every process that was started, those that have ended included. */
+  readonly started: VmProcess[] = [];
+
+  readonly metrics: MetricsCollector;
+
   readonly #processes = new Map<string, VmProcess>();
 
   readonly #options: DeploymentOptions;
 
   readonly #files: SettingsFiles;
 
-  private constructor(options: DeploymentOptions, keys: OperatorKey[]) {
+  private constructor(options: DeploymentOptions, keys: OperatorKey[], metrics: MetricsCollector) {
     this.#options = options;
+    this.metrics = metrics;
     const { network = new LoopbackNetwork() } = options;
     this.layout = layOut({ ...options, network });
     this.#files = new SettingsFiles({
@@ -65,6 +72,7 @@
       layout: this.layout,
       linkKey: createLinkKey(),
       operators: keys,
+      metricsAddress: metrics.address,
       ...options.settings,
     });
     const entries = this.layout.entries.map(({ vm }) => vm.http);
@@ -73,7 +81,8 @@
 
   /** Lays out a deployment and writes its files; starts nothing yet. */
   static async create(options: DeploymentOptions): Promise<Deployment> {
-    return new Deployment(options, await Promise.all(OPERATOR_NAMES.map(newOperatorKey)));
+    const keys = await Promise.all(OPERATOR_NAMES.map(newOperatorKey));
+    return new Deployment(options, keys, await MetricsCollector.start());
   }
 
   /** Starts everything; resolves once every process says that it is up. */
@@ -129,6 +138,7 @@
   /** Ends every process at once, and removes the files. */
   async stop(): Promise<void> {
     await Promise.all([...this.#processes.values()].map((process) => process.kill()));
+    this.metrics.close();
     rmSync(this.directory, { recursive: true, force: true });
   }
 
@@ -143,6 +153,7 @@
 
   async #start(process: VmProcess, readyMark: string): Promise<void> {
     this.#processes.set(process.name, process);
+    this.started.push(process);
     await process.start((line) => line.includes(readyMark));
   }
 }
--- a/packages/e2e/src/deployment/settings-files.ts
+++ b/packages/e2e/src/deployment/settings-files.ts
@@ -10,6 +10,8 @@
   layout: Layout;
   linkKey: string;
   operators: OperatorKey[];
+  /** Where processes send their figures. */
+  metricsAddress: string;
   /** Address under which `from` reaches the link port of `to`; a lossy proxy's, for tests. */
   linkAddress?: (from: string, to: EntryVm) => string;
   /** Address under which an entry reaches the platform. */
@@ -56,10 +58,12 @@
   }
 
   #common(id: string, failureDomain: string): Record<string, unknown> {
-    const { layout, linkKey, operators, linkAddress = (_, to) => to.vm.link } = this.#options;
+    const { layout, linkKey, operators, metricsAddress } = this.#options;
+    const { linkAddress = (_: string, to: EntryVm) => to.vm.link } = this.#options;
     return {
       id,
       failureDomain,
+      metrics: { address: metricsAddress },
       linkKeys: [linkKey],
       operators: operators.map(({ operator, publicKey }) => ({ name: operator, publicKey })),
       entries: layout.entries.map((entry) => ({
--- a/packages/e2e/src/deployment/vm-process.ts
+++ b/packages/e2e/src/deployment/vm-process.ts
@@ -13,7 +13,7 @@
   env?: Record<string, string>;
 }
 
-const KEPT_LINES = 400;
+const KEPT_LINES = 20_000;
 
 /** Nothing that was started here outlives the harness, however it ends. */
 const LIVE = new Set<ChildProcess>();
@@ -36,6 +36,7 @@
     this.#options = options;
   }
 
+  /** Kept after the process has ended. */
   get pid(): number {
     if (this.#child?.pid === undefined) throw new Error(`${this.name} isn't running.`);
     return this.#child.pid;
