Renew a task's lease at a fixed rate, also on a worker that is slow to answer

Callers saw a job that may run once fail as lost, "Its lease lapsed.", while its guard, worker and owner were up and linked.

Cause: a guard sent a renewal a third of a lease after the answer to the one before. On a worker that answers after 1.5 s that is one in each 2,167 ms, with leases of 2,000 ms. Time lines of a trial without any store fault (tasks of 1.5 s on that worker): task.preparing at 0, task.started at 3,713 ms, task.ended lease-lapsed at 4,370 ms, job.failed lost: the end that the listed entry saw.

Ruled out: the store (no answer need be lost; twelve lost ones alone changed nothing), the owner's lease (never lost).

Change: renewals are sent every third of a lease, up to three unanswered. The new scenario failed before (lease-lapsed) and passes.

--- a/packages/guard/src/gang/gangs.feature
+++ b/packages/guard/src/gang/gangs.feature
@@ -92,6 +92,15 @@
     When the owner stops "a" again until it is told its end
     Then the worker's "a" is "lapsed"
 
+  # A renewal that waits for the answer to the one before reaches a slow worker after its task's lease has lapsed.
+  Scenario: a task outlives its lease on a worker that takes three quarters of the lease to answer
+    Given a guard beside a worker
+    And the worker carries out each call 375 ms late
+    When an owner reserves accelerators "0" for "a", which runs 1500 ms
+    And the owner hears that "a" is ready
+    And the owner starts "a"
+    Then the owner hears that "a" ended as "succeeded"
+
   Scenario: a silent worker's task is over once its lease is
     Given a guard beside a worker
     When an owner reserves accelerators "0" for "a", which runs 60000 ms
--- a/packages/guard/src/gang/gangs.steps.ts
+++ b/packages/guard/src/gang/gangs.steps.ts
@@ -168,6 +168,10 @@
   },
 );
 
+When('the worker carries out each call {int} ms late', function (this: GangWorld, ms: number) {
+  this.worker!.faults.slowMs = ms;
+});
+
 When('the worker freezes', function (this: GangWorld) {
   this.worker!.faults.freeze = true;
 });
--- a/packages/guard/src/gang/guarded-task.ts
+++ b/packages/guard/src/gang/guarded-task.ts
@@ -1,10 +1,11 @@
 /**
  * One task on the worker, from its preparation to its sure end.
  *
- * Its lease is renewed here. Before the start a renewal never reaches past the reservation's own end, so that the
- * worker refuses a late start even if this process was paused between its check and its order. When the worker
- * falls silent for a lease, renewing stops for good: the task is over once the last renewal that may have arrived
- * has run out, with a margin for a slow clock.
+ * Its lease is renewed here, at a fixed rate: a renewal that waited for the answer to the one before would reach a
+ * slow worker too late. Before the start a renewal never reaches past the reservation's own end, so that the worker
+ * refuses a late start even if this process was paused between its check and its order. When the worker falls
+ * silent for a lease, renewing stops for good: the task is over once the last renewal that may have arrived has run
+ * out, with a margin for a slow clock.
  *
  * Once started it goes on only while this guard may let it (see owner-contact.ts); else it is stopped, after a
  * checkpoint if it can have one. Its lease isn't renewed meanwhile, and so bounds how long that takes.
@@ -40,6 +41,9 @@
 const MIN_LEASE_MS = 100;
 const RETRY_MS = 200;
 
+/** Renewals per lease. As many may wait for their answers at once, so that none waits for the one before. */
+const RENEWALS_PER_LEASE = 3;
+
 /** Drives one task. */
 export class GuardedTask {
   readonly ref: AttemptRef;
@@ -61,6 +65,8 @@
 
   #fenced = false;
 
+  #unansweredRenewals = 0;
+
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: GuardedTaskOptions) {
@@ -172,12 +178,11 @@
       return;
     }
     if (this.#state !== 'alive') return;
+    this.#scheduleRenewal();
     const leaseMs = this.#leaseMs();
-    if (leaseMs === undefined) {
-      // The reservation may be prolonged yet; until then the worker's lease runs out by itself.
-      this.#scheduleRenewal();
-      return;
-    }
+    // The reservation may be prolonged yet; until then the worker's lease runs out by itself.
+    if (leaseMs === undefined || this.#unansweredRenewals >= RENEWALS_PER_LEASE) return;
+    this.#unansweredRenewals += 1;
     try {
       const answer = await this.#grant(leaseMs, () =>
         this.#options.worker.renew(this.name, leaseMs),
@@ -188,8 +193,9 @@
       }
     } catch {
       if (this.#lease.silentMs > this.#options.leaseMs) void this.stop();
+    } finally {
+      this.#unansweredRenewals -= 1;
     }
-    this.#scheduleRenewal();
   }
 
   get #isStarted(): boolean {
@@ -222,7 +228,7 @@
   #scheduleRenewal(): void {
     if (this.#state !== 'alive') return;
     clearTimeout(this.#timer);
-    const everyMs = (this.#leaseMs() ?? this.#options.leaseMs) / 3;
+    const everyMs = (this.#leaseMs() ?? this.#options.leaseMs) / RENEWALS_PER_LEASE;
     this.#timer = setTimeout(() => {
       void this.#renew();
     }, everyMs);
