Don't charge the retry budget for attempts that leaving runners refuse

Cause: each attempt refused by the guard of a leaving runner was charged to the account's retry budget, two retries at first and 0.1 for each request; the six requests under way to one runner use it up.

Change: such an attempt is rerouted and counted as request.rerouted. Each runner is still tried once at most. The new scenario failed before (503 for some of 20).

--- a/packages/entry/src/request/request-router.ts
+++ b/packages/entry/src/request/request-router.ts
@@ -18,7 +18,7 @@
 import type { RequestLife } from './request-life.js';
 import { toRequestRun, type RequestOrder } from './request-order.js';
 import type { ChosenRunner, RunnerPool } from './runner-pool.js';
-import { judge, lifeOver } from './verdict.js';
+import { judge, lifeOver, type Verdict } from './verdict.js';
 
 /** How one request is taken care of. */
 export interface RouteOptions {
@@ -65,20 +65,23 @@
     const { life } = options;
     const tried = new Set<string>();
     let ran: Ran = 'not-run';
-    let failed: Problem | undefined;
+    let failed: Extract<Verdict, { type: 'retry' | 'reroute' }> | undefined;
     this.#pool.firstAttempt(account);
     for (;;) {
       const choice = this.#pool.choose(kind, life.timeLeftMs(), tried);
-      if (choice.type === 'refused') throw withRan(failed ?? choice.problem, ran);
-      if (failed !== undefined && !this.#pool.mayRetry(account)) throw withRan(failed, ran);
+      if (choice.type === 'refused') throw withRan(failed?.problem ?? choice.problem, ran);
+      if (failed?.type === 'retry' && !this.#pool.mayRetry(account)) {
+        throw withRan(failed.problem, ran);
+      }
       const { end, runner } = await this.#attempt(order, choice.runner, options, tried);
       const verdict = judge(end, { kind, runner, over: life.over });
       if (verdict.type === 'answer') return verdict.answer;
       ran = mergeRan(ran, verdict.problem.ran);
       this.#note(order, runner, end);
+      if (verdict.type === 'reroute') this.#ctx.metrics.count('request.rerouted');
       if (verdict.type === 'fail') throw withRan(verdict.problem, ran);
       if (life.over !== undefined) throw new ProblemError(lifeOver(life.over, ran));
-      failed = verdict.problem;
+      failed = verdict;
     }
   }
 
--- a/packages/entry/src/request/request.feature
+++ b/packages/entry/src/request/request.feature
@@ -25,6 +25,14 @@
     When a caller requests "book"
     Then the request answers 200 with "proof"
 
+  # Several runners that left at once used up an account's retries, and its callers got refusals beside a free runner.
+  Scenario: requests refused by leaving runners go to another one whatever the retry budget
+    Given a request path with runners "r1, r2, r3, r4" and a retry budget of 0.1
+    And request runners "r1, r2, r3" are draining
+    And request runner "r4" answers "booked"
+    When a caller requests "book" 20 times
+    Then each request answers 200
+
   Scenario: a lost answer is settled at the same guard incarnation
     Given a request path with runners "r1"
     When a caller starts to request "book"
--- a/packages/entry/src/request/request.steps.ts
+++ b/packages/entry/src/request/request.steps.ts
@@ -12,6 +12,8 @@
 
   last!: Promise<Reply>;
 
+  all: Reply[] = [];
+
   drained: Promise<void> | undefined;
 
   earlier: FakePeer | undefined;
@@ -72,6 +74,21 @@
   },
 );
 
+Given(
+  'a request path with runners {string} and a retry budget of {float}',
+  function (this: RequestWorld, names: string, retryBudget: number) {
+    setUp(this, names, { retryBudget });
+  },
+);
+
+Given('request runners {string} are draining', function (this: RequestWorld, names: string) {
+  names.split(', ').forEach((name) => {
+    this.guard(name).answers.set('request.run', () => {
+      throw new ProblemError(problem('draining', { detail: 'It leaves.', remedy: 'Use another.' }));
+    });
+  });
+});
+
 Given(
   'request runner {string} answers {string}',
   function (this: RequestWorld, name: string, text: string) {
@@ -128,6 +145,20 @@
   this.last = this.send(kind);
 });
 
+When(
+  'a caller requests {string} {int} times',
+  async function (this: RequestWorld, kind: string, times: number) {
+    this.all = await Promise.all(Array.from({ length: times }, () => this.send(kind)));
+  },
+);
+
+Then('each request answers {int}', function (this: RequestWorld, status: number) {
+  assert.deepEqual(
+    this.all.map(({ statusCode }) => statusCode),
+    this.all.map(() => status),
+  );
+});
+
 When('a stranger requests {string}', function (this: RequestWorld, kind: string) {
   this.last = this.send(kind, { authorization: 'Bearer someone' });
 });
--- a/packages/entry/src/request/verdict.ts
+++ b/packages/entry/src/request/verdict.ts
@@ -3,11 +3,14 @@
 import type { Answer, AttemptEnd } from './attempt.js';
 import type { LifeEnd } from './request-life.js';
 
-/** What to do next. `retry` carries the problem to answer if no retry is possible. */
+/** What to do next. `retry` and `reroute` carry the problem to answer if there is no other runner. */
 export type Verdict =
   | { type: 'answer'; answer: Answer }
   | { type: 'fail'; problem: Problem }
-  | { type: 'retry'; problem: Problem };
+  /** Another attempt, which counts as a retry of the account. */
+  | { type: 'retry'; problem: Problem }
+  /** The runner takes no new requests: the attempt cost it nothing, and isn't counted. */
+  | { type: 'reroute'; problem: Problem };
 
 /**
  * Problems that say something of the runner, not of the request: another runner may do better. `conflict`: the id was
@@ -21,6 +24,9 @@
   'conflict',
 ]);
 
+/** Problems of a guard whose runner leaves or has left. */
+const LEAVING_KINDS = new Set(['draining', 'no-upstream']);
+
 const RETRY_AFTER_MS = 1000;
 
 /** Judges one attempt. Only what surely did not run, or may run twice, is tried again. */
@@ -63,6 +69,9 @@
 }
 
 function judgeRefusal(cause: Problem, kind: Kind): Verdict {
+  if (cause.ran === 'not-run' && LEAVING_KINDS.has(cause.kind)) {
+    return { type: 'reroute', problem: cause };
+  }
   const mayRepeat = cause.ran === 'not-run' || kind.idempotent;
   return { type: mayRepeat && RUNNER_KINDS.has(cause.kind) ? 'retry' : 'fail', problem: cause };
 }
