Ignore ejections where no other runner is left to choose

Cause: the bound on how many runners may be out of choice held when one was ejected, not when the others left afterwards.

Change: where no linked runner of the kind is in choice, those out of it are chosen and count for the capacity. Nothing goes to them while one is in choice. The new scenario failed before. The evidence of a failed scenario also has the table's rows and the longest pause of the harness.

--- a/packages/core/src/request/runner-chooser.feature
+++ b/packages/core/src/request/runner-chooser.feature
@@ -36,3 +36,20 @@
     Given a runner chooser over 40 runners of 8 slots
     When runner "r7" was ejected as silent and is on trial
     Then the runner chooser picks "r7" for an idempotent request, and another beside it
+
+  # An ejection outlasted the leaving of all other runners, and callers were refused for seconds beside a free runner.
+  Scenario: a runner that is out of choice gets requests once all others have left
+    Given a runner chooser over 4 runners of 8 slots
+    When runner "r3" was ejected as silent
+    And runner "r0" drains
+    And runner "r1" drains
+    And runner "r2" drains
+    Then the runner chooser picks "r3" only
+    And the runner chooser has room for requests
+
+  Scenario: a runner that is out of choice gets nothing while another serves, though that is full
+    Given a runner chooser over 2 runners of 8 slots
+    When runner "r1" was ejected as silent
+    Then the runner chooser picks "r0" only
+    When the runner chooser is asked until it refuses 1 times
+    Then that refusal is "overloaded"
--- a/packages/core/src/request/runner-chooser.steps.ts
+++ b/packages/core/src/request/runner-chooser.steps.ts
@@ -147,10 +147,18 @@
   fc.assert(keepsBounds);
 });
 
-When('runner {string} was ejected as silent and is on trial', function (this: World, id: string) {
+function ejectAsSilent(this: World, id: string): void {
   this.chooser.started(id, 0);
   this.ejector.checkSilence(1000, 0);
   assert.deepEqual(this.ejector.ejected(1000), [id]);
+}
+
+When('runner {string} was ejected as silent', ejectAsSilent);
+
+When('runner {string} was ejected as silent and is on trial', ejectAsSilent);
+
+Then('the runner chooser has room for requests', function (this: World) {
+  assert.ok(this.chooser.capacity(undefined, 0) > 0);
 });
 
 Then(
--- a/packages/core/src/request/runner-chooser.ts
+++ b/packages/core/src/request/runner-chooser.ts
@@ -117,7 +117,7 @@
     if (probe) return { type: 'chosen', runner: probe.runner.id };
     const drawn = this.#draw(query, context);
     if (drawn.runners === 0) return { type: 'refused', problem: noRunner(query) };
-    const open = drawn.even.length > 0 ? drawn.even : drawn.others;
+    const open = this.#open(drawn, query, context);
     if (open.length === 0) return { type: 'refused', problem: this.#full(query, drawn, now) };
     const candidates = open.map((known) => this.#candidate(known, query.kind, context));
     return { type: 'chosen', runner: this.#policy.pick(candidates, this.#random).id };
@@ -145,14 +145,15 @@
   /** Requests that may be in flight from this entry over all usable runners of a kind, or of any. */
   capacity(kind: string | undefined, now: number): number {
     const context = this.#context(now);
-    return this.#known
-      .serving(kind)
-      .filter(({ runner }) => this.#ejector.health(runner.id, now) === 'closed')
-      .reduce(
-        (total, { runner, occupancy }) =>
-          total + occupancy.bound(runner.slots, this.#queuePerSlot, context),
-        0,
-      );
+    const serving = this.#known.serving(kind);
+    const closed = serving.filter(
+      ({ runner }) => this.#ejector.health(runner.id, now) === 'closed',
+    );
+    return (closed.length > 0 ? closed : serving).reduce(
+      (total, { runner, occupancy }) =>
+        total + occupancy.bound(runner.slots, this.#queuePerSlot, context),
+      0,
+    );
   }
 
   /** Share of the slots for a kind in use, as far as known; may exceed 1. */
@@ -208,6 +209,28 @@
     else if (drawn.others.length < this.#policy.sample) drawn.others.push(known);
   }
 
+  #open({ even, others }: Drawn, query: ChoiceQuery, context: LoadContext): KnownRunner[] {
+    if (even.length > 0) return even;
+    return others.length > 0 ? others : this.#allOut(query, context);
+  }
+
+  /** Runners with room that are all out of choice: with no other left, none of them can be told from a sound one. */
+  #allOut(query: ChoiceQuery, context: LoadContext): KnownRunner[] {
+    const { reachable } = query;
+    const linked = this.#known
+      .serving(query.kind)
+      .filter(({ runner }) => reachable?.(runner.id) !== false);
+    if (linked.some(({ runner }) => this.#ejector.health(runner.id, context.now) === 'closed')) {
+      return [];
+    }
+    return linked.filter(
+      (known) =>
+        isEligible(known, query) &&
+        hasRoom(known, this.#queuePerSlot, context) &&
+        this.#answersInTime(known, query, context),
+    );
+  }
+
   #answersInTime(
     known: KnownRunner,
     { kind, timeLeftMs = Infinity }: ChoiceQuery,
--- a/packages/e2e/src/audit/stand-in-calls.ts
+++ b/packages/e2e/src/audit/stand-in-calls.ts
@@ -9,6 +9,7 @@
 } from '@zincspan/stand-ins';
 
 const TIMEOUT_MS = 10_000;
+const MAX_ROWS = 1000;
 
 /** A worker's ledger as it is answered. */
 export interface WorkerLedgerAnswer {
@@ -26,6 +27,13 @@
   return call('GET', `http://${address}/ledger`);
 }
 
+/** Rows of the table of the platform at `IP:port`, in order of their keys. */
+export async function readRows(address: string): Promise<unknown[]> {
+  const url = `http://${address}/v1/rows?prefix=&limit=${MAX_ROWS}`;
+  const { rows } = await call<{ rows: unknown[] }>('GET', url);
+  return rows;
+}
+
 /** Requests that the runner at `IP:port` has in progress. */
 export async function readInUse(address: string): Promise<number> {
   const { inUse } = await call<{ inUse: number }>('GET', `http://${address}/in-use`);
--- a/packages/e2e/src/support/scenario-evidence.support.ts
+++ b/packages/e2e/src/support/scenario-evidence.support.ts
@@ -1,11 +1,12 @@
 /** What a failed scenario leaves for tracing, written before its processes are stopped. */
-import { AfterStep, Status } from '@cucumber/cucumber';
+import { AfterStep, Before, Status } from '@cucumber/cucumber';
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { readTimeline } from '@zincspan/cli';
 import { operatorClient } from '../audit/entry-view.js';
 import { problemOf, type SentRequest } from '../audit/request-log.js';
-import { readRunnerLedger, readWorkerLedger } from '../audit/stand-in-calls.js';
+import { readRows, readRunnerLedger, readWorkerLedger } from '../audit/stand-in-calls.js';
 import type { Deployment } from '../deployment/deployment.js';
 import type { E2eWorld } from './e2e-world.support.js';
 import { stateOf } from './faulty-world.support.js';
@@ -13,6 +14,12 @@
 const FOLDER = 'reports/scenarios';
 const MAX_EVENTS = 10_000;
 
+/** Pauses of this process, which stand-ins and callers of a scenario share. */
+const pauses = monitorEventLoopDelay({ resolution: 10 });
+pauses.enable();
+
+Before(() => pauses.reset());
+
 AfterStep(async function (this: E2eWorld, { pickle, result }) {
   if (result.status !== Status.FAILED || this.deployment === undefined) return;
   const folder = join(FOLDER, `${pickle.name.replace(/\W+/g, '-')}-${Date.now()}`);
@@ -28,12 +35,15 @@
   const logs = deployment.started.map(({ name, pid, lines }) => write(`${name}.${pid}.log`, lines));
   await Promise.all([
     ...logs,
-    write('failure.txt', [failure]),
+    write('failure.txt', [failure, `Longest pause of this process: ${pauses.max / 1e6} ms`]),
     write('metrics.ndjson', deployment.metrics.figures().map(toJson)),
     write('answers.ndjson', [...world.answers].map(toJson)),
     write('requests.ndjson', stateOf(world).requests.sent.map(describeRequest)),
     readEvents(deployment).then((events) => write('timeline.ndjson', events)),
     readLedgers(deployment).then((ledgers) => write('ledgers.ndjson', ledgers)),
+    readRows(deployment.layout.platform.upstream)
+      .catch((err: unknown) => [String(err)])
+      .then((rows) => write('rows.ndjson', rows.map(toJson))),
   ]);
 }
 
