Count a member as ready only once its reservation has been answered

Cause: a guard's contact times come with its answer to the reservation, its word that the task is ready in a call of its own. Read together, the call is handled before the answer, and the start was written without the contact times. The next owner never reached that guard and waited for the longest times, 300 s.

Evidence: job.resumed without any later event.

Ruled out: a link taken for live, want of room, the mover.

--- a/packages/entry/src/owner/fake-guard.support.ts
+++ b/packages/entry/src/owner/fake-guard.support.ts
@@ -41,6 +41,9 @@
   /** Tasks are prepared at once; otherwise by `prepare`. */
   autoReady = true;
 
+  /** Its word that a task is ready is handled before its answer to the reservation. */
+  saysReadyFirst = false;
+
   /** The next calls are carried out, but their answers are lost. */
   loseAnswers = 0;
 
@@ -122,6 +125,10 @@
 
   #reserve(req: GangReserve): unknown {
     const { state } = this.book.reserve(req, this.worker, this.#clock.now());
+    if (state === 'preparing' && this.saysReadyFirst) {
+      void this.prepare();
+      return { state, contact: FAKE_CONTACT };
+    }
     if (state === 'preparing' && this.autoReady) this.book.ready(req.ref);
     return { state: this.book.find(req.ref)?.state ?? state, contact: FAKE_CONTACT };
   }
--- a/packages/entry/src/owner/lost-contact.feature
+++ b/packages/entry/src/owner/lost-contact.feature
@@ -36,6 +36,15 @@
     Then the submitted job is still "started"
     And the worker "w1" has started 1 tasks
 
+  # A guard's answer and its word that the task is ready may come together; without its times in the row, a later owner
+  # that never reaches it waits for 300 s.
+  Scenario: the row of a start has its guard's times though the guard's word is handled before its answer
+    Given an owner with workers "w1"
+    And the guard of "w1" says that a task is ready before its reservation is answered
+    When a caller submits a "render" gang of 1 tasks with 8 accelerators
+    Then the submitted job gets "started"
+    And the row of the submitted job has the times of its guards
+
   Scenario: a new owner that never reaches a guard knows its times from the row
     Given an owner with workers "w1"
     And a second entry
--- a/packages/entry/src/owner/lost-contact.steps.ts
+++ b/packages/entry/src/owner/lost-contact.steps.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { Then, When } from '@cucumber/cucumber';
+import { Given, Then, When } from '@cucumber/cucumber';
 import type { MethodReq } from '@zincspan/core';
 import { FAKE_CONTACT, type FakeGuard } from './fake-guard.support.js';
 import type { OwnerSteps } from './owner.steps.js';
@@ -23,6 +23,21 @@
   assert.ok(ms < 2 * FAKE_CONTACT.fencedMs + NOTICED_MS, `as late as ${ms} ms`);
 }
 
+Given(
+  'the guard of {string} says that a task is ready before its reservation is answered',
+  function (this: LostContactWorld, worker: string) {
+    this.guard(worker).saysReadyFirst = true;
+  },
+);
+
+Then('the row of the submitted job has the times of its guards', function (this: LostContactWorld) {
+  const { members } = this.row(this.job);
+  assert.deepEqual(
+    members.map(({ contact }) => contact),
+    members.map(() => FAKE_CONTACT),
+  );
+});
+
 When("the guard of the gang's first member loses contact", function (this: LostContactWorld) {
   const worker = this.row(this.job).members[0]?.worker ?? 'none';
   Object.assign(this, { cut: this.guard(worker), cutAt: this.timers.clock.now() });
--- a/packages/entry/src/owner/member-driver.ts
+++ b/packages/entry/src/owner/member-driver.ts
@@ -21,6 +21,11 @@
 
   #ready = false;
 
+  #isToldReady = false;
+
+  /** The guard has answered a reservation, with its contact times. */
+  #isReserved = false;
+
   #started = false;
 
   /** The guard may hold something: a reservation was sent. */
@@ -64,9 +69,11 @@
     this.#drive(() => this.#tryStop(this.#placed.incarnation));
   }
 
-  /** The guard said by itself that the member is ready. */
+  /** The guard said by itself that the member is ready. Its answer to the reservation may still be on its way. */
   ready(): void {
-    if (this.#ready || this.#stopping !== undefined) return;
+    this.#isToldReady = true;
+    // The row of the start needs the contact times that come with that answer.
+    if (!this.#isReserved || this.#ready || this.#stopping !== undefined) return;
     this.#ready = true;
     this.#options.tell({ type: 'member-ready', member: this.#placed.member });
   }
@@ -145,7 +152,11 @@
     if (result.type !== 'done') return 'again';
     const { state } = result.res;
     this.#placed = { ...this.#placed, contact: result.res.contact };
-    if (state === 'preparing') return 'renew';
+    this.#isReserved = true;
+    if (state === 'preparing') {
+      if (this.#isToldReady) this.ready();
+      return 'renew';
+    }
     if (state !== 'ready' && state !== 'held') return this.#drop(`Its reservation is ${state}.`);
     this.ready();
     return 'renew';
