Rank a returning job by its age at the time of the load summary

Cause: urgency grows with age. The waiting jobs of a summary are ranked as of its time, the returning job was ranked as of now, so that it seemed to go ahead of all jobs accepted just before it.

Ruled out: no summary, one of another term, the owner's ranking (refusedForMs was the time since the first refusal).

The new scenario failed before (accepted, completion predicted after 875 ms).

--- a/packages/cell/src/load/admission-decision.ts
+++ b/packages/cell/src/load/admission-decision.ts
@@ -34,6 +34,8 @@
 export interface AdmissionInput {
   /** Undefined if there is no summary that may be used. */
   summary: LoadSummary | undefined;
+  /** Since it was computed, in ms. */
+  summaryAgeMs: number;
   id: string;
   job: PredictedJob & { isScheduled: boolean };
   /** Accelerators that the configuration guarantees to the account. */
@@ -61,6 +63,7 @@
   const { elapsedMs } = place;
   const prediction = predict(summary, job, {
     elapsedMs,
+    summaryAgeMs: input.summaryAgeMs,
     accepted: input.accepted,
     refusedShare: place.refusedShare,
     refusedHere: input.refusedHere,
--- a/packages/cell/src/load/admission-gate.ts
+++ b/packages/cell/src/load/admission-gate.ts
@@ -83,6 +83,7 @@
     const accepted = this.#accepted.filter((each) => each.service === service);
     return decideAdmission({
       summary: current?.summary,
+      summaryAgeMs: now - (current?.computedAt ?? now),
       id,
       job: predictedJob(submission),
       guaranteedAccelerators: account?.guaranteedAccelerators ?? 0,
--- a/packages/cell/src/load/load-monitor.ts
+++ b/packages/cell/src/load/load-monitor.ts
@@ -140,7 +140,11 @@
     const prediction = predict(
       this.#summary,
       { queue, account, terms, steps },
-      { elapsedMs: job.refusedForMs, hasFairShares: this.#options.hasFairShares },
+      {
+        elapsedMs: job.refusedForMs,
+        summaryAgeMs: now - this.#computedAt,
+        hasFairShares: this.#options.hasFairShares,
+      },
     );
     if (prediction === undefined) return;
     const { completionMs: predictedMs, objectiveMs } = prediction;
--- a/packages/cell/src/load/prediction.ts
+++ b/packages/cell/src/load/prediction.ts
@@ -38,6 +38,8 @@
 export interface PredictionOptions {
   /** Since the caller's first attempt, in ms. */
   elapsedMs: number;
+  /** Since the summary was computed, in ms; the waiting work in it is ranked by its age at that time. */
+  summaryAgeMs?: number;
   /** Accepted here since the summary was received. */
   accepted?: WorkAhead;
   /** Share of the refused work that was refused before this job; 1 for one that wasn't refused. */
@@ -186,7 +188,7 @@
     meanWork: number;
     expectedMs: (step: Step) => number;
   },
-  { elapsedMs }: PredictionOptions,
+  { elapsedMs, summaryAgeMs = 0 }: PredictionOptions,
 ): number {
   const profile = new FleetProfile([{ service: service.name, capacity: typicalDemand(service) }]);
   const work = steps.reduce(
@@ -201,7 +203,8 @@
     totalWork: work,
     remainingWork: work,
     meanWork: meanWork > 0 ? meanWork : work,
-    ageMs: elapsedMs,
+    // Otherwise a job that returns would seem to have aged more than the jobs that were accepted before it.
+    ageMs: Math.max(0, elapsedMs - summaryAgeMs),
     objectiveMs,
     remainingCriticalPathMs: footprint.criticalPathMs,
   });
--- a/packages/cell/src/load/refusals.feature
+++ b/packages/cell/src/load/refusals.feature
@@ -30,3 +30,12 @@
     Then the ratio that nine of ten predictions exceed is below 0.4 without any
     And it is above 0.85 after 200 predictions that were within 10 percent
     And a job that already takes five times as long as predicted raises the median before it ends
+
+  # Compared at different times, the returning job seemed to have aged more than the jobs accepted before it. It was
+  # accepted as one that would be served next, and waited for all of them.
+  Scenario: a refused job that returns before the next load summary is refused again
+    Given an entry whose load summary has 60 waiting jobs that were accepted 100 ms before it
+    When such a job is submitted 100 ms after the summary
+    Then it is refused
+    When it returns 1000 ms later
+    Then it is refused
--- a/packages/cell/src/load/refusals.steps.ts
+++ b/packages/cell/src/load/refusals.steps.ts
@@ -1,10 +1,19 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { ManualClock, quietContext } from '@zincspan/core';
+import { urgencyOf } from '../placing/job-urgency.js';
+import { TEST_QUEUE, testStep } from '../testing/test-jobs.support.js';
+import type { AdmissionDecision } from './admission-decision.js';
+import { AdmissionGate } from './admission-gate.js';
+import { buildLoadSummary } from './load-summary-builder.js';
 import { PredictionError } from './prediction-error.js';
 import { RefusalBook, refusalReportSchema } from './refusal-book.js';
 import { RefusalRegister } from './refusal-register.js';
 
 interface RefusalWorld {
+  clock: ManualClock;
+  gate: AdmissionGate;
+  decision: AdmissionDecision;
   register: RefusalRegister;
   book: RefusalBook;
   now: number;
@@ -110,3 +119,76 @@
     assert.ok(error.quantiles(pending).median > error.quantiles().median * 1.5);
   },
 );
+
+/** A job that keeps both workers of the summary busy for this long, in ms. */
+const JOB_MS = 500;
+const ACCELERATORS = 8;
+const WORKERS = 2;
+const ACCOUNT = 'weddings';
+
+Given(
+  'an entry whose load summary has {int} waiting jobs that were accepted {int} ms before it',
+  function (this: RefusalWorld, jobs: number, ageMs: number) {
+    const work = JOB_MS * WORKERS * ACCELERATORS;
+    const { stretch, targetLatencyMs, priority, name: queue, service } = TEST_QUEUE;
+    const urgency = urgencyOf({
+      priority,
+      claim: false,
+      totalWork: work,
+      remainingWork: work,
+      meanWork: work,
+      ageMs,
+      objectiveMs: stretch * JOB_MS + targetLatencyMs,
+      remainingCriticalPathMs: JOB_MS,
+    });
+    const capacity = { milliCores: 64_000, memoryMb: 64_000, accelerators: ACCELERATORS };
+    const summary = buildLoadSummary({
+      term: 1,
+      sequence: 1,
+      workers: Array.from({ length: WORKERS }, () => ({
+        service,
+        capacity,
+        runs: [{ demand: capacity, endsInMs: JOB_MS, isUrgent: false }],
+      })),
+      waiting: Array.from({ length: jobs }, () => ({
+        queue,
+        account: ACCOUNT,
+        service,
+        urgency,
+        work: JOB_MS * WORKERS,
+        width: WORKERS,
+        wholeWorkers: 0,
+        size: 'single' as const,
+      })),
+      refused: [],
+      arriving: () => [],
+      queues: [{ name: queue, meanWork: work, expectedMs: (estimateMs) => estimateMs }],
+      urgentAccelerators: new Map(),
+      error: new PredictionError().quantiles(),
+    });
+    this.clock = new ManualClock();
+    const computedAt = this.clock.now();
+    this.gate = new AdmissionGate({
+      ctx: quietContext({ id: 'entry-1', clock: this.clock }),
+      current: () => ({ summary, computedAt, receivedAt: computedAt }),
+      hasFairShares: true,
+    });
+  },
+);
+
+When(
+  /^(?:such a job is submitted|it returns) (\d+) ms (?:after the summary|later)$/,
+  function (this: RefusalWorld, ms: string) {
+    this.clock.advance(Number(ms));
+    const steps = [testStep({ tasks: WORKERS * ACCELERATORS, estimateMs: JOB_MS })];
+    const job = { spec: '', steps };
+    const account = { name: ACCOUNT, keys: [], guaranteedAccelerators: 0 };
+    const submission = { id: ID, queue: TEST_QUEUE, account, job };
+    this.decision = this.gate.decide(submission);
+    if (this.decision.outcome === 'refuse') this.gate.refuse(submission, this.decision);
+  },
+);
+
+Then('it is refused', function (this: RefusalWorld) {
+  assert.equal(this.decision.outcome, 'refuse', JSON.stringify(this.decision));
+});
