Compute the load summary after the pass has assigned its starts

A refused job was accepted as its service seemed half idle, beside 24 s of work.

Cause: the summary was computed at the beginning of a pass, which often runs because tasks have ended; their capacity looked free and was taken in the same pass.

Change: the summary is computed at the end of the pass.

--- a/packages/cell/src/load/overloaded-cell.feature
+++ b/packages/cell/src/load/overloaded-cell.feature
@@ -10,6 +10,13 @@
     And each run was started once
     And the owner ranked the job by its first refusal
 
+  # Capacity that the same pass fills looked free, half of the service idle, and a job that returned at that moment was
+  # accepted ahead of work of many seconds.
+  Scenario: no load summary shows a service as idle while its jobs wait
+    Given a cell of 2 entries and 1 worker whose entries know its load
+    When a job of 100 tasks is submitted that each take the whole worker for 100 ms
+    Then for 5 s less than half of the service is free in each summary with waiting work
+
   Scenario: a job that was accepted before isn't refused when its caller submits it again elsewhere
     Given a cell of 2 entries and 2 workers whose entries know its load
     When more is submitted than it can do in time, until a job is refused
--- a/packages/cell/src/load/overloaded-cell.steps.ts
+++ b/packages/cell/src/load/overloaded-cell.steps.ts
@@ -8,9 +8,12 @@
   cellOf,
   nonOwnerEntry,
   ownerEntry,
+  submitJob,
   type CellTestContext,
   type Entry,
 } from '../owner/cell-test-context.support.js';
+import { WIDTH_UNIT } from './capacity-forecast.js';
+import { loadStatusSchema, type LoadSummary } from './load-summary.js';
 import { TestCell, crashEntry, eventually, jobCall } from '../testing/test-cell.support.js';
 import { testStep } from '../testing/test-jobs.support.js';
 
@@ -39,7 +42,7 @@
 }
 
 Given(
-  'a cell of {int} entries and {int} workers whose entries know its load',
+  'a cell of {int} entries and {int} worker(s) whose entries know its load',
   async function (this: OverloadWorld, entries: number, workers: number) {
     this.cell = new TestCell();
     this.jobs = [];
@@ -188,6 +191,36 @@
   },
 );
 
+When(
+  'a job of {int} tasks is submitted that each take the whole worker for {int} ms',
+  async function (this: OverloadWorld, tasks: number, workMs: number) {
+    const demand = { milliCores: 1000, memoryMb: 100, accelerators: 8 };
+    const steps = [testStep({ tasks, demand, estimateMs: workMs })];
+    await submitJob(this, { steps, spec: { workMs } });
+  },
+);
+
+Then(
+  'for {int} s less than half of the service is free in each summary with waiting work',
+  { timeout: 20_000 },
+  async function (this: OverloadWorld, seconds: number) {
+    const entry = nonOwnerEntry(this);
+    const endsAt = performance.now() + seconds * 1000;
+    const summaries = new Map<number, LoadSummary>();
+    while (performance.now() < endsAt) {
+      const { summary } = loadStatusSchema.parse(statusLink(entry)?.status.load);
+      summaries.set(summary.sequence, summary);
+      await sleep(50);
+    }
+    const idle = [...summaries.values()].filter(({ services: [service] }) => {
+      const { workers = 0, free = [], rungs = [] } = service ?? {};
+      return rungs.length > 0 && (free[0] ?? 0) >= (workers / 2) * WIDTH_UNIT;
+    });
+    assert.ok(summaries.size > 0);
+    assert.deepEqual(idle, []);
+  },
+);
+
 When('nothing happens for {int} s', async function (seconds: number) {
   await sleep(seconds * 1000);
 });
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -212,7 +212,6 @@
       accounts.map(({ name, guaranteedAccelerators }) => [name, guaranteedAccelerators]),
     );
     const guaranteedJobs = findGuaranteedJobs(jobs, (account) => guarantees.get(account) ?? 0);
-    this.load?.update({ profile, guaranteedJobs });
     const allWorkersKnown = this.registry.now() - this.#startedAt >= WORKER_DISCOVERY_MS;
     const shares = this.#shareTracker.beginPass({ accounts, profile, allWorkersKnown });
     const { starts, preemptions, approvalRequests, weighedStops, fit } = planPlacement({
@@ -243,6 +242,8 @@
       if (first !== undefined) this.registry.stopRun(first, `preempted for ${forJob.id}`);
       forJob.notePreemption(this.registry.now());
     });
+    // Before the pass, capacity that it fills would look free.
+    this.load?.update({ profile, guaranteedJobs });
     return approvalRequests;
   }
 }
