Don't take a task for gone by a renewal that overtook its preparation

Found by reading, not seen in a run: calls to a worker use several connections, so a renewal may reach it before the preparation and be answered as of an unknown task. Where that answer comes after the one to the preparation, the guard reported the task as over (lease-lapsed), and a job that may run once would be lost while it ran. With several renewals under way this is more likely than before.

Change: such an answer counts only if the task was known to be prepared when the renewal was sent. The new scenario failed before; the second one holds that a forgotten task is over.

--- a/packages/guard/src/gang/guarded-task.ts
+++ b/packages/guard/src/gang/guarded-task.ts
@@ -183,12 +183,13 @@
     // The reservation may be prolonged yet; until then the worker's lease runs out by itself.
     if (leaseMs === undefined || this.#unansweredRenewals >= RENEWALS_PER_LEASE) return;
     this.#unansweredRenewals += 1;
+    // A task that is still being prepared may be unknown yet, and the answer may come after that to its preparation.
+    const isPrepared = this.status !== undefined;
     try {
       const answer = await this.#grant(leaseMs, () =>
         this.#options.worker.renew(this.name, leaseMs),
       );
-      // A task that is still being prepared may be unknown yet.
-      if (answer.outcome !== 'done' && this.status) {
+      if (answer.outcome !== 'done' && isPrepared) {
         this.#end(this.#lapsed('The worker does not know it any more.'));
       }
     } catch {
