--- a/packages/cell/src/load/admission-gate.ts
+++ b/packages/cell/src/load/admission-gate.ts
@@ -164,12 +164,14 @@
   #logReturned({ id, queue, firstRefusedAt }: Refusal, decision: AdmissionDecision): void {
     const now = this.#ctx.clock.now();
     const current = this.#sinceSummary;
+    const { prediction } = decision;
     this.#ctx.log.info(
       {
         id,
         queue,
-        reason: decision.outcome === 'accept' ? decision.reason : 'known',
-        predictedMs: Math.round(decision.prediction?.completionMs ?? -1),
+        // Not refused if an earlier attempt of it is stored, or may be.
+        reason: decision.outcome === 'accept' ? decision.reason : 'may-be-stored',
+        predictedMs: prediction && Math.round(prediction.completionMs),
         sinceFirstRefusalMs: Math.round(now - firstRefusedAt),
         errorLow: current?.summary.error.low,
         summaryAgeMs: Math.round(now - (current?.computedAt ?? now)),
