Close a guard's idle connections before its upstream does

Cause: guards kept connections as long as the server, and servers close idle ones (Node's after 5 s); a request sent at that moment is lost, and whether it ran is unknown. The kind may run again, but no other runner was left.

Ruled out: the retry budget (rerouted 4, retry-refused 0), an ejection (none), a runner that ended.

Change: connections idle for 2 s are closed. The new scenario failed before (one connection) and passes; a call that takes longer is answered as before.

--- a/packages/guard/src/http/http-call.ts
+++ b/packages/guard/src/http/http-call.ts
@@ -43,6 +43,9 @@
 
 const CONNECT_MS = 1000;
 
+/** Idle connections are closed after this long: sooner than servers close them, after 5 s by Node's default. */
+const IDLE_MS = 2000;
+
 /** What a broken connection means at each stage of a call. */
 const FAILURE_AT = { waiting: 'not-connected', sent: 'lost', answering: 'cut' } as const;
 
@@ -54,7 +57,13 @@
 
   constructor({ address, sockets }: { address: string; sockets: number }) {
     this.address = address;
-    this.#agent = new Agent({ keepAlive: true, maxSockets: sockets, maxFreeSockets: sockets });
+    this.#agent = new Agent({
+      keepAlive: true,
+      maxSockets: sockets,
+      maxFreeSockets: sockets,
+      // Of connections in use it only emits an event, which nobody listens to.
+      timeout: IDLE_MS,
+    });
   }
 
   /** Answers the whole answer. Throws HttpError. */
