--- a/packages/guard/src/gang/guarded-task.feature
+++ b/packages/guard/src/gang/guarded-task.feature
@@ -1,3 +1,4 @@
+@guarded-task
 Feature: a task that its guard drives
 
   # Calls on different connections overtake each other, and a worker doesn't know a task before its preparation.
--- a/packages/guard/src/gang/guarded-task.steps.ts
+++ b/packages/guard/src/gang/guarded-task.steps.ts
@@ -83,6 +83,6 @@
   assert.equal(this.end?.outcome, outcome);
 });
 
-After(function (this: Partial<TaskWorld>) {
+After({ tags: '@guarded-task' }, function (this: Partial<TaskWorld>) {
   this.guarded?.close();
 });
--- a/packages/guard/src/http/http-call.feature
+++ b/packages/guard/src/http/http-call.feature
@@ -1,3 +1,4 @@
+@upstream-call
 Feature: calls of the upstream beside a guard
 
   # Servers close idle connections; a request that is sent at that moment is lost, and whether it ran is unknown.
--- a/packages/guard/src/http/http-call.steps.ts
+++ b/packages/guard/src/http/http-call.steps.ts
@@ -57,7 +57,7 @@
   assert.equal(this.accepted, count);
 });
 
-After(function (this: Partial<CallWorld>) {
+After({ tags: '@upstream-call' }, function (this: Partial<CallWorld>) {
   this.caller?.close();
   this.server?.closeAllConnections();
   this.server?.close();
