--- a/packages/cell/src/owner/ranked-groups.ts
+++ b/packages/cell/src/owner/ranked-groups.ts
@@ -1,6 +1,6 @@
 /** Ranks the pending groups of all jobs, the most urgent first. */
 import { compareByUrgency, type UrgencyFactors } from '../placing/job-urgency.js';
-import type { AvailableWorker } from '../placing/available-worker.js';
+import { isServiceBusy, type AvailableWorker } from '../placing/available-worker.js';
 import { orderByShares } from '../share/share-order.js';
 import type { PlacementInput } from './placement-types.js';
 import { expectedDurations, urgencyFactorsOf } from './urgency-factors.js';
@@ -44,14 +44,7 @@
   return shares === undefined ? ranked : orderByShares(ranked, { shares, workers });
 }
 
-/** Services with at least half of their accelerators in use. */
 function busyServices(workers: readonly AvailableWorker[]): Set<string> {
   const services = [...new Set(workers.map(({ service }) => service))];
-  const isBusy = (service: string): boolean => {
-    const ofService = workers.filter((worker) => worker.service === service);
-    const free = ofService.reduce((sum, worker) => sum + worker.free.accelerators, 0);
-    const capacity = ofService.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
-    return free * 2 <= capacity;
-  };
-  return new Set(services.filter(isBusy));
+  return new Set(services.filter((service) => isServiceBusy(service, workers)));
 }
--- a/packages/cell/src/owner/valued-stops.ts
+++ b/packages/cell/src/owner/valued-stops.ts
@@ -1,4 +1,5 @@
 /** Decides stops by value: what the group gains by starting now, against what the stopped jobs lose. One instance per pass. */
+import { isServiceBusy } from '../placing/available-worker.js';
 import type { CapacityLedger } from '../placing/capacity-ledger.js';
 import type { UrgencyFactors } from '../placing/job-urgency.js';
 import { planPreemption, type PreemptionPlan } from '../placing/preemption.js';
@@ -91,19 +92,13 @@
       expectedDurations(pending.job, this.#input.durations)(pending.step),
     );
     const stop = this.#weigh(ranked, { victims, costs, waitMs, canWait });
-    const keepsRoom = waitMs <= MAX_AWAITED_MS && this.#isBusy(pending.group.service);
+    // On a service that isn't busy, nothing that could start waits.
+    const keepsRoom =
+      waitMs <= MAX_AWAITED_MS && isServiceBusy(pending.group.service, this.#input.workers);
     if (stop === undefined && keepsRoom) this.#ledger.withhold(members);
     return stop;
   }
 
-  /** At least half of the service's accelerators are in use. Below that, nothing that could start waits. */
-  #isBusy(service: string): boolean {
-    const ofService = this.#input.workers.filter((worker) => worker.service === service);
-    const free = ofService.reduce((sum, worker) => sum + worker.free.accelerators, 0);
-    const capacity = ofService.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
-    return free * 2 <= capacity;
-  }
-
   /** Records a stop that is made, with the capacity that the group gets by it. */
   noteMade(pending: PendingGroup, stop: ChosenStop, held: WeighedStop['held']): void {
     this.#note(pending, stop, { isMade: true, held });
--- a/packages/cell/src/placing/available-worker.ts
+++ b/packages/cell/src/placing/available-worker.ts
@@ -224,3 +224,11 @@
   const racks = [...new Set(workers.map(({ rack }) => rack))];
   return racks.map((rack) => workers.filter((worker) => worker.rack === rack));
 }
+
+/** At least half of the service's accelerators are in use. */
+export function isServiceBusy(service: string, workers: readonly AvailableWorker[]): boolean {
+  const ofService = workers.filter((worker) => worker.service === service);
+  const free = ofService.reduce((sum, worker) => sum + worker.free.accelerators, 0);
+  const capacity = ofService.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
+  return free * 2 <= capacity;
+}
