--- a/packages/cell/src/owner/running-units.steps.ts
+++ b/packages/cell/src/owner/running-units.steps.ts
@@ -71,14 +71,14 @@
 Then(
   /^stopping it loses ([\d.]+) accelerator-seconds$/,
   function (this: RunningUnitSteps, expected: string) {
-    const [unit] = findRunningUnits(this.registry, new Set());
+    const [unit] = findRunningUnits(this.registry, new Set(), this.registry.fleet.profile());
     assert.ok(unit);
     assert.ok(Math.abs(unit.loss / 1000 - Number(expected)) < 0.2, `${unit.loss}`);
   },
 );
 
 Then('{int} of its tasks may be preempted', function (this: RunningUnitSteps, expected: number) {
-  const units = findRunningUnits(this.registry, new Set());
+  const units = findRunningUnits(this.registry, new Set(), this.registry.fleet.profile());
   const preemptible = units
     .filter(({ isProtected }) => !isProtected)
     .flatMap(({ assignments }) => assignments)
--- a/packages/cell/src/owner/running-units.ts
+++ b/packages/cell/src/owner/running-units.ts
@@ -1,4 +1,5 @@
 /** Lists what runs in a cell as units that stop together, with the work that stopping each would lose. */
+import type { FleetProfile } from '../placing/fleet-profile.js';
 import type { HeldCapacity } from '../placing/capacity-ledger.js';
 import type { Assignment } from '../worker/worker.js';
 import type { OwnedJob } from './owned-job.js';
@@ -24,10 +25,10 @@
 export function findRunningUnits(
   registry: RunRegistry,
   guaranteedJobs: ReadonlySet<OwnedJob>,
+  profile: FleetProfile,
 ): RunningUnit[] {
   const units = new Map<string, UnitInProgress>();
   const now = registry.now();
-  const profile = registry.fleet.profile();
   [...registry.fleet.all()].forEach(({ vm, assignments }) =>
     assignments.forEach((assignment) => {
       const job = registry.jobs.get(assignment.jobId);
--- a/packages/cell/src/owner/scheduler.ts
+++ b/packages/cell/src/owner/scheduler.ts
@@ -223,7 +223,7 @@
       wholeWorkers: this.#wholeWorkers,
       shares,
       evacuatedRacks: this.registry.fleet.evacuatedRacks(),
-      runningUnits: findRunningUnits(this.registry, guaranteedJobs),
+      runningUnits: findRunningUnits(this.registry, guaranteedJobs, profile),
       queueMeans: this.#queueMeans,
       durations: this.#durations,
       bounds: reclaim,
