Use one limit for late jobs in admission and placement

USEFUL_OBJECTIVES was LATE_LIMIT_OBJECTIVES under another name: admission predicts by the order that placement follows, so the two may not differ. No change of behaviour.

--- a/packages/cell/src/load/admission-decision.ts
+++ b/packages/cell/src/load/admission-decision.ts
@@ -1,12 +1,10 @@
 /** Decides whether a submission is accepted under the present load. Pure: all state is passed in. */
 import { peakAccelerators } from '../owner/urgency-factors.js';
+import { LATE_LIMIT_OBJECTIVES } from '../placing/job-urgency.js';
 import { idKey, type LoadSummary } from './load-summary.js';
 import { predict, type PredictedJob, type Prediction, type WorkAhead } from './prediction.js';
 import type { Refusal } from './refusal-book.js';
 
-/** A job is useless to its caller if it takes more than this many times its objective. */
-export const USEFUL_OBJECTIVES = 3;
-
 /** Shortest time after which a refused caller returns, in ms: the wire has whole seconds. */
 const MIN_RETRY_AFTER_MS = 1000;
 
@@ -75,7 +73,7 @@
   if (isCapacityFree || isServiceIdle) {
     return { outcome: 'accept', reason: 'free-capacity', prediction };
   }
-  const limitMs = USEFUL_OBJECTIVES * objectiveMs;
+  const limitMs = LATE_LIMIT_OBJECTIVES * objectiveMs;
   if (aloneMs > limitMs) return { outcome: 'accept', reason: 'not-by-load', prediction };
   const marginMs = Math.max(0, completionMs * (1 - summary.error.low));
   const usefulMs = limitMs - elapsedMs;
--- a/packages/cell/src/load/admission-load.steps.ts
+++ b/packages/cell/src/load/admission-load.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
 import { TEST_QUEUE } from '../testing/test-jobs.support.js';
-import { USEFUL_OBJECTIVES } from './admission-decision.js';
+import { LATE_LIMIT_OBJECTIVES } from '../placing/job-urgency.js';
 import { LoadModel, MODEL_WORKERS } from './load-model.support.js';
 import { gangStep, objectiveMs, smallStep, type ModelJob } from './model-job.support.js';
 
@@ -81,7 +81,7 @@
 }
 
 function isUseful(job: ModelJob): boolean {
-  return tookMs(job) <= USEFUL_OBJECTIVES * objectiveMs(job);
+  return tookMs(job) <= LATE_LIMIT_OBJECTIVES * objectiveMs(job);
 }
 
 function isInTime(job: ModelJob): boolean {
--- a/packages/cell/src/load/load-model.support.ts
+++ b/packages/cell/src/load/load-model.support.ts
@@ -5,12 +5,11 @@
 import { ManualClock, quietContext } from '@zincspan/core';
 import type { Demand } from '../job/submission.js';
 import { FleetProfile } from '../placing/fleet-profile.js';
-import { urgencyOf } from '../placing/job-urgency.js';
+import { LATE_LIMIT_OBJECTIVES, urgencyOf } from '../placing/job-urgency.js';
 import { TEST_QUEUE } from '../testing/test-jobs.support.js';
 import { AdmissionGate } from './admission-gate.js';
 import { footprintOf } from './job-footprint.js';
 import type { UsableSummary } from './load-reader.js';
-import { USEFUL_OBJECTIVES } from './admission-decision.js';
 import { ArrivalRate } from './arrival-rate.js';
 import { buildLoadSummary } from './load-summary-builder.js';
 import type { LoadSummary } from './load-summary.js';
@@ -169,7 +168,7 @@
       acceptedAt: now,
       refusedForMs: this.#register.sinceFirstRefusalMs(id, now),
       predictedMs:
-        predicted && predicted.completionMs <= USEFUL_OBJECTIVES * predicted.objectiveMs
+        predicted && predicted.completionMs <= LATE_LIMIT_OBJECTIVES * predicted.objectiveMs
           ? predicted.completionMs
           : undefined,
     });
--- a/packages/cell/src/load/load-monitor.ts
+++ b/packages/cell/src/load/load-monitor.ts
@@ -11,8 +11,7 @@
 } from '../owner/urgency-factors.js';
 import type { DurationEstimator } from '../placing/duration-estimator.js';
 import type { FleetProfile } from '../placing/fleet-profile.js';
-import { urgencyOf } from '../placing/job-urgency.js';
-import { USEFUL_OBJECTIVES } from './admission-decision.js';
+import { LATE_LIMIT_OBJECTIVES, urgencyOf } from '../placing/job-urgency.js';
 import { ArrivalRate } from './arrival-rate.js';
 import { footprintOf, newJobFootprint } from './job-footprint.js';
 import { buildLoadSummary, type RefusedWork, type WaitingWork } from './load-summary-builder.js';
@@ -149,7 +148,7 @@
     if (prediction === undefined) return;
     const { completionMs: predictedMs, objectiveMs } = prediction;
     // A longer time only says that the result will be of no use; how much longer says nothing about the margin at that limit.
-    if (predictedMs > USEFUL_OBJECTIVES * objectiveMs) return;
+    if (predictedMs > LATE_LIMIT_OBJECTIVES * objectiveMs) return;
     this.#pending.set(job, { predictedMs, addedAt: now });
   }
 
