--- a/packages/cell/src/load/admission-gate.ts
+++ b/packages/cell/src/load/admission-gate.ts
@@ -116,7 +116,6 @@
     const { urgency } = prediction;
     const sinceMs = elapsedMs;
     this.#book.record({ id, queue: name, priority, service, work, urgency, dueAt, sinceMs });
-    const current = this.#sinceSummary;
     const predictedMs = Math.round(prediction.completionMs);
     ctx.metrics.count('admission.refused.overload');
     ctx.metrics.timing('admission.predicted-wait', prediction.startMs);
@@ -130,9 +129,7 @@
           marginMs: Math.round(marginMs),
           usefulMs: Math.round(usefulMs),
           sinceFirstRefusalMs: Math.round(elapsedMs),
-          summaryAgeMs: Math.round(now - (current?.computedAt ?? now)),
-          term: current?.summary.term,
-          sequence: current?.summary.sequence,
+          ...this.#summaryFields(),
           retryAfterMs,
         },
         'submission refused',
@@ -163,7 +160,6 @@
 
   #logReturned({ id, queue, firstRefusedAt }: Refusal, decision: AdmissionDecision): void {
     const now = this.#ctx.clock.now();
-    const current = this.#sinceSummary;
     const { prediction } = decision;
     this.#ctx.log.info(
       {
@@ -173,15 +169,21 @@
         reason: decision.outcome === 'accept' ? decision.reason : 'may-be-stored',
         predictedMs: prediction && Math.round(prediction.completionMs),
         sinceFirstRefusalMs: Math.round(now - firstRefusedAt),
-        errorLow: current?.summary.error.low,
-        summaryAgeMs: Math.round(now - (current?.computedAt ?? now)),
-        term: current?.summary.term,
-        sequence: current?.summary.sequence,
+        errorLow: this.#sinceSummary?.summary.error.low,
+        ...this.#summaryFields(),
       },
       'refused submission accepted',
     );
   }
 
+  /** The summary that a decision was based on, for the log. */
+  #summaryFields(): { summaryAgeMs: number; term?: number; sequence?: number } {
+    if (this.#sinceSummary === undefined) return { summaryAgeMs: 0 };
+    const { summary, computedAt } = this.#sinceSummary;
+    const summaryAgeMs = Math.round(this.#ctx.clock.now() - computedAt);
+    return { summaryAgeMs, term: summary.term, sequence: summary.sequence };
+  }
+
   /** A new summary contains what was accepted before. */
   #refresh(): UsableSummary | undefined {
     const current = this.#current();
