--- a/packages/core/src/request/runner-chooser.ts
+++ b/packages/core/src/request/runner-chooser.ts
@@ -223,11 +223,15 @@
     if (linked.some(({ runner }) => this.#ejector.health(runner.id, context.now) === 'closed')) {
       return [];
     }
-    return linked.filter(
-      (known) =>
-        isEligible(known, query) &&
-        hasRoom(known, this.#queuePerSlot, context) &&
-        this.#answersInTime(known, query, context),
+    return linked.filter((known) => this.#canTake(known, query, context));
+  }
+
+  /** Whether the runner could take the request, in choice or not. */
+  #canTake(known: KnownRunner, query: ChoiceQuery, context: LoadContext): boolean {
+    return (
+      isEligible(known, query) &&
+      hasRoom(known, this.#queuePerSlot, context) &&
+      this.#answersInTime(known, query, context)
     );
   }
 
@@ -246,12 +250,11 @@
     if (halfOpen.length === 0) return undefined;
     return this.#known
       .serving(query.kind)
-      .filter((known) => halfOpen.includes(known.runner.id) && isEligible(known, query))
+      .filter(({ runner }) => halfOpen.includes(runner.id))
       .find(
         (known) =>
           this.#ejector.mayUse(known.runner.id, context.now) &&
-          hasRoom(known, this.#queuePerSlot, context) &&
-          this.#answersInTime(known, query, context),
+          this.#canTake(known, query, context),
       );
   }
 
