--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -39,6 +39,7 @@
   const wasPlaceable = registry.fleet.isSchedulable(worker);
   const earlierLife = earlier?.id;
   const runsBefore = worker.assignments.size;
+  if (contact.runner === undefined) noteMissingRunner(registry, worker);
   worker.noteContact(registry.now(), contact.runner);
   if (contact.runner !== undefined && contact.runner.id !== earlierLife) {
     registry.log('new runner incarnation reported', {
@@ -71,6 +72,20 @@
   return ends.length > 0 || refused.length > 0 || hasChanged || factsChanged || !wasPlaceable;
 }
 
+/** Counts a contact without a runner, and logs the first one in a row if a runner or runs were known there. */
+function noteMissingRunner(registry: RunRegistry, worker: Worker): void {
+  registry.count('owner.contact-without-runner');
+  const { vm, runner, assignments, leaseEndsAt } = worker;
+  const isKnown = worker.isRunnerReported === false;
+  if (isKnown || (runner === undefined && assignments.size === 0)) return;
+  registry.log('guard reports no runner', {
+    vm,
+    earlierLife: runner?.id,
+    runs: assignments.size,
+    ...(leaseEndsAt === undefined ? {} : { leaseMs: Math.round(leaseEndsAt - registry.now()) }),
+  });
+}
+
 /** False if the runner's facts changed in a way that affects what may start there. */
 function hasSameFacts(a: RunnerFacts | undefined, b: RunnerFacts | undefined): boolean {
   if (a === undefined || b === undefined) return a === b;
--- a/packages/cell/src/worker/worker.ts
+++ b/packages/cell/src/worker/worker.ts
@@ -81,6 +81,8 @@
 
   #runner: RunnerFacts | undefined;
 
+  #isRunnerReported: boolean | undefined;
+
   constructor(vm: string) {
     this.vm = vm;
   }
@@ -90,6 +92,11 @@
     return this.#runner;
   }
 
+  /** Whether the latest contact reported a runner; undefined before the first contact. */
+  get isRunnerReported(): boolean | undefined {
+    return this.#isRunnerReported;
+  }
+
   get rack(): string {
     return rackOf(this.#runner?.labels ?? []);
   }
@@ -137,6 +144,7 @@
   /** The guard made contact. A new incarnation of its runner numbers its ended runs from 1 again. */
   noteContact(now: number, runner: RunnerFacts | undefined): void {
     this.#contactAt = now;
+    this.#isRunnerReported = runner !== undefined;
     if (runner === undefined) return;
     if (runner.id !== this.#runner?.id) {
       this.#pendingEnds.clear();
