--- a/packages/cell/src/owner/fleet.ts
+++ b/packages/cell/src/owner/fleet.ts
@@ -108,8 +108,9 @@
   }
 }
 
-function isAvailable({ runner, contactAt, avoidUntil, health }: Worker, now: number): boolean {
-  if (runner === undefined || runner.draining || !runner.reachable) return false;
+function isAvailable(worker: Worker, now: number): boolean {
+  const { runner, contactAt, avoidUntil, health } = worker;
+  if (!worker.hasReachableRunner || runner?.draining) return false;
   if (health.isQuarantined(now)) return false;
   return now - contactAt < MAX_CONTACT_AGE_MS && now >= avoidUntil;
 }
--- a/packages/cell/src/owner/waiting-report.ts
+++ b/packages/cell/src/owner/waiting-report.ts
@@ -78,7 +78,8 @@
     usable: usable.length,
     evacuated: workers.filter((worker) => registry.fleet.isEvacuated(worker)).length,
     draining: workers.filter(({ runner }) => runner?.draining).length,
-    unreachable: workers.filter(({ runner }) => runner?.reachable === false).length,
+    unreachable: workers.filter(({ runner, hasReachableRunner }) => runner && !hasReachableRunner)
+      .length,
     closed: workers.filter(({ health }) => health.isQuarantined(registry.now())).length,
     accelerators: sum(({ runner }) => runner?.capacity.accelerators ?? 0),
     free: sum((worker) => worker.freeCapacity().accelerators),
--- a/packages/cell/src/worker/worker.ts
+++ b/packages/cell/src/worker/worker.ts
@@ -97,6 +97,11 @@
     return this.#isRunnerReported;
   }
 
+  /** True if the latest contact reported a runner that answers its guard. */
+  get hasReachableRunner(): boolean {
+    return this.#isRunnerReported === true && this.#runner?.reachable === true;
+  }
+
   get rack(): string {
     return rackOf(this.#runner?.labels ?? []);
   }
