--- a/packages/cell/src/owner/lost-runners.feature
+++ b/packages/cell/src/owner/lost-runners.feature
@@ -7,3 +7,11 @@
     And 3 jobs that need a whole worker are submitted
     Then each of them completes
     And nothing was assigned to its worker
+
+  # Contacts without a runner moved the time of the last contact, against which the progress of the runs was judged.
+  Scenario: a run isn't taken for stalled while its guard looks for the runner
+    Given a cell of 2 entries and 1 worker
+    When a job that takes 6 s is submitted and has started
+    And the guard restarts and hears nothing of the runner for 2.5 s
+    Then it completes
+    And no run was stopped as stalled
--- a/packages/cell/src/owner/run-watchdog.ts
+++ b/packages/cell/src/owner/run-watchdog.ts
@@ -16,7 +16,7 @@
  * it for 5 s or more.
  */
 export function stopStalledRuns(registry: RunRegistry): void {
-  const answering = [...registry.fleet.all()].filter(({ runner }) => runner?.reachable);
+  const answering = [...registry.fleet.all()].filter((worker) => worker.hasReachableRunner);
   answering.forEach((worker) =>
     worker.assignments.forEach((assignment) => {
       const { jobId, ref, name } = assignment;
