--- a/packages/cell/src/worker/speed-learner.ts
+++ b/packages/cell/src/worker/speed-learner.ts
@@ -94,10 +94,10 @@
     return { workerSpeed: rounded };
   }
 
-  /** Learns from the paces of the runs that the worker's last contact listed. */
+  /** Learns from the paces of the runs that the worker's last contact listed. Progress is unknown while the runner isn't reachable. */
   noteContact(worker: Worker, observe: (assignment: Assignment) => ObservedRun | undefined): void {
     const runner = worker.runner?.id;
-    if (!this.#isOn || runner === undefined) return;
+    if (!this.#isOn || runner === undefined || !worker.hasReachableRunner) return;
     const now = this.#now();
     worker.speed.follow(runner, now);
     const paces = [...worker.assignments.values()].flatMap((assignment) => {
--- a/packages/cell/src/worker/worker-speed.feature
+++ b/packages/cell/src/worker/worker-speed.feature
@@ -23,6 +23,12 @@
     And a task of worker 2 takes 7 times as long
     Then all speeds are at least 0.6
 
+  # Each contact counted the last known progress once more, so that tasks of which nothing was known seemed to stand still.
+  Scenario: a worker whose guard has restarted and not found the runner yet isn't taken for slow
+    When tasks run for 60 s
+    And the guard of worker 2 reports no runner for 4 s
+    Then all speeds are at least 0.6
+
   Scenario: two long tasks on a worker that nothing is known of don't make it slow
     When two tasks on a new worker take 7 times as long
     Then its speed is 1
--- a/packages/cell/src/worker/worker-speed.steps.ts
+++ b/packages/cell/src/worker/worker-speed.steps.ts
@@ -92,8 +92,7 @@
     reachable: true,
     leaseLapsed: false,
   });
-  const runs = new Map(world.tasks.get(worker)?.map(({ run }) => [run.assignment, run]));
-  world.learner.noteContact(worker, (assignment) => runs.get(assignment));
+  learn(world, worker);
   const holder = world.holders.get(worker);
   const { workerSpeed } = world.learner.orderFor(worker, {
     workerSpeed: holder?.of(id, world.now),
@@ -101,6 +100,11 @@
   holder?.note(id, workerSpeed, world.now);
 }
 
+function learn({ tasks, learner }: SpeedSteps, worker: Worker): void {
+  const runs = new Map(tasks.get(worker)?.map(({ run }) => [run.assignment, run]));
+  learner.noteContact(worker, (assignment) => runs.get(assignment));
+}
+
 function startTask(
   world: SpeedSteps,
   worker: Worker,
@@ -265,6 +269,19 @@
   },
 );
 
+When(
+  'the guard of worker {int} reports no runner for {int} s',
+  function (this: SpeedSteps, number: number, seconds: number) {
+    const worker = workerAt(this, number);
+    const until = this.now + seconds * 1000;
+    while (this.now < until) {
+      this.now += TICK_MS;
+      worker.noteContact(this.now, undefined);
+      learn(this, worker);
+    }
+  },
+);
+
 When('the runner of worker {int} restarts', function (this: SpeedSteps, number: number) {
   const worker = workerAt(this, number);
   this.lives.set(worker, (this.lives.get(worker) ?? 0) + 1);
