--- a/packages/cell/src/guard/guard-app.ts
+++ b/packages/cell/src/guard/guard-app.ts
@@ -136,7 +136,7 @@
         if (orders.unconfirmedMs > MAX_UNCONFIRMED_MS) this.#owner.markSuspect();
         else this.#owner.markConfirmed();
         this.#supervisor.apply(orders, { sentAt, sent });
-        this.#contactIntervalMs = nextContactIntervalMs(orders);
+        this.#contactIntervalMs = nextContactIntervalMs(orders, sent);
       } catch (err) {
         this.#noteFailure(err);
       } finally {
@@ -162,8 +162,9 @@
   }
 }
 
-/** Time until the next contact, in ms. */
-function nextContactIntervalMs({ leaseMs, paces }: CellOrders): number {
+/** Time until the next contact, in ms. Without a runner there is nothing to wait for: its first listing is reported at once. */
+function nextContactIntervalMs({ leaseMs, paces }: CellOrders, sent: CellContact): number {
+  if (sent.runner === undefined) return CONTACT_INTERVAL_MS;
   if (paces.length > 0 || leaseMs === 0) return SHORT_CONTACT_INTERVAL_MS;
   return Math.min(CONTACT_INTERVAL_MS, leaseMs / CONTACTS_PER_LEASE);
 }
--- a/packages/cell/src/guard/runner-supervisor.ts
+++ b/packages/cell/src/guard/runner-supervisor.ts
@@ -123,8 +123,12 @@
   /** The report to the owner. */
   contact(): CellContact {
     const incarnation = this.#current;
-    if (!incarnation?.state.hasListing) return EMPTY_CONTACT;
+    if (incarnation === undefined) return EMPTY_CONTACT;
     const { state, orders } = incarnation;
+    if (!state.hasListing) {
+      // A start for the earlier incarnation may still reach this one: until it can't any more, the run may not start elsewhere.
+      return { ...EMPTY_CONTACT, inProgress: orders.mayStillStart ? orders.inProgress() : [] };
+    }
     const { mayStillStart } = orders;
     const contact = state.contact(this.#now(), orders.inProgress(), {
       mayStillStart,
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -282,9 +282,21 @@
     const unconfirmedMs = this.#unconfirmedMs();
     const answer = { term, unconfirmedMs, ...orders, ...speeds.orderFor(worker, peer.status) };
     if (unconfirmedMs >= LEASE_MAX_UNCONFIRMED_MS) return { ...answer, leaseMs: 0, starts: [] };
+    const leaseMs = this.#grantLease(worker, req);
+    return { ...answer, leaseMs };
+  }
+
+  /**
+   * Grants a lease of the returned length, in ms. A guard that reports no runner, and no start that may still reach one, passes no
+   * lease on: extending it would keep the runs of a runner that was lost. The first contact counts all the same, as the guard may have
+   * passed a lease on just before, under an earlier owner.
+   */
+  #grantLease(worker: Worker, { runner, inProgress }: CellContact): number {
+    const passesLeaseOn = runner !== undefined || inProgress.length > 0;
+    if (!passesLeaseOn && worker.leaseEndsAt !== undefined) return 0;
     const leaseMs = leaseDurationMs(worker.runner, this.#options.leaseMs);
     worker.grantLease(this.#registry.now(), leaseMs);
-    return { ...answer, leaseMs };
+    return passesLeaseOn ? leaseMs : 0;
   }
 
   /** Calls meant for a runner's previous incarnation may have given the new one, with the same id, the longest possible lease. */
