--- a/packages/cell/src/guard/run-order-dispatcher.ts
+++ b/packages/cell/src/guard/run-order-dispatcher.ts
@@ -129,18 +129,27 @@
     return this.#pendingStarts.size > this.#blocking.size || [...this.#blocking].some(mayBeLate);
   }
 
-  /** Starts that may still reach a later incarnation with the same id. */
-  possibleLateStarts(): RunName[] {
+  /** Starts that may still reach a later incarnation with the same id, and when each was last on its way. */
+  possibleLateStarts(): TimestampedRun[] {
     this.#dropExpiredStarts();
-    const runs = new Map([...this.#unansweredStarts, ...this.#pendingStarts]);
-    return [...runs.values()].map(({ task, run }) => ({ task, run }));
+    const now = this.#now();
+    const starts = new Map(this.#unansweredStarts);
+    this.#pendingStarts.forEach(({ task, run }, key) => {
+      if (!this.#blocking.has(key)) starts.set(key, { task, run, at: now });
+    });
+    return [...starts.values()];
   }
 
   /**
    * Prevents a run that an earlier incarnation was ordered to start from starting here. The run is in progress until the runner
-   * has accepted a stop of it. Then it is reported as refused, or as running if a call had started it before.
+   * has accepted a stop of it. Then it is reported as refused, or as running if a call had started it before. An incarnation that is
+   * gone for good never accepts the stop: the start may then happen only for as long as it can be late.
    */
-  block({ task, run }: RunName, target: BlockTarget): void {
+  block(start: TimestampedRun, target: BlockTarget): void {
+    const { task, run } = start;
+    const key = runKey(start);
+    this.#unansweredStarts.set(key, start);
+    this.#blocking.add(key);
     this.#trackInProgress({ task, run }, 'blocking a run failed', () =>
       this.#blockWithRetries({ task, run }, target),
     );
