--- a/packages/cell/src/guard/runner-lease.feature
+++ b/packages/cell/src/guard/runner-lease.feature
@@ -20,3 +20,7 @@
     Then at 2000 the deadline is 11050
     And at 6400 the lease has not expired
     And at 6700 the lease has expired
+
+  Scenario: a runner that was passed no lease has none left
+    Given the runner's clock showed 5000 at 100
+    Then at 200 the lease has expired
--- a/packages/cell/src/guard/runner-lease.ts
+++ b/packages/cell/src/guard/runner-lease.ts
@@ -20,7 +20,7 @@
   /** Latest end of any lease that was passed to the runner. */
   #issuedUntil: number;
 
-  /** `issuedUntil`: calls for an earlier incarnation may have passed a lease to this one that ends then. */
+  /** `issuedUntil`: others may have passed a lease to this incarnation that ends then; -Infinity if nobody can have. */
   constructor({ issuedUntil = -Infinity }: { issuedUntil?: number } = {}) {
     this.#issuedUntil = issuedUntil;
   }
@@ -47,7 +47,7 @@
 
   /** True once no lease that was passed to the runner can still be valid. */
   hasExpired(now: number): boolean {
-    if (!Number.isFinite(this.#issuedUntil)) return false;
+    if (this.#issuedUntil === -Infinity) return true;
     return (
       now >
       this.#issuedUntil + (MAX_CLOCK_SLOWDOWN - 1) * (now - this.#issuedUntil) + LEASE_SLACK_MS
--- a/packages/cell/src/guard/runner-state.ts
+++ b/packages/cell/src/guard/runner-state.ts
@@ -61,7 +61,7 @@
   }: {
     heartbeat: RunnerHeartbeat;
     now: number;
-    /** Until when a lease may be valid that calls for an earlier incarnation with the same id passed to this one. */
+    /** Until when a lease may be valid that others have passed to this incarnation; -Infinity if nobody can have. */
     issuedUntil?: number;
   }) {
     this.incarnationId = incarnationId(heartbeat);
--- /dev/null
+++ b/packages/cell/src/guard/runner-supervisor.feature
@@ -0,0 +1,16 @@
+Feature: what a guard that has just started reports of a runner that it loses
+
+  # The guard had passed no lease on, so that none could lapse: the runs of a runner that was lost right after its guard had started
+  # were reported as running for good.
+  Scenario: the runs of a runner that was lost before the owner granted a lease lapse
+    Given a guard that has just started beside a runner with a run, and leases of at most 4000 ms
+    When the runner is lost
+    Then 5000 ms after the start no lease is left
+
+  # The guard counted only its own, shorter lease: the run would have been started elsewhere while it could still be at work.
+  Scenario: a longer lease that the guard before it passed on doesn't lapse early
+    Given a guard that has just started beside a runner with a run, and leases of at most 4000 ms
+    When the owner grants a lease of 500 ms
+    And the runner is lost
+    Then 3000 ms after the start a lease may be left
+    And 5000 ms after the start no lease is left
--- a/packages/cell/src/guard/runner-supervisor.ts
+++ b/packages/cell/src/guard/runner-supervisor.ts
@@ -204,9 +204,10 @@
     this.#recordCrash();
     const now = this.#now();
     const keepsId = previous?.state.heartbeat.id === heartbeat.id;
-    // On the new incarnation's clock, a deadline for the previous one may be any time away: then the runner limits the lease to
-    // its maximum.
-    const issuedUntil = keepsId ? now + this.#maxLeaseMs : -Infinity;
+    // The guard before this one may have passed on a lease to the first incarnation. Under a known id, a deadline for the previous
+    // incarnation may be any time away on the clock of the new one. Either way the runner limits the lease to its maximum.
+    const mayHoldLease = previous === undefined || keepsId;
+    const issuedUntil = mayHoldLease ? now + this.#maxLeaseMs : -Infinity;
     const state = new RunnerState({ heartbeat, now, issuedUntil });
     const orders = this.#newDispatcher(state);
     const incarnation = { state, orders };
