--- a/packages/cell/src/guard/late-starts.feature
+++ b/packages/cell/src/guard/late-starts.feature
@@ -1,3 +1,4 @@
+@late-starts
 Feature: starts that a later incarnation of their runner may carry out
 
   # The block of such a start was repeated for good at an incarnation that was lost as well, and counted as a start that may still be
--- a/packages/cell/src/guard/late-starts.steps.ts
+++ b/packages/cell/src/guard/late-starts.steps.ts
@@ -1,50 +1,18 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { quietContext } from '@zincspan/core';
-import { sleep } from '../clock/sleep.js';
+import { LosableRunner } from '../testing/losable-runner.support.js';
 import { eventually } from '../testing/test-cell.support.js';
 import { RunOrderDispatcher } from './run-order-dispatcher.js';
-import type { RunnerAnswer, RunnerApi } from './runner-api.js';
 
 const RUN = { task: '0000000000000001.0.0.0', run: 1 };
 
-/** Time until a call fails, in ms. */
-const CALL_MS = 5;
-
-/** A runner that is gone. */
-class LostRunner implements RunnerApi {
-  /** Number of calls to start a run. */
-  starts = 0;
-
-  async start(): Promise<RunnerAnswer> {
-    this.starts += 1;
-    return this.#fail();
-  }
-
-  async stop(): Promise<RunnerAnswer> {
-    return this.#fail();
-  }
-
-  async pace(): Promise<RunnerAnswer> {
-    return this.#fail();
-  }
-
-  async poll(): Promise<RunnerAnswer<never>> {
-    return this.#fail();
-  }
-
-  async #fail(): Promise<RunnerAnswer<never>> {
-    await sleep(CALL_MS);
-    return { outcome: 'no-answer', detail: 'connection refused' };
-  }
-}
-
 interface LateStartSteps {
   /** On the guard's monotonic clock, in ms. */
   now: number;
   hasEnded: boolean;
   ctx: ReturnType<typeof quietContext>;
-  runner: LostRunner;
+  runner: LosableRunner;
   first: RunOrderDispatcher;
   next: RunOrderDispatcher;
 }
@@ -64,7 +32,7 @@
   };
 }
 
-After(function (this: Partial<LateStartSteps>) {
+After({ tags: '@late-starts' }, function (this: LateStartSteps) {
   this.hasEnded = true;
 });
 
@@ -72,7 +40,8 @@
   Object.assign(this, { now: 0, hasEnded: false });
   const now = (): number => this.now;
   this.ctx = quietContext({ id: 'worker-1', role: 'guard', clock: { now, wall: now } });
-  this.runner = new LostRunner();
+  this.runner = new LosableRunner();
+  this.runner.isLost = true;
   this.first = newDispatcher(this);
   this.first.start({ ...RUN, spec: '', checkpoint: '' }, targetOf(this));
   // Repeated: the first call got no answer.
--- a/packages/cell/src/guard/runner-supervisor.feature
+++ b/packages/cell/src/guard/runner-supervisor.feature
@@ -1,3 +1,4 @@
+@runner-supervisor
 Feature: what a guard that has just started reports of a runner that it loses
 
   # The guard had passed no lease on, so that none could lapse: the runs of a runner that was lost right after its guard had started
--- a/packages/cell/src/guard/runner-supervisor.steps.ts
+++ b/packages/cell/src/guard/runner-supervisor.steps.ts
@@ -1,51 +1,12 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { quietContext } from '@zincspan/core';
-import { sleep } from '../clock/sleep.js';
+import { LosableRunner } from '../testing/losable-runner.support.js';
 import { eventually } from '../testing/test-cell.support.js';
-import type { RunListing, RunnerAnswer, RunnerApi } from './runner-api.js';
 import { RunnerSupervisor } from './runner-supervisor.js';
 
 const BORN_MS = 1000;
 
-/** Time until a lost runner's calls fail, in ms. */
-const CALL_MS = 5;
-
-/** A runner with one run, which answers until it is lost. */
-class LosableRunner implements RunnerApi {
-  isLost = false;
-
-  /** Leases that were passed to it. */
-  leases = 0;
-
-  async start(): Promise<RunnerAnswer> {
-    return this.#answer({});
-  }
-
-  async stop(): Promise<RunnerAnswer> {
-    return this.#answer({});
-  }
-
-  async pace(): Promise<RunnerAnswer> {
-    return this.#answer({});
-  }
-
-  async poll(
-    _: unknown,
-    { deadlineMs }: Parameters<RunnerApi['poll']>[1],
-  ): Promise<RunnerAnswer<RunListing>> {
-    if (deadlineMs !== undefined) this.leases += 1;
-    const run = { task: '0000000000000001.0.0.0', run: 1, checkpoint: '', percent: 3 };
-    return this.#answer({ running: [run], ends: [], bornMs: BORN_MS });
-  }
-
-  async #answer<T>(content: T): Promise<RunnerAnswer<T>> {
-    await sleep(CALL_MS);
-    if (this.isLost) return { outcome: 'no-answer', detail: 'connection refused' };
-    return { outcome: 'ok', clockMs: 0, ...content };
-  }
-}
-
 interface SupervisorSteps {
   /** On the guard's monotonic clock, in ms. */
   now: number;
@@ -53,15 +14,15 @@
   supervisor: RunnerSupervisor;
 }
 
-After(function (this: Partial<SupervisorSteps>) {
-  this.supervisor?.stop();
+After({ tags: '@runner-supervisor' }, function (this: SupervisorSteps) {
+  this.supervisor.stop();
 });
 
 Given(
   'a guard that has just started beside a runner with a run, and leases of at most {int} ms',
   async function (this: SupervisorSteps, maxLeaseMs: number) {
     this.now = 0;
-    this.runner = new LosableRunner();
+    this.runner = new LosableRunner({ bornMs: BORN_MS });
     const now = (): number => this.now;
     const ctx = quietContext({ id: 'worker-1', role: 'guard', clock: { now, wall: now } });
     const { runner } = this;
--- a/packages/cell/src/owner/cell-owner.ts
+++ b/packages/cell/src/owner/cell-owner.ts
@@ -30,7 +30,7 @@
 import { MAX_START_DURATION_MS } from '../guard/run-order-dispatcher.js';
 import { ordersFor, applyContact } from './contact-handler.js';
 import { EndedJobSweeper } from './ended-job-sweeper.js';
-import { leaseDurationMs } from './lease-duration.js';
+import { grantLease } from './lease-duration.js';
 import type { OwnedJob } from './owned-job.js';
 import type { ReclaimBounds } from './placement-types.js';
 import { ProgressWriter, type FencedTransact } from './progress-writer.js';
@@ -282,23 +282,13 @@
     const unconfirmedMs = this.#unconfirmedMs();
     const answer = { term, unconfirmedMs, ...orders, ...speeds.orderFor(worker, peer.status) };
     if (unconfirmedMs >= LEASE_MAX_UNCONFIRMED_MS) return { ...answer, leaseMs: 0, starts: [] };
-    const leaseMs = this.#grantLease(worker, req);
+    const leaseMs = grantLease(worker, req, {
+      now: this.#registry.now(),
+      holdMs: this.#options.leaseMs,
+    });
     return { ...answer, leaseMs };
   }
 
-  /**
-   * Grants a lease of the returned length, in ms. A guard that reports no runner, and no start that may still reach one, passes no
-   * lease on: extending it would keep the runs of a runner that was lost. The first contact counts all the same, as the guard may have
-   * passed a lease on just before, under an earlier owner.
-   */
-  #grantLease(worker: Worker, { runner, inProgress }: CellContact): number {
-    const passesLeaseOn = runner !== undefined || inProgress.length > 0;
-    if (!passesLeaseOn && worker.leaseEndsAt !== undefined) return 0;
-    const leaseMs = leaseDurationMs(worker.runner, this.#options.leaseMs);
-    worker.grantLease(this.#registry.now(), leaseMs);
-    return passesLeaseOn ? leaseMs : 0;
-  }
-
   /** Calls meant for a runner's previous incarnation may have given the new one, with the same id, the longest possible lease. */
   #grantToReplacedRunner(worker: Worker, { runner }: CellContact): void {
     const earlier = worker.runner?.id;
--- a/packages/cell/src/owner/contact-handler.ts
+++ b/packages/cell/src/owner/contact-handler.ts
@@ -76,8 +76,8 @@
 function noteMissingRunner(registry: RunRegistry, worker: Worker): void {
   registry.count('owner.contact-without-runner');
   const { vm, runner, assignments, leaseEndsAt } = worker;
-  const isKnown = worker.isRunnerReported === false;
-  if (isKnown || (runner === undefined && assignments.size === 0)) return;
+  const wasMissing = worker.isRunnerReported === false;
+  if (wasMissing || (runner === undefined && assignments.size === 0)) return;
   registry.log('guard reports no runner', {
     vm,
     earlierLife: runner?.id,
--- /dev/null
+++ b/packages/cell/src/testing/losable-runner.support.ts
@@ -0,0 +1,51 @@
+/** A runner with one run for a guard of a test. It answers until it is lost. */
+import { sleep } from '../clock/sleep.js';
+import type { RunListing, RunnerAnswer, RunnerApi } from '../guard/runner-api.js';
+
+/** Time that a call takes, in ms. */
+const CALL_MS = 5;
+
+/** Answers all calls until `isLost` is set. */
+export class LosableRunner implements RunnerApi {
+  isLost = false;
+
+  /** Number of calls to start a run. */
+  starts = 0;
+
+  /** Number of leases that were passed to it. */
+  leases = 0;
+
+  readonly #bornMs: number | undefined;
+
+  constructor({ bornMs }: { bornMs?: number } = {}) {
+    this.#bornMs = bornMs;
+  }
+
+  async start(): Promise<RunnerAnswer> {
+    this.starts += 1;
+    return this.#answer({});
+  }
+
+  async stop(): Promise<RunnerAnswer> {
+    return this.#answer({});
+  }
+
+  async pace(): Promise<RunnerAnswer> {
+    return this.#answer({});
+  }
+
+  async poll(
+    _: unknown,
+    { deadlineMs }: Parameters<RunnerApi['poll']>[1],
+  ): Promise<RunnerAnswer<RunListing>> {
+    if (deadlineMs !== undefined) this.leases += 1;
+    const run = { task: '0000000000000001.0.0.0', run: 1, checkpoint: '', percent: 3 };
+    return this.#answer({ running: [run], ends: [], bornMs: this.#bornMs });
+  }
+
+  async #answer<T>(content: T): Promise<RunnerAnswer<T>> {
+    await sleep(CALL_MS);
+    if (this.isLost) return { outcome: 'no-answer', detail: 'connection refused' };
+    return { outcome: 'ok', clockMs: 0, ...content };
+  }
+}
--- a/packages/core/src/message/cell-messages.ts
+++ b/packages/core/src/message/cell-messages.ts
@@ -87,12 +87,12 @@
 
 /** What a guard tells the owner: all that it knows, each time. */
 export const cellContactSchema = z.strictObject({
-  /** Absent until a runner has announced itself. */
+  /** Absent until a runner has announced itself and listed its runs. */
   runner: z.optional(runnerFactsSchema),
   running: z.array(runStatusSchema),
   /** Ends that the owner hasn't confirmed yet. */
   ends: z.array(listedEndSchema),
-  /** Orders that are being carried out. */
+  /** Orders that are being carried out. Without a runner: starts for an earlier one that may still reach it. */
   inProgress: z.array(runNameSchema),
   refused: z.array(runNameSchema.extend({ reason: startRefusalSchema })),
   /** The last crash of the runner beside the guard, told again for some seconds: the owner may change meanwhile. */
