--- a/packages/cell/src/guard/runner-supervisor.feature
+++ b/packages/cell/src/guard/runner-supervisor.feature
@@ -15,3 +15,10 @@
     And the runner is lost
     Then 3000 ms after the start a lease may be left
     And 5000 ms after the start no lease is left
+
+  # Without this report, the owner would let the worker's lease end and start the task elsewhere while the start may still be carried out.
+  Scenario: a start that may reach a new incarnation is reported before that one has listed its runs
+    Given a guard that has just started beside a runner with a run, and leases of at most 4000 ms
+    When the owner orders a start that the runner doesn't answer
+    And the runner restarts under its id and is lost before it has listed its runs
+    Then the guard reports no runner, but the start as in progress
--- a/packages/cell/src/guard/runner-supervisor.steps.ts
+++ b/packages/cell/src/guard/runner-supervisor.steps.ts
@@ -1,17 +1,57 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { quietContext } from '@zincspan/core';
+import { quietContext, type StartOrder } from '@zincspan/core';
 import { LosableRunner } from '../testing/losable-runner.support.js';
 import { eventually } from '../testing/test-cell.support.js';
 import { RunnerSupervisor } from './runner-supervisor.js';
 
 const BORN_MS = 1000;
+const NEXT_BORN_MS = 2000;
+
+const ORDER = { task: '0000000000000002.0.0.0', run: 1, spec: '', checkpoint: '' };
 
 interface SupervisorSteps {
   /** On the guard's monotonic clock, in ms. */
   now: number;
   runner: LosableRunner;
   supervisor: RunnerSupervisor;
+  /** The runner is lost as soon as the guard adopts its next incarnation. */
+  isLostOnceAdopted?: boolean;
+}
+
+function noteHeartbeat({ supervisor }: SupervisorSteps, bornMs: number): void {
+  supervisor.noteHeartbeat({
+    id: 'runner-1',
+    address: '127.0.0.1:1',
+    service: 'render',
+    failureDomain: 'hall',
+    labels: [],
+    capacity: { milliCores: 1, memoryMb: 1, accelerators: 1 },
+    draining: false,
+    bornMs,
+    sequence: 1,
+  });
+}
+
+/** The owner answers a contact with a lease and orders to start these runs. */
+function grantLease(
+  { now, supervisor }: SupervisorSteps,
+  { leaseMs, starts = [] }: { leaseMs: number; starts?: StartOrder[] },
+): void {
+  const sent = supervisor.contact();
+  supervisor.apply(
+    {
+      term: 1,
+      runner: sent.runner?.id ?? '',
+      leaseMs,
+      unconfirmedMs: 0,
+      confirmedEnd: 0,
+      starts,
+      stops: [],
+      paces: [],
+    },
+    { sentAt: now, sent },
+  );
 }
 
 After({ tags: '@runner-supervisor' }, function (this: SupervisorSteps) {
@@ -24,40 +64,50 @@
     this.now = 0;
     this.runner = new LosableRunner({ bornMs: BORN_MS });
     const now = (): number => this.now;
-    const ctx = quietContext({ id: 'worker-1', role: 'guard', clock: { now, wall: now } });
     const { runner } = this;
+    const note = (_: object, msg: string): void => {
+      if (this.isLostOnceAdopted && msg === 'new runner incarnation adopted') runner.isLost = true;
+    };
+    const clock = { now, wall: now };
+    const log = { info: note, warn: note, error: note };
+    const ctx = quietContext({ id: 'worker-1', role: 'guard', clock, log });
     this.supervisor = new RunnerSupervisor({ ctx, runner, maxLeaseMs, onChange: () => {} });
-    this.supervisor.noteHeartbeat({
-      id: 'runner-1',
-      address: '127.0.0.1:1',
-      service: 'render',
-      failureDomain: 'hall',
-      labels: [],
-      capacity: { milliCores: 1, memoryMb: 1, accelerators: 1 },
-      draining: false,
-      bornMs: BORN_MS,
-      sequence: 1,
-    });
+    noteHeartbeat(this, BORN_MS);
     assert.ok(await eventually(() => this.supervisor.contact().running.length === 1));
   },
 );
 
-When('the owner grants a lease of {int} ms', async function (this: SupervisorSteps, leaseMs) {
-  const sent = this.supervisor.contact();
-  this.supervisor.apply(
-    {
-      term: 1,
-      runner: sent.runner?.id ?? '',
-      leaseMs,
-      unconfirmedMs: 0,
-      confirmedEnd: 0,
-      starts: [],
-      stops: [],
-      paces: [],
-    },
-    { sentAt: this.now, sent },
-  );
-  assert.ok(await eventually(() => this.runner.leases > 0));
+When(
+  'the owner grants a lease of {int} ms',
+  async function (this: SupervisorSteps, leaseMs: number) {
+    grantLease(this, { leaseMs });
+    assert.ok(await eventually(() => this.runner.leases > 0));
+  },
+);
+
+When(
+  "the owner orders a start that the runner doesn't answer",
+  async function (this: SupervisorSteps) {
+    this.runner.answersStarts = false;
+    grantLease(this, { leaseMs: 4000, starts: [ORDER] });
+    assert.ok(await eventually(() => this.runner.starts > 1));
+  },
+);
+
+When(
+  'the runner restarts under its id and is lost before it has listed its runs',
+  async function (this: SupervisorSteps) {
+    this.isLostOnceAdopted = true;
+    this.runner.bornMs = NEXT_BORN_MS;
+    noteHeartbeat(this, NEXT_BORN_MS);
+    assert.ok(await eventually(() => this.runner.isLost));
+  },
+);
+
+Then('the guard reports no runner, but the start as in progress', function (this: SupervisorSteps) {
+  const { runner, inProgress } = this.supervisor.contact();
+  assert.equal(runner, undefined);
+  assert.deepEqual(inProgress, [{ task: ORDER.task, run: ORDER.run }]);
 });
 
 When('the runner is lost', function (this: SupervisorSteps) {
--- a/packages/cell/src/testing/losable-runner.support.ts
+++ b/packages/cell/src/testing/losable-runner.support.ts
@@ -9,21 +9,25 @@
 export class LosableRunner implements RunnerApi {
   isLost = false;
 
+  /** False: no start is answered. */
+  answersStarts = true;
+
+  /** Start time of its present incarnation. */
+  bornMs: number | undefined;
+
   /** Number of calls to start a run. */
   starts = 0;
 
   /** Number of leases that were passed to it. */
   leases = 0;
 
-  readonly #bornMs: number | undefined;
-
   constructor({ bornMs }: { bornMs?: number } = {}) {
-    this.#bornMs = bornMs;
+    this.bornMs = bornMs;
   }
 
   async start(): Promise<RunnerAnswer> {
     this.starts += 1;
-    return this.#answer({});
+    return this.#answer({}, this.answersStarts);
   }
 
   async stop(): Promise<RunnerAnswer> {
@@ -40,12 +44,12 @@
   ): Promise<RunnerAnswer<RunListing>> {
     if (deadlineMs !== undefined) this.leases += 1;
     const run = { task: '0000000000000001.0.0.0', run: 1, checkpoint: '', percent: 3 };
-    return this.#answer({ running: [run], ends: [], bornMs: this.#bornMs });
+    return this.#answer({ running: [run], ends: [], bornMs: this.bornMs });
   }
 
-  async #answer<T>(content: T): Promise<RunnerAnswer<T>> {
+  async #answer<T>(content: T, isAnswered = true): Promise<RunnerAnswer<T>> {
     await sleep(CALL_MS);
-    if (this.isLost) return { outcome: 'no-answer', detail: 'connection refused' };
+    if (this.isLost || !isAnswered) return { outcome: 'no-answer', detail: 'connection refused' };
     return { outcome: 'ok', clockMs: 0, ...content };
   }
 }
