--- a/packages/cell/src/owner/lease-duration.feature
+++ b/packages/cell/src/owner/lease-duration.feature
@@ -6,9 +6,9 @@
     Then its lease <is extended or not>
 
     Examples:
-      | that reports what                        | is extended or not |
-      | with a runner                            | is extended        |
-      | without a runner                         | is not extended    |
+      | that reports what                         | is extended or not |
+      | with a runner                             | is extended        |
+      | without a runner                          | is not extended    |
       | without a runner, with a start on its way | is extended        |
 
   # What a guard passed on under an earlier owner isn't known to the present one.
