Verify heartbeats independently of each other, whatever their addresses

Cause: HttpClient.call rejected for an address of which no URL can be made, though it is documented never to. The guard verified one unknown heartbeat at a time, and its flag was not reset on that path, so that all heartbeats of unknown incarnations were dropped from then on.

Ruled out: the owner (it was told of no runner), the service that isn't configured (with a well-formed address the case held, by its claim).

--- a/packages/cell/src/guard/runner-supervisor.feature
+++ b/packages/cell/src/guard/runner-supervisor.feature
@@ -22,3 +22,22 @@
     When the owner orders a start that the runner doesn't answer
     And the runner restarts under its id and is lost before it has listed its runs
     Then the guard reports no runner, but the start as in progress
+
+  # The check of a foreign heartbeat stayed in progress for good, or for its time-out, and the heartbeats of the guard's own runner were
+  # dropped meanwhile: the guard used no runner until it was restarted.
+  Scenario Outline: a foreign heartbeat doesn't keep a guard from using its own runner
+    Given a guard that has received a foreign heartbeat whose sender <is what>
+    When its own runner sends a heartbeat
+    Then the guard reports its own runner at once
+
+    Examples:
+      | is what           |
+      | can't be called   |
+      | gives no answer   |
+
+  # While the guard knew the runner before, the same fault kept it from using the next one.
+  Scenario: a foreign heartbeat doesn't keep a guard from using its restarted runner
+    Given a guard that has just started beside a runner with a run, and leases of at most 4000 ms
+    When it receives a foreign heartbeat whose sender can't be called
+    And its own runner restarts and sends a heartbeat
+    Then the guard reports the restarted runner at once
--- a/packages/cell/src/guard/runner-supervisor.ts
+++ b/packages/cell/src/guard/runner-supervisor.ts
@@ -3,12 +3,13 @@
  * owner hasn't received yet.
  */
 import type { CellContact, CellOrders, ProcessContext, RunnerCrash } from '@zincspan/core';
+import { HeartbeatVerifier, listingOf } from './heartbeat-verifier.js';
 import { RunOrderDispatcher, type OrderTarget } from './run-order-dispatcher.js';
-import type { RunListing, RunnerAnswer, RunnerApi, RunnerHeartbeat } from './runner-api.js';
+import type { RunnerApi, RunnerHeartbeat } from './runner-api.js';
 import { RunnerState } from './runner-state.js';
 import { SpeedHolder } from './speed-holder.js';
 import { sleep } from '../clock/sleep.js';
-import { isSameIncarnation, incarnationId, type RunnerIdentity } from '../runner/incarnation-id.js';
+import { isSameIncarnation } from '../runner/incarnation-id.js';
 
 /**
  * How long a poll waits for a run to end, in ms. Progress is read and leases are renewed at this rate, at least once in each
@@ -62,7 +63,7 @@
 
   #term = 0;
 
-  #verifying: string | undefined;
+  readonly #verifier: HeartbeatVerifier;
 
   #stopped = false;
 
@@ -81,6 +82,7 @@
   }) {
     this.#ctx = ctx;
     this.#runner = runner;
+    this.#verifier = new HeartbeatVerifier({ ctx, runner });
     this.#maxLeaseMs = maxLeaseMs;
     this.#onChange = onChange;
   }
@@ -97,7 +99,7 @@
   noteHeartbeat(heartbeat: RunnerHeartbeat): void {
     const state = this.#current?.state;
     if (state === undefined || !isSameIncarnation(heartbeat, state.heartbeat)) {
-      void this.#verify(heartbeat);
+      if (!this.#stopped) void this.#verify(heartbeat);
       return;
     }
     const change = state.noteHeartbeat(heartbeat);
@@ -173,30 +175,14 @@
   }
 
   async #verify(heartbeat: RunnerHeartbeat): Promise<void> {
-    if (this.#verifying !== undefined || this.#stopped) return;
-    this.#verifying = heartbeat.id;
-    const answer = await this.#runner.poll(
-      heartbeat,
-      { term: this.#term, confirmedEnd: 0, waitMs: 0 },
-      { timeoutMs: POLL_SLACK_MS },
-    );
-    this.#verifying = undefined;
-    // A runner that refuses the term is alive all the same: the guard of a newer owner has called it. Under a known id a refusal
-    // says nothing.
-    const isKnownId = this.#current?.state.heartbeat.id === heartbeat.id;
-    const isRefusal = answer.outcome === 'refused' && !isKnownId;
-    const isAlive = isRefusal || listingOf(answer, heartbeat) !== undefined;
-    if (isAlive && !this.#stopped) {
-      this.#adopt(heartbeat);
-      return;
-    }
-    this.#ctx.metrics.count('runner.unverified');
-    const { outcome } = answer;
-    const bornMs = outcome === 'ok' ? answer.bornMs : undefined;
-    this.#ctx.log.info(
-      { runner: incarnationId(heartbeat), outcome, bornMs },
-      'runner heartbeat ignored: the runner did not confirm this incarnation',
-    );
+    const previous = this.#current;
+    const isConfirmed = await this.#verifier.confirm(heartbeat, {
+      term: this.#term,
+      isKnownId: previous?.state.heartbeat.id === heartbeat.id,
+    });
+    // The answer may be older than an incarnation that was adopted meanwhile. A live runner sends another heartbeat.
+    if (!isConfirmed || this.#stopped || this.#current !== previous) return;
+    this.#adopt(heartbeat);
   }
 
   #adopt(heartbeat: RunnerHeartbeat): void {
@@ -366,14 +352,6 @@
   }
 }
 
-/** The listing, if this incarnation sent it: an answer under the runner's id doesn't tell. */
-function listingOf(
-  answer: RunnerAnswer<RunListing>,
-  { bornMs }: RunnerIdentity,
-): (RunListing & { clockMs: number }) | undefined {
-  return answer.outcome === 'ok' && answer.bornMs === bornMs ? answer : undefined;
-}
-
 /** Runs that were on the runner when the outage began, for a log line: the youngest first, as one of them may have crashed it. */
 function describeRuns({ outage }: RunnerState): { runs: number; youngest: string } {
   const runs = [...(outage?.runs ?? [])].sort((a, b) => a.ranMs - b.ranMs);
--- a/packages/cell/src/testing/losable-runner.support.ts
+++ b/packages/cell/src/testing/losable-runner.support.ts
@@ -1,6 +1,11 @@
 /** A runner with one run for a guard of a test. It answers until it is lost. */
 import { sleep } from '../clock/sleep.js';
-import type { RunListing, RunnerAnswer, RunnerApi } from '../guard/runner-api.js';
+import type {
+  RunListing,
+  RunnerAnswer,
+  RunnerApi,
+  RunnerIncarnation,
+} from '../guard/runner-api.js';
 
 /** Time that a call takes, in ms. */
 const CALL_MS = 5;
@@ -38,10 +43,15 @@
     return this.#answer({});
   }
 
+  /** Calls to other addresses than the runner's own, by what they do; the others are answered. */
+  readonly foreignAddresses = new Map<string, () => Promise<RunnerAnswer<RunListing>>>();
+
   async poll(
-    _: unknown,
+    { address }: RunnerIncarnation,
     { deadlineMs }: Parameters<RunnerApi['poll']>[1],
   ): Promise<RunnerAnswer<RunListing>> {
+    const foreignCall = this.foreignAddresses.get(address);
+    if (foreignCall !== undefined) return foreignCall();
     if (deadlineMs !== undefined) this.leases += 1;
     const run = { task: '0000000000000001.0.0.0', run: 1, checkpoint: '', percent: 3 };
     return this.#answer({ running: [run], ends: [], bornMs: this.bornMs });
