Take no run for gone by a listing that lacks ends

Cause: a runner lists 500 unconfirmed ends at a time, and the guard took the listing as complete. Runs with later ends were ordered again, refused by the runner as "old", reported as refused, marked as lost and placed anew.

Ruled out: a lapsed lease and an end that was lost (the ends were listed and confirmed).

Change: listings say whether there are more ends. Only a full listing shows that a run isn't there; until then runs that were there are in progress, and refused or stopped runs are not reported as refused. The stand-in's runner lists 500 ends at a time as the platform's does.

--- a/packages/cell/src/guard/runner-api.ts
+++ b/packages/cell/src/guard/runner-api.ts
@@ -54,6 +54,8 @@
   running: RunStatus[];
   /** Ended runs that the guard hasn't confirmed yet. */
   ends: ListedEnd[];
+  /** There may be further ended runs: the runner lists them once some of these are confirmed. */
+  hasMoreEnds: boolean;
   /** Start time of the incarnation that answered, as in its heartbeats. */
   bornMs: number | undefined;
 }
--- a/packages/cell/src/guard/runner-state.feature
+++ b/packages/cell/src/guard/runner-state.feature
@@ -51,3 +51,25 @@
       | is being blocked  | 2900 | hasn't        |
       | is being blocked  | 6000 | has           |
       | may be sent again | 6000 | hasn't        |
+
+  # The end of the run comes in a later listing. A run that was taken for refused or gone was started again after it had ended.
+  Scenario Outline: a run that a listing without all ends doesn't show isn't reported as refused or gone
+    Given a runner that <did what> at 100
+    When a listing requested at 200 shows other ends only, and there are more
+    Then the run is reported as in progress
+    And the run isn't reported as refused
+    When a listing requested at 300 shows the end of the run
+    Then the run is reported as ended
+
+    Examples:
+      | did what                    |
+      | lists a run                 |
+      | answered the start of a run |
+      | refused a run               |
+
+  Scenario: a run that was stopped is reported as refused once a full listing doesn't show it
+    Given a runner that answered the stop of a run at 100
+    When a listing requested at 200 shows other ends only, and there are more
+    Then the run isn't reported as refused
+    When a listing requested at 300 doesn't show the run
+    Then the run is reported as refused
--- a/packages/cell/src/guard/runner-state.steps.ts
+++ b/packages/cell/src/guard/runner-state.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import type { CellContact, RunName } from '@zincspan/core';
 import type { TimestampedRun } from './outage-tracker.js';
 import { RunnerState } from './runner-state.js';
 
@@ -23,6 +24,22 @@
   return refused.some(({ task }) => task === RUN.task);
 }
 
+function contactOf({ state }: StateSteps): CellContact {
+  return state.contact(CONTACT_AT, [], { mayStillStart: false });
+}
+
+/** A listing without running runs, with the end of one run. */
+function listEnd(
+  { state }: StateSteps,
+  { task, run, hasMoreEnds, sentAt }: RunName & { hasMoreEnds: boolean; sentAt: number },
+): void {
+  const ends = [{ number: 1, task, run, how: 'done' as const, checkpoint: '' }];
+  state.noteListing(
+    { clockMs: 0, running: [], ends, hasMoreEnds, bornMs: undefined },
+    { sentAt, now: sentAt + 10 },
+  );
+}
+
 function newState(): RunnerState {
   const heartbeat = {
     id: 'runner-1',
@@ -41,17 +58,59 @@
 Given('a runner that answered the stop of a run at {int}', function (this: StateSteps, at: number) {
   this.state = newState();
   this.state.noteListing(
-    { clockMs: 0, running: [], ends: [], bornMs: undefined },
+    { clockMs: 0, running: [], ends: [], hasMoreEnds: false, bornMs: undefined },
     { sentAt: 10, now: 20 },
   );
   this.state.noteStopped(RUN, at);
 });
 
+Given(
+  'a runner that answered the start of a run at {int}',
+  function (this: StateSteps, at: number) {
+    this.state = newState();
+    this.state.noteStarted(RUN, at);
+  },
+);
+
+Given('a runner that refused a run at {int}', function (this: StateSteps, at: number) {
+  this.state = newState();
+  this.state.noteRefused({ ...RUN, reason: 'old', at });
+});
+
+When(
+  'a listing requested at {int} shows other ends only, and there are more',
+  function (this: StateSteps, sentAt: number) {
+    listEnd(this, { task: OTHER_TASK, run: 1, hasMoreEnds: true, sentAt });
+  },
+);
+
+When(
+  'a listing requested at {int} shows the end of the run',
+  function (this: StateSteps, sentAt: number) {
+    listEnd(this, { ...RUN, hasMoreEnds: false, sentAt });
+  },
+);
+
+Then('the run is reported as in progress', function (this: StateSteps) {
+  const { running, inProgress } = contactOf(this);
+  assert.deepEqual(inProgress, [RUN]);
+  assert.deepEqual(running, []);
+});
+
+Then('the run is reported as ended', function (this: StateSteps) {
+  const { ends, inProgress } = contactOf(this);
+  assert.deepEqual(
+    ends.map(({ task }) => task),
+    [RUN.task],
+  );
+  assert.deepEqual(inProgress, []);
+});
+
 Given('a runner that lists a run at {int}', function (this: StateSteps, at: number) {
   this.state = newState();
   const running = [{ ...RUN, checkpoint: '', percent: 3 }];
   this.state.noteListing(
-    { clockMs: 0, running, ends: [], bornMs: undefined },
+    { clockMs: 0, running, ends: [], hasMoreEnds: false, bornMs: undefined },
     { sentAt: at, now: at + 10 },
   );
 });
@@ -131,7 +190,7 @@
   "a listing requested at {int} doesn't show the run",
   function (this: StateSteps, sentAt: number) {
     this.state.noteListing(
-      { clockMs: 0, running: [], ends: [], bornMs: undefined },
+      { clockMs: 0, running: [], ends: [], hasMoreEnds: false, bornMs: undefined },
       { sentAt, now: sentAt + 10 },
     );
   },
--- a/packages/cell/src/guard/runner-state.ts
+++ b/packages/cell/src/guard/runner-state.ts
@@ -28,20 +28,26 @@
 
   #heartbeat: RunnerHeartbeat;
 
-  #listing: RunListing = { running: [], ends: [], bornMs: undefined };
+  #listing: RunListing = { running: [], ends: [], hasMoreEnds: false, bornMs: undefined };
 
   /** When the last listing was requested. */
   #listingSentAt = -Infinity;
 
+  /** When the last listing with all ended runs was requested. Only from such a listing does a run's absence say anything. */
+  #fullListingSentAt = -Infinity;
+
+  /** Runs that have ended, and whose ends the runner hasn't listed yet. */
+  readonly #unlistedEnds = new Map<string, RunName>();
+
   #answeredAt: number;
 
   /** Runs that were started after the last listing was requested. */
   readonly #started = new Map<string, RunName & Timestamped>();
 
-  /** Refused runs, reported only once a later listing shows that they aren't there. */
+  /** Refused runs, reported only once a later full listing shows that they aren't there. */
   readonly #refused = new Map<string, RefusedRun>();
 
-  /** Stops that were answered and that no listing reflects yet. */
+  /** Stops that were answered and that no full listing reflects yet. */
   readonly #stopped = new Map<string, RunName & Timestamped>();
 
   readonly #outageTracker = new OutageTracker();
@@ -91,7 +97,7 @@
 
   /** True if only a new listing can show what became of a run that was stopped or refused. */
   get needsListing(): boolean {
-    const isUnlisted = [...this.#refused.values()].some(({ at }) => at >= this.#listingSentAt);
+    const isUnlisted = [...this.#refused.values()].some(({ at }) => at >= this.#fullListingSentAt);
     return isUnlisted || this.#stopped.size > 0;
   }
 
@@ -173,13 +179,16 @@
   ): boolean {
     const isFirst = !this.hasListing;
     const hasNewEnd = listing.ends.some(({ number }) => !this.#hasEnd(number));
+    const runningBefore = this.#running();
     this.lease.noteClock(clockMs, now);
     this.#listing = listing;
     this.#listingSentAt = sentAt;
+    if (!listing.hasMoreEnds) this.#fullListingSentAt = sentAt;
     this.noteAnswer(now);
-    this.#dropListed(sentAt);
+    this.#noteUnlistedEnds(runningBefore);
+    this.#dropListed();
     this.#outageTracker.noteRunning(this.#running(), sentAt);
-    const hasRefused = [...this.#refused.values()].some(({ at }) => at < sentAt);
+    const hasRefused = [...this.#refused.values()].some(({ at }) => at < this.#fullListingSentAt);
     return isFirst || hasNewEnd || hasRefused;
   }
 
@@ -213,12 +222,13 @@
       ends: this.#listing.ends,
       inProgress: [
         ...inProgress,
+        ...this.#unlistedEnds.values(),
         ...refused
-          .filter(({ at }) => at >= this.#listingSentAt)
+          .filter(({ at }) => at >= this.#fullListingSentAt)
           .map(({ task, run }) => ({ task, run })),
       ],
       refused: refused
-        .filter(({ at }) => at < this.#listingSentAt)
+        .filter(({ at }) => at < this.#fullListingSentAt)
         .map(({ task, run, reason }) => ({ task, run, reason })),
     };
   }
@@ -227,27 +237,50 @@
     return this.#listing.ends.some((end) => end.number === number);
   }
 
-  /** Drops what happened before this listing was requested: the listing shows it, or it didn't come about. */
-  #dropListed(sentAt: number): void {
-    const listed = new Set([...this.#listing.running, ...this.#listing.ends].map(runKey));
+  /**
+   * Keeps the runs that were there before this listing and that it shows neither as running nor as ended: their ends come in a later
+   * one. Reported as not there, they would be started again.
+   */
+  #noteUnlistedEnds(runningBefore: readonly RunName[]): void {
+    const listed = this.#listedKeys();
+    if (!this.#listing.hasMoreEnds) this.#unlistedEnds.clear();
+    listed.forEach((key) => this.#unlistedEnds.delete(key));
+    if (!this.#listing.hasMoreEnds) return;
+    runningBefore.forEach(({ task, run }) => {
+      const key = runKey({ task, run });
+      const startedAt = this.#started.get(key)?.at ?? -Infinity;
+      if (!listed.has(key) && startedAt < this.#listingSentAt) {
+        this.#unlistedEnds.set(key, { task, run });
+      }
+    });
+  }
+
+  /** Drops what the listing shows, and what happened before a full listing was requested and didn't come about by that. */
+  #dropListed(): void {
+    const listed = this.#listedKeys();
     this.#started.forEach(({ at }, key) => {
-      if (at < sentAt) this.#started.delete(key);
+      if (at < this.#listingSentAt) this.#started.delete(key);
     });
     this.#refused.forEach((_, key) => {
       if (listed.has(key)) this.#refused.delete(key);
     });
     this.#stopped.forEach(({ task, run, at }, key) => {
-      if (at >= sentAt) return;
+      if (at < this.#listingSentAt && listed.has(key)) this.#stopped.delete(key);
+      if (at >= this.#fullListingSentAt || listed.has(key)) return;
       this.#stopped.delete(key);
       // Blocked, and not there: it never ran, or its end was confirmed before.
-      if (!listed.has(key)) this.noteRefused({ task, run, reason: 'old', at });
+      this.noteRefused({ task, run, reason: 'old', at });
     });
   }
 
+  #listedKeys(): Set<string> {
+    return new Set([...this.#listing.running, ...this.#listing.ends].map(runKey));
+  }
+
   /** The listed runs, and those started since the listing was requested. */
   #running(): RunStatus[] {
-    const { running, ends } = this.#listing;
-    const known = new Set([...running, ...ends].map(runKey));
+    const { running } = this.#listing;
+    const known = this.#listedKeys();
     const startedSince = [...this.#started.values()]
       .filter((run) => !known.has(runKey(run)))
       .map(({ task, run }) => ({ task, run, checkpoint: '', percent: 0 }));
--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -32,6 +32,16 @@
   },
 );
 
+Given(
+  /^runners that list (\d+) end at a time$/,
+  function (this: CellTestContext, maxListedEnds: string) {
+    cellOf(this).workers.forEach(({ runner: { life } }) => {
+      assert.ok(life);
+      Object.assign(life, { maxListedEnds: Number(maxListedEnds) });
+    });
+  },
+);
+
 Given('the owner stops the moment it has written a run', function (this: CellTestContext) {
   crashEntryAtProgressWrite(ownerEntry(this));
 });
--- a/packages/cell/src/owner/cell.steps.ts
+++ b/packages/cell/src/owner/cell.steps.ts
@@ -83,6 +83,14 @@
   },
 );
 
+When(
+  'a job of {int} tasks that take 1 s is submitted and has started',
+  async function (this: CellTestContext, tasks: number) {
+    await submitJob(this, { steps: [testStep({ tasks })], spec: { workMs: 1000 } });
+    await waitUntilRunning(this);
+  },
+);
+
 When(
   'a job that takes 3 s is submitted to the owner and has started',
   async function (this: CellTestContext) {
--- a/packages/cell/src/testing/losable-runner.support.ts
+++ b/packages/cell/src/testing/losable-runner.support.ts
@@ -54,7 +54,7 @@
     if (foreignCall !== undefined) return foreignCall();
     if (deadlineMs !== undefined) this.leases += 1;
     const run = { task: '0000000000000001.0.0.0', run: 1, checkpoint: '', percent: 3 };
-    return this.#answer({ running: [run], ends: [], bornMs: this.bornMs });
+    return this.#answer({ running: [run], ends: [], hasMoreEnds: false, bornMs: this.bornMs });
   }
 
   async #answer<T>(content: T, isAnswered = true): Promise<RunnerAnswer<T>> {
--- a/packages/cell/src/testing/memory-runner.support.ts
+++ b/packages/cell/src/testing/memory-runner.support.ts
@@ -101,11 +101,13 @@
     if (reply !== 'ok') return { outcome: 'refused', reason: reply, detail: reply };
     if (waitMs > 0) await target.ended(waitMs);
     if (this.#target(life) === undefined) return this.#answerWithoutTarget(0);
+    const ends = target.finished();
     return {
       outcome: 'ok',
       clockMs: target.clockMs,
       running: target.running(),
-      ends: target.finished(),
+      ends,
+      hasMoreEnds: ends.length >= target.maxListedEnds,
       bornMs: target.bornMs,
     };
   }
--- a/packages/stand-ins/src/fleet/runner-model.ts
+++ b/packages/stand-ins/src/fleet/runner-model.ts
@@ -89,6 +89,9 @@
   onCrash?: () => void;
 }
 
+/** Ends that a life lists at a time, by the platform's rules. */
+const MAX_LISTED_ENDS = 500;
+
 /** From the start of a task that crashes its runner to the crash, in ms: the start is answered before. */
 const CRASH_AFTER_MS = 10;
 
@@ -104,6 +107,9 @@
   /** Ends aren't listed, as if they had been confirmed. */
   forgetsEnds = false;
 
+  /** Ends that are listed at a time; the others follow once these are confirmed. */
+  maxListedEnds = MAX_LISTED_ENDS;
+
   readonly #options: Required<Omit<RunnerModelOptions, 'bornMs'>>;
 
   readonly #bornAt = performance.now();
@@ -168,9 +174,9 @@
     );
   }
 
-  /** Ends after the last confirmed one. */
+  /** The first ends after the last confirmed one. */
   finished(): FinishedRow[] {
-    return this.#finished;
+    return this.#finished.slice(0, this.maxListedEnds);
   }
 
   start(call: StartCall): StartWord {
