Don't reject a write while another entry's attempt may take effect

Cause: an entry whose write has no answer asks other entries after 300 ms and returned the first conclusive answer. A rejection under another entry's newer configuration counted as one, though the own write, under the configuration before, may have been committed.

Ruled out: JobWriter, which asks the store again before it passes a rejection on.

Change: for submissions and cancellations, a rejection because of the configuration counts only once all entries that were asked have answered and none accepted or is unknown. Reads are rejected at once as before.

--- a/packages/cell/src/entry/hedged-call.feature
+++ b/packages/cell/src/entry/hedged-call.feature
@@ -21,6 +21,29 @@
     And another entry that returns "unknown" after 50 ms
     Then the call returns "unknown" within 300 ms
 
+  # The entry's own write was stored, its answer was lost, and another entry had the next configuration: the client was told that its job
+  # isn't accepted, and the job ran.
+  Scenario Outline: a write isn't rejected because of another entry's configuration while an attempt may take effect
+    Given a write with a local attempt that returns "<local>" after 700 ms
+    And another entry that returns "<rejection>" after 1 ms
+    And another entry that returns "<other>" after 600 ms
+    Then the call returns "<answer>" within 2500 ms
+
+    Examples:
+      | local             | rejection         | other        | answer            |
+      | accepted          | not-authenticated | not-accepted | accepted          |
+      | accepted          | no-such-queue     | not-accepted | accepted          |
+      | unknown           | not-authenticated | not-accepted | unknown           |
+      | not-accepted      | no-such-queue     | unknown      | unknown           |
+      | not-accepted      | not-authenticated | accepted     | accepted          |
+      | not-accepted      | not-authenticated | not-accepted | not-authenticated |
+      | not-authenticated | not-accepted      | unknown      | unknown           |
+
+  Scenario: a read is rejected at once because of another entry's configuration
+    Given a local attempt that returns "unknown" after 2000 ms
+    And another entry that returns "not-authenticated" after 1 ms
+    Then the call returns "not-authenticated" within 600 ms
+
   Scenario: without other entries the local answer is returned at once
     Given a local attempt that returns "not-accepted" after 1 ms
     Then the call returns "not-accepted" within 200 ms
--- a/packages/cell/src/entry/hedged-call.steps.ts
+++ b/packages/cell/src/entry/hedged-call.steps.ts
@@ -11,6 +11,7 @@
 interface HedgedCallWorld {
   local: () => Promise<Answer>;
   others: (() => Promise<Answer>)[];
+  isWrite: boolean;
   asked: number;
   unavailableMs: number;
 }
@@ -28,6 +29,7 @@
   const startedAt = performance.now();
   const { outcome } = await hedgeCall({
     local: world.local(),
+    isWrite: world.isWrite,
     callOthers: () => {
       Object.assign(world, { asked: world.others.length });
       return world.others.map((ask) => ask());
@@ -38,6 +40,7 @@
 
 Before(function (this: HedgedCallWorld) {
   this.others = [];
+  this.isWrite = false;
   this.asked = 0;
 });
 
@@ -48,6 +51,14 @@
   },
 );
 
+Given(
+  'a write with a local attempt that returns {string} after {int} ms',
+  function (this: HedgedCallWorld, outcome: string, ms: number) {
+    this.isWrite = true;
+    this.local = answerLater(outcome, ms);
+  },
+);
+
 Given(
   'another entry that returns {string} after {int} ms',
   function (this: HedgedCallWorld, outcome: string, ms: number) {
--- a/packages/cell/src/entry/hedged-call.ts
+++ b/packages/cell/src/entry/hedged-call.ts
@@ -17,39 +17,57 @@
   return outcome === 'not-accepted' || outcome === 'not-ready' || outcome === 'unknown';
 }
 
-/** Returns the first conclusive answer, or else combines the inconclusive ones. */
+/**
+ * True of a rejection because of the configuration that an entry has. Another entry's attempt may have taken effect under the
+ * configuration before it.
+ */
+function isConfigRejection({ outcome }: CallOutcome): boolean {
+  return outcome === 'not-authenticated' || outcome === 'no-such-queue';
+}
+
+/** Returns the first conclusive answer, or else combines all answers. */
 export async function hedgeCall<T extends CallOutcome>({
   local,
   callOthers,
   isStoreSlow = false,
+  isWrite = false,
 }: {
   local: Promise<T>;
   /** If true, others are called only after the local attempt fails. A slow store answers no entry faster, and more requests slow it down. */
   isStoreSlow?: boolean;
+  /** If true, the caller is told of a rejection only once no attempt can have taken effect. */
+  isWrite?: boolean;
   /** Calls the other entries that can be reached; one promise each, none of which rejects. */
   callOthers: () => Promise<T>[];
 }): Promise<T> {
   const early = await (isStoreSlow ? local : Promise.race([local, sleep(HEDGE_DELAY_MS)]));
   if (early !== undefined && !isInconclusive(early)) return early;
   const all = [local, ...callOthers()];
-  return (await firstConclusive(all)) ?? combineInconclusive(await Promise.all(all));
+  const isConclusive = (answer: T): boolean =>
+    !isInconclusive(answer) && !(isWrite && isConfigRejection(answer));
+  return (await firstMatching(all, isConclusive)) ?? combineAnswers(await Promise.all(all));
 }
 
-/** The first conclusive answer; undefined if there is none. */
-async function firstConclusive<T extends CallOutcome>(
+/** The first answer that matches; undefined if none does. */
+async function firstMatching<T>(
   answers: readonly Promise<T>[],
+  matches: (answer: T) => boolean,
 ): Promise<T | undefined> {
-  const conclusive = answers.map(async (answer) => {
+  const matching = answers.map(async (answer) => {
     const result = await answer;
-    if (isInconclusive(result)) throw new Error('inconclusive answer');
+    if (!matches(result)) throw new Error('no match');
     return result;
   });
-  return Promise.any(conclusive).catch(() => undefined);
+  return Promise.any(matching).catch(() => undefined);
 }
 
-/** Returns an `unknown` answer if there is one, since that attempt may still take effect whatever the others refused. */
-function combineInconclusive<T extends CallOutcome>(answers: readonly T[]): T {
+/**
+ * Combines answers of which none is conclusive by itself. Returns an `unknown` answer if there is one, since that attempt may still
+ * take effect whatever the others rejected.
+ */
+function combineAnswers<T extends CallOutcome>(answers: readonly T[]): T {
   const [local] = answers;
   if (local === undefined) throw new Error('no local answer to combine');
-  return answers.find(({ outcome }) => outcome === 'unknown') ?? local;
+  const unknown = answers.find(({ outcome }) => outcome === 'unknown');
+  return unknown ?? answers.find(isConfigRejection) ?? local;
 }
--- a/packages/cell/src/entry/job-api.ts
+++ b/packages/cell/src/entry/job-api.ts
@@ -97,6 +97,7 @@
     if (isForwarded) return this.#log('submit', call, await local);
     const result = await hedgeCall({
       local,
+      isWrite: true,
       isStoreSlow: this.#options.store.isSlow,
       callOthers: () => {
         const decoded = decode();
@@ -145,6 +146,7 @@
     if (isForwarded) return this.#log('cancel', call, await local);
     const result = await hedgeCall({
       local,
+      isWrite: true,
       isStoreSlow: this.#options.store.isSlow,
       callOthers: () => this.#forward(cancelResultSchema, { call: 'cancel', ...call, deadline }),
     });
--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -278,6 +278,23 @@
   guard.stop();
 });
 
+When(
+  'a job is submitted to that entry, and its key is removed once the job is stored',
+  async function (this: CellTestContext) {
+    const cell = cellOf(this);
+    const id = cell.newJobId();
+    const answer = submitToEntry(nonOwnerEntry(this), id);
+    const key = jobRowKey(id, 'submission');
+    assert.ok(await eventually(() => cell.tables.get(key) !== undefined));
+    cell.configure({ accounts: [] });
+    this.outcome = await answer;
+  },
+);
+
+Then("the client isn't told that the job was rejected", function (this: CellTestContext) {
+  assert.match(this.outcome ?? '', /^(accepted|unknown)$/);
+});
+
 When('the operator removes the key', function (this: CellTestContext) {
   cellOf(this).configure({ accounts: [] });
 });
--- a/packages/cell/src/owner/cell-test-context.support.ts
+++ b/packages/cell/src/owner/cell-test-context.support.ts
@@ -7,6 +7,8 @@
 export interface CellTestContext {
   cell?: TestCell;
   jobs: string[];
+  /** Outcome of a submission. */
+  outcome?: string;
   /** Owner row before a fault. */
   ownerRow?: Buffer | undefined;
 }
--- a/packages/cell/src/owner/cell.feature
+++ b/packages/cell/src/owner/cell.feature
@@ -40,6 +40,12 @@
     Then it completes
     And its task ran once
 
+  # The other entry had the configuration without the key, and its rejection reached the client before the write was known to be done.
+  Scenario: a client isn't told that its key is unknown though its job is stored
+    Given the store applies what an entry writes but doesn't answer
+    When a job is submitted to that entry, and its key is removed once the job is stored
+    Then the client isn't told that the job was rejected
+
   Scenario: an owner that is lost between the write and the order
     Given the owner stops the moment it has written a run
     When a job is submitted to the other entry
