--- a/packages/cell/src/entry/peer-entries.ts
+++ b/packages/cell/src/entry/peer-entries.ts
@@ -220,7 +220,9 @@
   /** Undefined for a row that another process wrote and that cannot be decoded; it is ignored, the other rows remain valid. */
   #decode({ key, value, version }: Row): EntryRow | undefined {
     try {
-      return unpackEntryRow(value);
+      const row = unpackEntryRow(value);
+      if (entryRowKey(row.id).key !== key) throw new Error(`row names entry ${row.id}`);
+      return row;
     } catch (err) {
       const { ctx } = this.#options;
       ctx.metrics.count('peers.row-unreadable');
--- a/packages/cell/src/guard/owner-link.ts
+++ b/packages/cell/src/guard/owner-link.ts
@@ -3,7 +3,7 @@
 import { Dialer, type Link } from '@zincspan/link';
 import { OWNER_ROW_KEY, unpackOwnerRow, type Holder } from '../owner/owner-row.js';
 import { readRow } from '../store/read-row.js';
-import type { RowStore } from '../store/row-store.js';
+import type { Row, RowStore } from '../store/row-store.js';
 
 /**
  * Interval between reads of the owner's row while the owner answers and the store confirms it, in ms: a safeguard, should both be
@@ -57,6 +57,9 @@
 
   #stopped = false;
 
+  /** Version of the last row that could not be decoded; logged only once. */
+  #invalidRowVersion = 0;
+
   constructor(options: OwnerLinkOptions) {
     this.#options = options;
   }
@@ -104,15 +107,27 @@
     this.#isRefreshing = false;
     if (this.#stopped) return;
     if (result.outcome === 'failed') ctx.metrics.count('owner-link.look-failed');
-    if (result.outcome === 'found') {
-      const { term, holder } = unpackOwnerRow(result.row.value);
-      if (term > this.#term) this.#connect(term, holder);
-    }
+    if (result.outcome === 'found') this.#applyRow(result.row);
     this.#timer = setTimeout(() => {
       void this.#refresh();
     }, this.#refreshIntervalMs());
   }
 
+  /** Ignores a row that can't be decoded: the owner's next write replaces it. */
+  #applyRow({ value, version }: Row): void {
+    try {
+      const { term, holder } = unpackOwnerRow(value);
+      if (term > this.#term) this.#connect(term, holder);
+    } catch (err) {
+      const { ctx } = this.#options;
+      ctx.metrics.count('owner-link.row-unreadable');
+      if (version !== this.#invalidRowVersion) {
+        ctx.log.warn({ version, err: String(err) }, 'owner row cannot be decoded; ignoring it');
+      }
+      this.#invalidRowVersion = version;
+    }
+  }
+
   #refreshIntervalMs(): number {
     if (this.link === undefined) return NO_LINK_REFRESH_INTERVAL_MS;
     return this.#isSuspect ? SUSPECT_REFRESH_INTERVAL_MS : REFRESH_INTERVAL_MS;
--- a/packages/link/src/dialer.ts
+++ b/packages/link/src/dialer.ts
@@ -78,10 +78,17 @@
   }
 
   #dial(): void {
-    const socket = new WebSocket(`ws://${this.#options.address}/`, {
-      perMessageDeflate: false,
-      maxPayload: MAX_FRAME_BYTES,
-    });
+    let socket: WebSocket;
+    try {
+      socket = new WebSocket(`ws://${this.#options.address}/`, {
+        perMessageDeflate: false,
+        maxPayload: MAX_FRAME_BYTES,
+      });
+    } catch (err) {
+      // Thrown for an address that no connection can have, such as one with a port out of range. It may come from a stored row.
+      this.#handleEnd(new LinkCloseError('unreachable', String(err)));
+      return;
+    }
     let state: 'dialling' | 'upgraded' | 'over' = 'dialling';
     const end = (closeError: LinkCloseError): void => {
       if (state === 'over') return;
--- a/packages/link/src/link-world.support.ts
+++ b/packages/link/src/link-world.support.ts
@@ -29,8 +29,8 @@
     this.#events.emit('counted');
   }
 
-  async waitForCounter(name: string): Promise<void> {
-    while (!this.counters.has(name)) await once(this.#events, 'counted');
+  async waitForCounter(name: string, least = 1): Promise<void> {
+    while ((this.counters.get(name) ?? 0) < least) await once(this.#events, 'counted');
   }
 }
 
--- a/packages/link/src/links.feature
+++ b/packages/link/src/links.feature
@@ -69,6 +69,17 @@
     Given a link dialer that expects a process with another id
     Then the link dialer counts "link.closed.wrong-peer"
 
+  # The exception reached whoever had read the address, and its loop over other addresses ended.
+  Scenario Outline: an address that no connection can have counts as unreachable
+    Given a link dialer with the address <address>
+    Then the link dialer counts "link.closed.unreachable" 2 times
+
+    Examples:
+      | address         |
+      | 127.0.0.1:65536 |
+      | 127.0.0.999:80  |
+      | [::::]:80       |
+
   Scenario: a newer incarnation replaces the older one, which can't reconnect
     Given a link between two processes
     When a newer incarnation of the dialer dials the link server
--- a/packages/link/src/links.steps.ts
+++ b/packages/link/src/links.steps.ts
@@ -116,6 +116,12 @@
   dial(this, testProcess, { address: `127.0.0.1:${port}` });
 });
 
+Given(/^a link dialer with the address (\S+)$/, async function (this: LinkWorld, address: string) {
+  await startServer(this, handlers);
+  this.dialerProcess = makeTestProcess('guard-1', 'incarnation-a');
+  dial(this, this.dialerProcess, { address });
+});
+
 Given('a link dialer that expects a process with another id', async function (this: LinkWorld) {
   await startServer(this, handlers);
   this.dialerProcess = makeTestProcess('guard-1', 'incarnation-a');
@@ -306,6 +312,13 @@
   await this.dialerProcess.metrics.waitForCounter(name);
 });
 
+Then(
+  'the link dialer counts {string} {int} times',
+  async function (this: LinkWorld, name: string, times: number) {
+    await this.dialerProcess.metrics.waitForCounter(name, times);
+  },
+);
+
 Then('the link server has {int} links', function (this: LinkWorld, count: number) {
   assert.equal(this.server.links().length, count);
 });
