Count a 400 of another entry as a rejection by its own rules too

An entry of another version may refuse a request that this one has stored; by the same rule as a 401 or 404 its answer is no reason to reject the write. The added example answered bad-input before, and accepts now.

--- a/packages/cell/src/entry/hedged-call.feature
+++ b/packages/cell/src/entry/hedged-call.feature
@@ -23,7 +23,7 @@
 
   # The entry's own write was stored, its answer was lost, and another entry had the next configuration: the client was told that its job
   # isn't accepted, and the job ran.
-  Scenario Outline: a write isn't rejected because of another entry's configuration while an attempt may take effect
+  Scenario Outline: a write isn't rejected by the rules of one entry while an attempt may take effect
     Given a write with a local attempt that returns "<local>" after 700 ms
     And another entry that returns "<rejection>" after 1 ms
     And another entry that returns "<other>" after 600 ms
@@ -38,8 +38,9 @@
       | not-accepted      | not-authenticated | accepted     | accepted          |
       | not-accepted      | not-authenticated | not-accepted | not-authenticated |
       | not-authenticated | not-accepted      | unknown      | unknown           |
+      | accepted          | bad-input         | not-accepted | accepted          |
 
-  Scenario: a read is rejected at once because of another entry's configuration
+  Scenario: a read is rejected at once by the rules of another entry
     Given a local attempt that returns "unknown" after 2000 ms
     And another entry that returns "not-authenticated" after 1 ms
     Then the call returns "not-authenticated" within 600 ms
--- a/packages/cell/src/entry/hedged-call.ts
+++ b/packages/cell/src/entry/hedged-call.ts
@@ -17,12 +17,12 @@
   return outcome === 'not-accepted' || outcome === 'not-ready' || outcome === 'unknown';
 }
 
-/**
- * True of a rejection because of the configuration that an entry has. Another entry's attempt may have taken effect under the
- * configuration before it.
- */
-function isConfigRejection({ outcome }: CallOutcome): boolean {
-  return outcome === 'not-authenticated' || outcome === 'no-such-queue';
+/** Rejections by the rules of the entry that answers: its configuration, and the requests that its version accepts. */
+const REJECTIONS = ['not-authenticated', 'no-such-queue', 'bad-input'];
+
+/** True of a rejection that says nothing of other attempts: these may have taken effect by the rules of other entries. */
+function isRejection({ outcome }: CallOutcome): boolean {
+  return REJECTIONS.includes(outcome);
 }
 
 /** Returns the first conclusive answer, or else combines all answers. */
@@ -44,7 +44,7 @@
   if (early !== undefined && !isInconclusive(early)) return early;
   const all = [local, ...callOthers()];
   const isConclusive = (answer: T): boolean =>
-    !isInconclusive(answer) && !(isWrite && isConfigRejection(answer));
+    !isInconclusive(answer) && !(isWrite && isRejection(answer));
   return (await firstMatching(all, isConclusive)) ?? combineAnswers(await Promise.all(all));
 }
 
@@ -69,5 +69,5 @@
   const [local] = answers;
   if (local === undefined) throw new Error('no local answer to combine');
   const unknown = answers.find(({ outcome }) => outcome === 'unknown');
-  return unknown ?? answers.find(isConfigRejection) ?? local;
+  return unknown ?? answers.find(isRejection) ?? local;
 }
