Find a job that other look-ups evict while its rows are read

Cause: the read of a cached job leaves out its submission. A job that was evicted during the read had no submission to apply the rows to, and counted as absent.

Ruled out: the store (the rows are there, the next look-up reads them all).

Change: a look-up that began with a cached job puts it back before it applies what it has read. Cancellations look jobs up the same way.

--- a/packages/cell/src/entry/job-lookup.ts
+++ b/packages/cell/src/entry/job-lookup.ts
@@ -25,11 +25,19 @@
 
   readonly #cachedIds: LRUCache<string, true>;
 
-  constructor({ ctx, store }: { ctx: ProcessContext; store: RowStore }) {
+  constructor({
+    ctx,
+    store,
+    maxCachedJobs = MAX_CACHED_JOBS,
+  }: {
+    ctx: ProcessContext;
+    store: RowStore;
+    maxCachedJobs?: number;
+  }) {
     this.#store = store;
     this.#view = new JobView({ ctx });
     this.#cachedIds = new LRUCache({
-      max: MAX_CACHED_JOBS,
+      max: maxCachedJobs,
       ttl: CACHE_TTL_MS,
       updateAgeOnGet: true,
       perf: { now: () => ctx.clock.now() },
@@ -55,10 +63,20 @@
       this.#cachedIds.delete(id);
       return 'absent';
     }
+    if (cached !== undefined) this.#keepCached(cached);
     result.rows.forEach((row) => this.applyRow(row));
     return this.#view.get(id) ?? 'absent';
   }
 
+  /**
+   * Other look-ups may have evicted the job during its read, which doesn't include the submission: without it the job would count as
+   * absent.
+   */
+  #keepCached(job: JobSnapshot): void {
+    this.#cachedIds.set(job.id, true);
+    this.#view.restore(job);
+  }
+
   /** Applies a job's row that was read or written here. */
   applyRow(row: Row): void {
     const id = this.#view.apply({ ...row, deleted: false });
--- a/packages/cell/src/job/job-view.ts
+++ b/packages/cell/src/job/job-view.ts
@@ -46,6 +46,13 @@
     return this.#jobs.get(id);
   }
 
+  /** Adds a job that was removed from this view, unless it is here again. Its rows that came meanwhile are applied. */
+  restore(job: JobSnapshot): void {
+    if (this.#jobs.has(job.id)) return;
+    this.#jobs.set(job.id, job);
+    this.#applyPending(job.id);
+  }
+
   remove(id: string): void {
     this.#jobs.delete(id);
     this.#pendingRows.delete(id);
@@ -92,10 +99,14 @@
       cancelled: false,
     };
     this.#jobs.set(id, job);
+    this.#applyPending(id);
+    this.#notifyListeners(job);
+  }
+
+  #applyPending(id: string): void {
     const pending = this.#pendingRows.get(id) ?? [];
     this.#pendingRows.delete(id);
     pending.forEach((each) => this.apply(each));
-    this.#notifyListeners(job);
   }
 
   #applyUpdate(id: string, kind: 'progress' | 'cancellation', row: FeedRow): void {
