--- a/packages/cell/src/owner/cell-faults.steps.ts
+++ b/packages/cell/src/owner/cell-faults.steps.ts
@@ -9,7 +9,7 @@
   crashEntry,
   crashEntryAtProgressWrite,
 } from '../testing/test-cell.support.js';
-import { sendHeartbeat } from '../testing/test-worker.support.js';
+import { restartGuard, sendHeartbeat } from '../testing/test-worker.support.js';
 import { TEST_QUEUE, testStep, testSubmission } from '../testing/test-jobs.support.js';
 import { OWNER_ROW_KEY } from './owner-row.js';
 import { entryRowKey } from '../entry/entry-row.js';
@@ -260,13 +260,17 @@
   ownerEntry(this).store.fault = 'silent';
 });
 
-When(/^the store answers nobody for 2.5 s$/, async function (this: CellTestContext) {
-  const cell = cellOf(this);
-  const stores = [...cell.entries, ...cell.workers].map(({ store }) => store);
-  stores.forEach((store) => Object.assign(store, { fault: 'silent' }));
-  await sleep(2500);
-  stores.forEach((store) => Object.assign(store, { fault: 'none' }));
-});
+When(
+  /^the store answers nobody for 2.5 s(, and all guards restart at the end of it)?$/,
+  async function (this: CellTestContext, guardsRestart: string | null) {
+    const cell = cellOf(this);
+    const stores = [...cell.entries, ...cell.workers].map(({ store }) => store);
+    stores.forEach((store) => Object.assign(store, { fault: 'silent' }));
+    await sleep(2500);
+    if (guardsRestart !== null) cell.workers.forEach((worker) => restartGuard(worker));
+    stores.forEach((store) => Object.assign(store, { fault: 'none' }));
+  },
+);
 
 When('the runner that runs it crashes and restarts', function (this: CellTestContext) {
   cellOf(this).replaceRunner(runningWorker(this));
--- a/packages/cell/src/owner/cell.feature
+++ b/packages/cell/src/owner/cell.feature
@@ -76,13 +76,18 @@
     And its task ran once
 
   # A run that had ended, but whose end came only in a later listing, was taken for one that had not started.
-  Scenario: tasks don't run again though their ends don't fit into one listing
+  Scenario Outline: tasks don't run again though their ends don't fit into one listing
     Given runners that list 1 end at a time
     When a job of 9 tasks that take 1 s is submitted and has started
-    And the store answers nobody for 2.5 s
+    And the store answers nobody for 2.5 s<and guards>
     Then it completes
     And its 9 tasks ran once each, under the same run number
 
+    Examples:
+      | and guards                                |
+      |                                           |
+      | , and all guards restart at the end of it |
+
   Scenario: tasks of a runner that is replaced start again, there or elsewhere
     When a job that takes 1 s is submitted and has started
     And the runner that runs it crashes and restarts
