--- a/packages/cell/src/testing/losable-runner.support.ts
+++ b/packages/cell/src/testing/losable-runner.support.ts
@@ -26,6 +26,9 @@
   /** Number of leases that were passed to it. */
   leases = 0;
 
+  /** What polls at addresses other than the runner's own do; it answers at any address that isn't listed. */
+  readonly foreignAddresses = new Map<string, () => Promise<RunnerAnswer<RunListing>>>();
+
   constructor({ bornMs }: { bornMs?: number } = {}) {
     this.bornMs = bornMs;
   }
@@ -43,9 +46,6 @@
     return this.#answer({});
   }
 
-  /** Calls to other addresses than the runner's own, by what they do; the others are answered. */
-  readonly foreignAddresses = new Map<string, () => Promise<RunnerAnswer<RunListing>>>();
-
   async poll(
     { address }: RunnerIncarnation,
     { deadlineMs }: Parameters<RunnerApi['poll']>[1],
