Make the set of listed runs once for each listing of a runner

Behaviour is the same: 25 scenarios of the guard, 7 of lost runners and 4 of the cell about listings and outages pass.

--- a/packages/cell/src/guard/runner-state.ts
+++ b/packages/cell/src/guard/runner-state.ts
@@ -30,6 +30,9 @@
 
   #listing: RunListing = { running: [], ends: [], hasMoreEnds: false, bornMs: undefined };
 
+  /** Keys of the runs that the last listing shows, as running or as ended. */
+  #listed = new Set<string>();
+
   /** When the last listing was requested. */
   #listingSentAt = -Infinity;
 
@@ -37,7 +40,7 @@
   #fullListingSentAt = -Infinity;
 
   /** Runs that have ended, and whose ends the runner hasn't listed yet. */
-  readonly #unlistedEnds = new Map<string, RunName>();
+  #unlistedEnds: RunName[] = [];
 
   #answeredAt: number;
 
@@ -179,14 +182,15 @@
   ): boolean {
     const isFirst = !this.hasListing;
     const hasNewEnd = listing.ends.some(({ number }) => !this.#hasEnd(number));
-    const runningBefore = this.#running();
+    const known = listing.hasMoreEnds ? [...this.#unlistedEnds, ...this.#running()] : [];
     this.lease.noteClock(clockMs, now);
     this.#listing = listing;
+    this.#listed = new Set([...listing.running, ...listing.ends].map(runKey));
     this.#listingSentAt = sentAt;
     if (!listing.hasMoreEnds) this.#fullListingSentAt = sentAt;
     this.noteAnswer(now);
-    this.#noteUnlistedEnds(runningBefore);
     this.#dropListed();
+    this.#noteUnlistedEnds(known);
     this.#outageTracker.noteRunning(this.#running(), sentAt);
     const hasRefused = [...this.#refused.values()].some(({ at }) => at < this.#fullListingSentAt);
     return isFirst || hasNewEnd || hasRefused;
@@ -222,7 +226,7 @@
       ends: this.#listing.ends,
       inProgress: [
         ...inProgress,
-        ...this.#unlistedEnds.values(),
+        ...this.#unlistedEnds,
         ...refused
           .filter(({ at }) => at >= this.#fullListingSentAt)
           .map(({ task, run }) => ({ task, run })),
@@ -237,52 +241,38 @@
     return this.#listing.ends.some((end) => end.number === number);
   }
 
-  /**
-   * Keeps the runs that were there before this listing and that it shows neither as running nor as ended: their ends come in a later
-   * one. Reported as not there, they would be started again.
-   */
-  #noteUnlistedEnds(runningBefore: readonly RunName[]): void {
-    const listed = this.#listedKeys();
-    if (!this.#listing.hasMoreEnds) this.#unlistedEnds.clear();
-    listed.forEach((key) => this.#unlistedEnds.delete(key));
-    if (!this.#listing.hasMoreEnds) return;
-    runningBefore.forEach(({ task, run }) => {
-      const key = runKey({ task, run });
-      const startedAt = this.#started.get(key)?.at ?? -Infinity;
-      if (!listed.has(key) && startedAt < this.#listingSentAt) {
-        this.#unlistedEnds.set(key, { task, run });
-      }
-    });
-  }
-
   /** Drops what the listing shows, and what happened before a full listing was requested and didn't come about by that. */
   #dropListed(): void {
-    const listed = this.#listedKeys();
     this.#started.forEach(({ at }, key) => {
       if (at < this.#listingSentAt) this.#started.delete(key);
     });
     this.#refused.forEach((_, key) => {
-      if (listed.has(key)) this.#refused.delete(key);
+      if (this.#listed.has(key)) this.#refused.delete(key);
     });
     this.#stopped.forEach(({ task, run, at }, key) => {
-      if (at < this.#listingSentAt && listed.has(key)) this.#stopped.delete(key);
-      if (at >= this.#fullListingSentAt || listed.has(key)) return;
-      this.#stopped.delete(key);
+      const isListed = this.#listed.has(key);
+      const isGone = !isListed && at < this.#fullListingSentAt;
+      if (isGone || (isListed && at < this.#listingSentAt)) this.#stopped.delete(key);
       // Blocked, and not there: it never ran, or its end was confirmed before.
-      this.noteRefused({ task, run, reason: 'old', at });
+      if (isGone) this.noteRefused({ task, run, reason: 'old', at });
     });
   }
 
-  #listedKeys(): Set<string> {
-    return new Set([...this.#listing.running, ...this.#listing.ends].map(runKey));
+  /**
+   * Keeps the runs known before a listing without all ends that it doesn't show: their ends come in a later one. Reported as not
+   * there, they would be started again.
+   */
+  #noteUnlistedEnds(known: readonly RunName[]): void {
+    this.#unlistedEnds = known
+      .filter((run) => !this.#listed.has(runKey(run)) && !this.#started.has(runKey(run)))
+      .map(({ task, run }) => ({ task, run }));
   }
 
   /** The listed runs, and those started since the listing was requested. */
   #running(): RunStatus[] {
     const { running } = this.#listing;
-    const known = this.#listedKeys();
     const startedSince = [...this.#started.values()]
-      .filter((run) => !known.has(runKey(run)))
+      .filter((run) => !this.#listed.has(runKey(run)))
       .map(({ task, run }) => ({ task, run, checkpoint: '', percent: 0 }));
     return [...running, ...startedSince];
   }
