--- a/packages/cell/src/entry/job-lookup.steps.ts
+++ b/packages/cell/src/entry/job-lookup.steps.ts
@@ -50,7 +50,7 @@
     this.ids = Array.from({ length: jobs }, (_, i) => `${i + 1}`.padStart(16, '0'));
     const set = this.ids.map((id) => ({
       ...jobRowKey(id, 'submission'),
-      value: packSubmission({ ...testSubmission({}), id }),
+      value: packSubmission(testSubmission({ id })),
     }));
     this.tables.transact({ expected: [], set, remove: [] });
     await find(this, this.ids[0] ?? '');
@@ -68,7 +68,7 @@
   'that job ends, and is looked up with {int} others while its read is under way',
   async function (this: JobLookupSteps, others: number) {
     const [first = ''] = this.ids;
-    const submission = { ...testSubmission({}), id: first };
+    const submission = testSubmission({ id: first });
     const row = { outcome: 'completed' as const, begun: true, opened: 1, occurrences: [] };
     const value = packProgress(new JobProgress(submission, row));
     const set = [{ ...jobRowKey(first, 'progress'), value }];
--- a/packages/core/src/error/problem.ts
+++ b/packages/core/src/error/problem.ts
@@ -1,6 +1,7 @@
 /** Everything that can go wrong towards a caller or a peer, as one tagged union. */
 import * as z from 'zod';
 import { ranSchema, type Ran } from '../job/job.js';
+import { messageOf } from './message-of.js';
 
 /** Stable kinds of problem, with the HTTP status each one maps to. */
 export const PROBLEM_STATUS = {
@@ -82,7 +83,7 @@
 /** The problem behind any thrown value; unexpected ones become `internal` with an unknown outcome. */
 export function toProblem(err: unknown): Problem {
   if (err instanceof ProblemError) return err.problem;
-  const detail = err instanceof Error ? err.message : String(err);
+  const detail = messageOf(err);
   return problem('internal', {
     detail,
     remedy: 'Report it with the time line of this job.',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 export * from './request/request-ledger.js';
 export * from './request/slot-queue.js';
 export * from './timeline/event.js';
+export * from './error/message-of.js';
 export * from './error/problem.js';
 export * from './error/problem-json.js';
 export * from './table/table.js';
--- a/packages/platform/src/http/http-connection-pool.ts
+++ b/packages/platform/src/http/http-connection-pool.ts
@@ -2,6 +2,7 @@
 import { Agent } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 import Wreck from '@hapi/wreck';
+import { messageOf } from '@zincspan/core';
 import { trackConnection } from './connection-tracker.js';
 
 /** Largest response body accepted. */
@@ -65,7 +66,7 @@
       const leftMs = Math.max(1, timeoutMs - (performance.now() - startedAt));
       return await readResponse(res, leftMs);
     } catch (err) {
-      const detail = err instanceof Error ? err.message : String(err);
+      const detail = messageOf(err);
       return { outcome: connection.connected ? 'lost' : 'refused', detail };
     }
   }
