--- a/packages/cell/src/entry/odd-rows.steps.ts
+++ b/packages/cell/src/entry/invalid-rows.steps.ts
@@ -18,7 +18,7 @@
 
 const packr = new Packr({ useRecords: false });
 
-interface OddRowSteps extends CellTestContext {
+interface InvalidRowSteps extends CellTestContext {
   tables?: RowTables;
   store?: MemoryRowStore;
   ownerLink?: OwnerLink;
@@ -33,11 +33,11 @@
   return Buffer.concat([Buffer.alloc(NESTING_DEPTH, arrayOfOne), Buffer.from([nil])]);
 }
 
-function oddEntryRow(how: string, otherId: string): Buffer {
+function invalidEntryRow(how: string, otherId: string): Buffer {
   if (how === 'is very deeply nested') return nestedRow();
   const row = {
-    id: how === 'has the id of another entry' ? otherId : 'odd',
-    incarnation: 'odd-incarnation',
+    id: how === 'has the id of another entry' ? otherId : 'foreign',
+    incarnation: 'foreign-incarnation',
     address: how === 'has a port out of range' ? PORT_OUT_OF_RANGE : '127.0.0.1:1',
     // Other failure domains are linked first.
     failureDomain: 'elsewhere',
@@ -46,35 +46,35 @@
   return packr.pack(row);
 }
 
-function oddOwnerRow(how: string): Buffer {
+function invalidOwnerRow(how: string): Buffer {
   if (how === 'is very deeply nested') return nestedRow();
   const address = how === 'has a port out of range' ? PORT_OUT_OF_RANGE : '127.0.0.1:1';
-  const holder = { id: 'odd', incarnation: 'odd-incarnation', address };
+  const holder = { id: 'foreign', incarnation: 'foreign-incarnation', address };
   return packr.pack({ term: how === 'has a number too large' ? 1e300 : 1, holder });
 }
 
-After(function (this: OddRowSteps) {
+After(function (this: InvalidRowSteps) {
   this.ownerLink?.stop();
 });
 
 Given(
   /^another writer has left a row among those of the entries that (.+)$/,
-  function (this: OddRowSteps, how: string) {
+  function (this: InvalidRowSteps, how: string) {
     const { tables, entries } = cellOf(this);
-    const row = { ...entryRowKey('odd'), value: oddEntryRow(how, entries[0]?.id ?? '') };
+    const row = { ...entryRowKey('foreign'), value: invalidEntryRow(how, entries[0]?.id ?? '') };
     tables.transact({ expected: [], set: [row], remove: [] });
   },
 );
 
-When('an entry joins the cell', async function (this: OddRowSteps) {
+When('an entry joins the cell', async function (this: InvalidRowSteps) {
   await cellOf(this).addEntry();
 });
 
 Given(
   /^a guard that has read a row of the owner that (.+)$/,
-  async function (this: OddRowSteps, how: string) {
+  async function (this: InvalidRowSteps, how: string) {
     const tables = new RowTables();
-    const row = { ...OWNER_ROW_KEY, value: oddOwnerRow(how) };
+    const row = { ...OWNER_ROW_KEY, value: invalidOwnerRow(how) };
     tables.transact({ expected: [], set: [row], remove: [] });
     const store = new MemoryRowStore(tables);
     this.found = [];
@@ -102,12 +102,12 @@
   },
 );
 
-When('an entry takes the cell', function (this: OddRowSteps) {
+When('an entry takes the cell', function (this: InvalidRowSteps) {
   const holder = { id: 'entry-1', incarnation: 'incarnation-1', address: '127.0.0.1:1' };
   const row = { ...OWNER_ROW_KEY, value: packOwnerRow({ term: 2, holder }) };
   this.tables?.transact({ expected: [], set: [row], remove: [] });
 });
 
-Then('the guard finds that entry', async function (this: OddRowSteps) {
+Then('the guard finds that entry', async function (this: InvalidRowSteps) {
   assert.ok(await eventually(() => this.found.includes('entry-1')));
 });
