--- a/packages/cell/src/job/submission.ts
+++ b/packages/cell/src/job/submission.ts
@@ -7,7 +7,7 @@
 /** Maximum number of tasks of all steps of a job, for the same reason. */
 export const MAX_TASKS_PER_JOB = 800;
 
-const MAX_STEPS = 100;
+export const MAX_STEPS = 100;
 const MAX_OCCURRENCES = 1000;
 
 /** Maximum length of `spec`, in characters. */
