Limit the memory and the descriptors that HTTP clients use together

Callers saw: a process ran out of memory and ended, an entry while clients sent bodies in chunks of one byte or many requests ahead of their responses, a guard in the same way at its heartbeat address; clients that connect and send nothing took all descriptors.

Cause: no HTTP server limited what its clients use together. Each chunk of a body was kept as a buffer of its own, about 350 bytes for one byte; Node's parser hands over every request of a block of 64 KiB, answered or not, and reads on while responses are pending in the handlers; connections had no limit.

Evidence: misbehaving-clients.feature, 200 MB, 400 descriptors and a heap of 64 MB for each process.

Ruled out: responses that nobody reads (the kernel holds them); requests without Host, which Node answers and closes by itself (passed before, but for readiness).

Change: BoundedServer estimates the memory of connections, unanswered requests and bodies. Beyond its share of the machine's memory it closes the connection that uses most, beyond its share of the descriptors the least recently active one; a body that was still arriving is refused with 503 and Retry-After, as it was not handled. It holds because everything that a client can make a server keep is counted before more is read.

--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -17,6 +17,16 @@
   ...common,
   // Each worker process has loopback addresses of its own.
   parallel: 4,
-  paths: ['packages/e2e/src/**/*.feature'],
-  import: ['packages/e2e/dist/**/*.support.js', 'packages/e2e/dist/**/*.steps.js'],
+  paths: ['packages/e2e/src/!(misbehaving-clients)/**/*.feature'],
+  import: [
+    'packages/e2e/dist/**/*.support.js',
+    'packages/e2e/dist/!(misbehaving-clients)/**/*.steps.js',
+  ],
+};
+
+/** One scenario at a time, since each one presses on a process and measures its memory. */
+export const misbehaving = {
+  ...common,
+  paths: ['packages/e2e/src/misbehaving-clients/*.feature'],
+  import: ['packages/e2e/dist/misbehaving-clients/*.steps.js'],
 };
--- a/packages/core/src/settings/settings.ts
+++ b/packages/core/src/settings/settings.ts
@@ -60,6 +60,8 @@
     .strictObject({
       bodyBytes: z.int().min(1024).max(1_048_576).default(262_144),
       connections: z.int().min(1).default(2000),
+      /** Estimated memory of connections, unanswered requests and their bodies. */
+      requestMemoryBytes: z.int().min(1_048_576).default(134_217_728),
       requestsInProgress: z.int().min(1).default(1000),
       defaultDeadlineMs: z.int().min(10).default(30_000),
       maxDeadlineMs: z.int().min(10).default(300_000),
--- a/packages/e2e/src/fleet/fleet-settings.ts
+++ b/packages/e2e/src/fleet/fleet-settings.ts
@@ -2,7 +2,7 @@
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { encodeFleetSettings } from '@zincspan/stand-ins';
+import { encodeFleetSettings, type FleetLimits } from '@zincspan/stand-ins';
 import type { LoopbackVm } from '../deployment/loopback-vm.js';
 
 /** Ports on every VM. */
@@ -19,6 +19,7 @@
   failureDomain: string;
   /** Where this process reaches the store. */
   store: string;
+  limits: FleetLimits;
 }
 
 /** Where callers reach an entry on this VM. */
@@ -26,6 +27,21 @@
   return `${ip}:${FRONT_PORT}`;
 }
 
+/** Where the load balancer asks whether an entry on this VM is ready. */
+export function readinessOf({ ip }: LoopbackVm): string {
+  return `${ip}:${READY_PORT}`;
+}
+
+/** Where an entry on this VM accepts links. */
+export function linksOf({ ip }: LoopbackVm): string {
+  return `${ip}:${INTERNAL_PORTS.first}`;
+}
+
+/** Where a process on this VM serves its metrics. */
+export function metricsOf({ ip }: LoopbackVm): string {
+  return `${ip}:${INTERNAL_PORTS.last}`;
+}
+
 /** Where the runner on this VM reports. */
 export function controlOf({ ip }: LoopbackVm): string {
   return `${ip}:${CONTROL_PORT}`;
@@ -44,7 +60,7 @@
   }
 
   /** Writes one; answers its path. */
-  async write({ name, role, vm, failureDomain, store }: FleetVm): Promise<string> {
+  async write({ name, role, vm, failureDomain, store, limits }: FleetVm): Promise<string> {
     const file = join(this.#folder, `${name}.json`);
     const settings = encodeFleetSettings({
       name,
@@ -52,8 +68,9 @@
       ip: vm.ip,
       failureDomain,
       store,
-      listen: { front: frontOf(vm), ready: `${vm.ip}:${READY_PORT}`, control: controlOf(vm) },
+      listen: { front: frontOf(vm), ready: readinessOf(vm), control: controlOf(vm) },
       internalPorts: INTERNAL_PORTS,
+      limits,
     });
     await writeFile(file, JSON.stringify(settings));
     return file;
--- a/packages/e2e/src/fleet/fleet.ts
+++ b/packages/e2e/src/fleet/fleet.ts
@@ -1,9 +1,11 @@
 /** The platform's program as separate processes on loopback, with an emulated store and runners around it. */
 import {
+  FLEET_LIMITS,
   GangBoard,
   LossyProxy,
   startFleetRunner,
   startStore,
+  type FleetLimits,
   type FleetRunner,
   type RunnerObserver,
   type StoreStandIn,
@@ -12,6 +14,7 @@
 import { mainOf } from '../deployment/main-of.js';
 import { VmProcess } from '../deployment/vm-process.js';
 import { FleetSettings, controlOf, frontOf, type FleetVm } from './fleet-settings.js';
+import type { LoopbackVm } from '../deployment/loopback-vm.js';
 
 const STORE_PROXY_PORT = 8600;
 const RUNNER_PROXY_PORT = 8601;
@@ -25,6 +28,7 @@
 /** A process of the fleet and the proxy on its way to the store. */
 export interface FleetProcess {
   name: string;
+  vm: LoopbackVm;
   process: VmProcess;
   toStore: LossyProxy;
 }
@@ -49,6 +53,10 @@
   workers: number;
   observer: RunnerObserver;
   isKnown: (task: string, spec: string) => boolean;
+  /** What each process's machine gives it. */
+  limits?: FleetLimits;
+  /** Options of Node for each process. */
+  nodeArgs?: string[];
 }
 
 /** All of it; runs until `stop`. */
@@ -65,16 +73,33 @@
 
   readonly #board = new GangBoard();
 
-  private constructor(store: StoreStandIn, settings: FleetSettings, network: LoopbackNetwork) {
+  readonly #limits: FleetLimits;
+
+  readonly #nodeArgs: string[];
+
+  private constructor({
+    store,
+    settings,
+    network,
+    limits = FLEET_LIMITS,
+    nodeArgs = [],
+  }: {
+    store: StoreStandIn;
+    settings: FleetSettings;
+    network: LoopbackNetwork;
+  } & Pick<FleetOptions, 'limits' | 'nodeArgs'>) {
     this.store = store;
     this.#settings = settings;
     this.#network = network;
+    this.#limits = limits;
+    this.#nodeArgs = nodeArgs;
   }
 
   static async start({ entries, workers, ...options }: FleetOptions): Promise<Fleet> {
     const network = new LoopbackNetwork();
     const store = await startStore({ listen: `${network.nextVm().ip}:${STORE_PORT}` });
-    const fleet = new Fleet(store, await FleetSettings.create(), network);
+    const settings = await FleetSettings.create();
+    const fleet = new Fleet({ store, settings, network, ...options });
     for (let each = 1; each <= entries; each++) await fleet.#addEntry(each);
     for (let each = 1; each <= workers; each++) await fleet.#addWorker(each, options);
     await Promise.all(fleet.processes.map(({ process }) => startProcess(process)));
@@ -149,16 +174,21 @@
     this.workers.push({ ...common, failureDomain, runner, toRunner, toGuard });
   }
 
-  async #newProcess(place: Omit<FleetVm, 'store'>): Promise<FleetProcess> {
+  async #newProcess(place: Omit<FleetVm, 'store' | 'limits'>): Promise<FleetProcess> {
     const toStore = await startProxy(`${place.vm.ip}:${STORE_PROXY_PORT}`, this.store.address);
-    const settings = await this.#settings.write({ ...place, store: toStore.address });
+    const settings = await this.#settings.write({
+      ...place,
+      store: toStore.address,
+      limits: this.#limits,
+    });
     const process = new VmProcess({
       name: place.name,
       main: mainOf('@zincspan/platform-adapter', './main.js'),
       args: [],
+      nodeArgs: this.#nodeArgs,
       env: { ZINCSPAN_CONFIG: settings },
     });
-    return { name: place.name, process, toStore };
+    return { name: place.name, vm: place.vm, process, toStore };
   }
 }
 
--- a/packages/entry/src/http/http-server.ts
+++ b/packages/entry/src/http/http-server.ts
@@ -1,8 +1,7 @@
 /** The HTTP server of an entry: bounds, problem answers and authentication, before any route is added. */
-import { createServer } from 'node:http';
 import { Server } from '@hapi/hapi';
 import type { EntrySettings, ProcessContext } from '@zincspan/core';
-import { parseAddress } from '@zincspan/link';
+import { BoundedServer, parseAddress } from '@zincspan/link';
 import type { AccountDirectory } from './account-directory.js';
 import { registerAuth } from './auth.js';
 import { answerProblems } from './problem-response.js';
@@ -22,13 +21,19 @@
 /** Makes the server. It listens once `server.start()` is called. */
 export function createHttpServer({ ctx, settings, accounts }: HttpServerOptions): Server {
   const { host, port } = parseAddress(settings.listenHttp);
-  const listener = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    requestTimeout: BODY_TIMEOUT_MS,
-    keepAliveTimeout: KEEP_ALIVE_MS,
+  const listener = new BoundedServer({
+    limits: {
+      maxConnections: settings.limits.connections,
+      maxMemoryBytes: settings.limits.requestMemoryBytes,
+    },
+    metrics: ctx.metrics,
+    http: {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: BODY_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+    },
   });
-  listener.maxConnections = settings.limits.connections;
   const server = new Server({
     host,
     port,
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -102,6 +102,7 @@
     );
     this.#listener = new UpstreamListener({
       listen: settings.listenHttp,
+      metrics: ctx.metrics,
       onAnnounced: (announced) => this.#holder.announced(announced),
       onWithdrawn: () => this.#holder.withdrawn(),
       isReady: () => this.#announcer.state === 'ready',
--- a/packages/guard/src/upstream/upstream-listener.ts
+++ b/packages/guard/src/upstream/upstream-listener.ts
@@ -9,7 +9,7 @@
  *   GET    /health        200 while the process lives
  *   GET    /ready         200 while the upstream is offered, else 503
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import {
   ProblemError,
   PROBLEM_MEDIA_TYPE,
@@ -18,17 +18,19 @@
   problemBody,
   toProblem,
   upstreamSchema,
+  type Metrics,
   type Upstream,
 } from '@zincspan/core';
-import { listenOn } from '@zincspan/link';
+import { BoundedServer, listenOn, type HttpLimits } from '@zincspan/link';
 
 const MAX_ANNOUNCEMENT_BYTES = 16_384;
-const MAX_CONNECTIONS = 32;
+const LIMITS: HttpLimits = { maxConnections: 32, maxMemoryBytes: 4 * 1_048_576 };
 const REQUEST_MS = 5000;
 
 /** What the listener serves. */
 export interface UpstreamListenerOptions {
   listen: string;
+  metrics: Metrics;
   onAnnounced: (upstream: Upstream) => void;
   onWithdrawn: () => void;
   isReady: () => boolean;
@@ -42,10 +44,13 @@
 
   constructor(options: UpstreamListenerOptions) {
     this.#options = options;
-    this.#server = createServer({ requestTimeout: REQUEST_MS }, (req, res) => {
-      void this.#serve(req, res);
-    });
-    this.#server.maxConnections = MAX_CONNECTIONS;
+    const { metrics } = options;
+    this.#server = new BoundedServer(
+      { limits: LIMITS, metrics, http: { requestTimeout: REQUEST_MS, headersTimeout: REQUEST_MS } },
+      (req, res) => {
+        void this.#serve(req, res);
+      },
+    );
   }
 
   /** Starts to listen; answers the address. */
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,6 +1,8 @@
 /** Links between zincspan processes: typed calls over WebSockets, with heartbeats and automatic redial. */
 export * from './address.js';
 export * from './listen.js';
+export * from './http/bounded-server.js';
+export * from './http/http-limits.js';
 export * from './dialer.js';
 export * from './link.js';
 export * from './link-server.js';
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -1,8 +1,9 @@
 /** Server end of links: listens for dialers. */
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 import { WebSocketServer, type WebSocket } from 'ws';
 import { AcceptedPeers } from './accepted-peers.js';
+import { BoundedServer } from './http/bounded-server.js';
 import { listenOn } from './listen.js';
 import { MAX_FRAME_BYTES, type Proof } from './frame.js';
 import { runServerHandshake } from './handshake.js';
@@ -23,6 +24,9 @@
 
 const CLOSE_TIMEOUT_MS = 1000;
 
+/** For requests on connections that are not upgraded. */
+const HTTP_MEMORY_BYTES = 4 * 1_048_576;
+
 /** Accepts connections; each becomes a link only once it is authenticated. */
 export class LinkServer {
   readonly #options: LinkServerOptions;
@@ -43,9 +47,16 @@
   constructor(options: LinkServerOptions) {
     this.#options = options;
     this.#limits = { ...DEFAULT_LINK_LIMITS, ...options.limits };
-    this.#httpServer = createServer((_req, res) => {
-      res.writeHead(426).end();
-    });
+    this.#httpServer = new BoundedServer(
+      {
+        limits: {
+          maxConnections: Infinity, // Limited by `maxUnauthenticated`.
+          maxMemoryBytes: HTTP_MEMORY_BYTES,
+        },
+        metrics: options.ctx.metrics,
+      },
+      (_req, res) => res.writeHead(426).end(),
+    );
     this.#webSocketServer = new WebSocketServer({
       server: this.#httpServer,
       maxPayload: MAX_FRAME_BYTES,
--- a/packages/stand-ins/src/fleet/fleet-wire.ts
+++ b/packages/stand-ins/src/fleet/fleet-wire.ts
@@ -92,8 +92,18 @@
   /** What it listens on: callers and readiness of an entry, heartbeats of a guard. */
   listen: { front: string; ready: string; control: string };
   internalPorts: { first: number; last: number };
+  limits: FleetLimits;
 }
 
+/** What a process's machine gives it. */
+export interface FleetLimits {
+  memoryMb: number;
+  maxDescriptors: number;
+}
+
+/** The usual machine. */
+export const FLEET_LIMITS: FleetLimits = { memoryMb: 350, maxDescriptors: 4100 };
+
 /** A process's settings file. */
 export function encodeFleetSettings({
   name,
@@ -103,6 +113,7 @@
   store,
   listen: { front, ready, control },
   internalPorts: { first, last },
+  limits: { memoryMb, maxDescriptors },
 }: FleetPlace): object {
   const isEntry = role === 'entry';
   return {
@@ -113,6 +124,7 @@
     zone: failureDomain,
     listen_addrs: isEntry ? { front, ready } : { control },
     internal_ports: [first, last],
+    limits: { memory_mb: memoryMb, max_fds: maxDescriptors },
     bounds: {
       revoke_ms: FLEET_BOUNDS.revokeMs,
       hold_max_ms: FLEET_BOUNDS.leaseMs,
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -7,7 +7,7 @@
 import { readKnownRed } from './known-red.mjs';
 import { run, setUp } from './setup.mjs';
 
-const PROFILES = ['default', 'e2e'];
+const PROFILES = ['default', 'e2e', 'misbehaving'];
 
 /** Scenario results of one cucumber run, from its message stream. */
 function readResults(file) {
