Let peers link while connections that don't authenticate hold all places

Callers saw: guards and other entries couldn't link to an entry while clients without a key held the 64 connections that may wait for authentication; such clients could also end the entry with a long message in fragments.

Cause: the newest connection was refused when all places were taken, whoever held them. Frames had the same limits before authentication as after it, and fragments only the library's limit of 16,384.

The two new scenarios of links.feature need this change: without it the server refuses the dialer until the handshakes of the others time out, and a long first message is decoded and reported as garbled.

Ruled out: idle connections, which the handshake's time-out of 2 s ends.

It holds because a peer proves itself within milliseconds, long before it is the oldest of 64.

--- a/packages/e2e/src/misbehaving-clients/misbehaving-clients.feature
+++ b/packages/e2e/src/misbehaving-clients/misbehaving-clients.feature
@@ -24,6 +24,7 @@
       | guard control | /-/instances/x | 20  | PUT bodies in 1-byte chunks       |
       | guard control | /-/instances/x | 180 | PUT bodies in 64 KiB chunks       |
       | links         | /          | 20      | POST bodies in 1-byte chunks      |
+      | links         | /          | 60      | fragments of a WebSocket message  |
 
     Examples: bodies that cost more than their length
       | listener      | path                     | clients | payload                       |
--- a/packages/link/src/dialer.ts
+++ b/packages/link/src/dialer.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import { WebSocket } from 'ws';
 import type { ProcessId } from '@zincspan/core';
-import { MAX_FRAME_BYTES } from './frame.js';
+import { MAX_FRAME_BYTES, MAX_MESSAGE_FRAGMENTS } from './frame.js';
 import { runDialerHandshake } from './handshake.js';
 import { Link } from './link.js';
 import {
@@ -83,6 +83,7 @@
       socket = new WebSocket(`ws://${this.#options.address}/`, {
         perMessageDeflate: false,
         maxPayload: MAX_FRAME_BYTES,
+        maxFragments: MAX_MESSAGE_FRAGMENTS,
       });
     } catch (err) {
       // Thrown for an address that no connection can have, such as one with a port out of range. It may come from a stored row.
--- a/packages/link/src/frame.ts
+++ b/packages/link/src/frame.ts
@@ -6,6 +6,9 @@
 /** Longest frame, in bytes: the longest body plus 64 KiB for the fields around it. */
 export const MAX_FRAME_BYTES = MAX_BODY_BYTES + 65_536;
 
+/** Frames are sent unfragmented. Each fragment takes some hundred bytes beside its content. */
+export const MAX_MESSAGE_FRAGMENTS = 16;
+
 const nonce = z
   .instanceof(Uint8Array)
   .refine((bytes) => bytes.byteLength === 32, 'must be 32 bytes');
--- a/packages/link/src/link-server.ts
+++ b/packages/link/src/link-server.ts
@@ -5,7 +5,7 @@
 import { AcceptedPeers } from './accepted-peers.js';
 import { BoundedServer } from './http/bounded-server.js';
 import { listenOn } from './listen.js';
-import { MAX_FRAME_BYTES, type Proof } from './frame.js';
+import { MAX_FRAME_BYTES, MAX_MESSAGE_FRAGMENTS, type Proof } from './frame.js';
 import { runServerHandshake } from './handshake.js';
 import { Link } from './link.js';
 import {
@@ -24,6 +24,9 @@
 
 const CLOSE_TIMEOUT_MS = 1000;
 
+/** Upgrade request and proof are far shorter. Without this a client without a key could send a frame of the maximum size. */
+const MAX_HANDSHAKE_BYTES = 32_768;
+
 /** For requests on connections that are not upgraded. */
 const HTTP_MEMORY_BYTES = 4 * 1_048_576;
 
@@ -60,6 +63,7 @@
     this.#webSocketServer = new WebSocketServer({
       server: this.#httpServer,
       maxPayload: MAX_FRAME_BYTES,
+      maxFragments: MAX_MESSAGE_FRAGMENTS,
       perMessageDeflate: false,
       clientTracking: false,
     });
@@ -98,12 +102,14 @@
   }
 
   #trackConnection(socket: Socket): void {
-    if (this.#unauthenticated.size >= this.#limits.maxUnauthenticated) {
+    // A peer authenticates within milliseconds: the oldest connection is the one that stalls.
+    const [oldest] = this.#unauthenticated;
+    if (oldest !== undefined && this.#unauthenticated.size >= this.#limits.maxUnauthenticated) {
       this.#countClose(
         new LinkCloseError('too-many', 'Too many connections are not authenticated yet.'),
       );
-      socket.destroy();
-      return;
+      this.#unauthenticated.delete(oldest);
+      oldest.destroy();
     }
     socket.setNoDelay(true);
     this.#connections.add(socket);
@@ -131,6 +137,11 @@
         link?.handleEnd(closeError);
       },
     });
+    const checkLength = (): void => {
+      if (transport.bytesRead <= MAX_HANDSHAKE_BYTES) return;
+      socket.end(new LinkCloseError('oversized', 'The handshake is too long.'));
+    };
+    transport.prependListener('data', checkLength);
     const { ctx, keys, bornAt = performance.timeOrigin } = this.#options;
     runServerHandshake(
       socket,
@@ -138,6 +149,7 @@
       {
         check: (proof) => this.#acceptedPeers.checkIncarnation(proof.process, proof.bornAt),
         onAuthenticated: (proof) => {
+          transport.off('data', checkLength);
           this.#unauthenticated.delete(transport);
           link = this.#openLink(socket, proof);
         },
--- a/packages/link/src/link-world.support.ts
+++ b/packages/link/src/link-world.support.ts
@@ -13,7 +13,7 @@
 import { Dialer, type DialerOptions } from './dialer.js';
 import type { Link } from './link.js';
 import { LinkServer } from './link-server.js';
-import type { LinkOptions } from './link-options.js';
+import type { LinkLimits, LinkOptions } from './link-options.js';
 
 export const LINK_KEY = 'a-link-key-for-the-tests-of-links';
 export const OTHER_LINK_KEY = 'another-key-of-at-least-32-bytes!';
@@ -113,12 +113,13 @@
 export async function startServer(
   world: LinkWorld,
   handlers: Handlers,
-  keys = [LINK_KEY],
+  { keys = [LINK_KEY], limits = {} }: { keys?: string[]; limits?: Partial<LinkLimits> } = {},
 ): Promise<void> {
   const testProcess = makeTestProcess('entry-1', 'incarnation-1');
   const server = new LinkServer({
     ...testProcess.options,
     keys,
+    limits: { ...testProcess.options.limits, ...limits },
     handlers,
     listen: '127.0.0.1:0',
     bundleVersion: () => 7,
--- a/packages/link/src/links.feature
+++ b/packages/link/src/links.feature
@@ -100,6 +100,20 @@
     And the link server counts "link.closed.handshake-timeout"
     And a call on the link answers "hello"
 
+  # New connections were refused while others held all places, so that no peer could link.
+  Scenario: connections that don't authenticate make room for a peer
+    Given a link server whose handshakes may take 60 s
+    When 8 clients connect to the link server and send nothing
+    Then a dialer links to the server
+    And the link server counts "link.closed.too-many"
+
+  # Frames of the maximum size were read from clients without a key.
+  Scenario: a client that isn't authenticated can't send long messages
+    Given a link between two processes
+    When a client sends the link server a message of 100000 bytes before it proves itself
+    Then the link server counts "link.closed.oversized"
+    And a call on the link answers "hello"
+
   Scenario Outline: a bad message closes only its own link
     Given a link between two processes
     When an authenticated peer sends the link server a message that is <bad>
--- a/packages/link/src/links.steps.ts
+++ b/packages/link/src/links.steps.ts
@@ -72,7 +72,7 @@
   dialerKeys = [LINK_KEY],
   serverKeys = [LINK_KEY],
 ): Promise<void> {
-  await startServer(world, handlers, serverKeys);
+  await startServer(world, handlers, { keys: serverKeys });
   const testProcess = makeTestProcess('guard-1', 'incarnation-a', LINK_KEY, 5);
   const dialer = dial(world, testProcess, { expectId: 'entry-1', keys: dialerKeys });
   Object.assign(world, { dialer, dialerProcess: testProcess, inFlight: Promise.resolve() });
@@ -171,6 +171,30 @@
   },
 );
 
+Given(
+  'a link server whose handshakes may take {int} s',
+  async function (this: LinkWorld, seconds: number) {
+    await startServer(this, handlers, { limits: { handshakeTimeoutMs: seconds * 1000 } });
+  },
+);
+
+Then('a dialer links to the server', async function (this: LinkWorld) {
+  const testProcess = makeTestProcess('guard-1', 'incarnation-a');
+  dial(this, testProcess);
+  await waitForLinks(testProcess, 1);
+});
+
+When(
+  'a client sends the link server a message of {int} bytes before it proves itself',
+  async function (this: LinkWorld, bytes: number) {
+    const ws = new WebSocket(`ws://${this.proxy.address}/`, { perMessageDeflate: false });
+    ws.on('error', () => {});
+    closeAfterScenario(() => ws.terminate());
+    await once(ws, 'open');
+    ws.send(new Uint8Array(bytes));
+  },
+);
+
 /** Proves itself, then says anything at all. */
 async function sendRawMessage(world: LinkWorld, bytes: Uint8Array | string): Promise<void> {
   const { ctx } = makeTestProcess('guard-2', 'incarnation-z');
