--- a/cucumber.mjs
+++ b/cucumber.mjs
@@ -24,7 +24,7 @@
   ],
 };
 
-/** One scenario at a time, since each one presses on a process and measures its memory. */
+/** One scenario at a time, since each measures the memory of a process. */
 export const misbehaving = {
   ...common,
   paths: ['packages/e2e/src/misbehaving-clients/*.feature'],
--- a/packages/e2e/src/fleet/fleet.ts
+++ b/packages/e2e/src/fleet/fleet.ts
@@ -10,11 +10,10 @@
   type RunnerObserver,
   type StoreStandIn,
 } from '@zincspan/stand-ins';
-import { LoopbackNetwork } from '../deployment/loopback-vm.js';
+import { LoopbackNetwork, type LoopbackVm } from '../deployment/loopback-vm.js';
 import { mainOf } from '../deployment/main-of.js';
 import { VmProcess } from '../deployment/vm-process.js';
 import { FleetSettings, controlOf, frontOf, type FleetVm } from './fleet-settings.js';
-import type { LoopbackVm } from '../deployment/loopback-vm.js';
 
 const STORE_PROXY_PORT = 8600;
 const RUNNER_PROXY_PORT = 8601;
--- a/packages/e2e/src/misbehaving-clients/misbehaving-clients.feature
+++ b/packages/e2e/src/misbehaving-clients/misbehaving-clients.feature
@@ -11,43 +11,43 @@
     And an ordinary job is accepted and completes
 
     Examples: requests that aren't finished
-      | listener      | path       | clients | payload                           |
-      | the job API   | /proofs/1  | 20      | POST bodies in 1-byte chunks      |
-      | the job API   | /proofs/1  | 180     | POST bodies in 64 KiB chunks      |
-      | the job API   | /proofs/1  | 180     | POST bodies with a length         |
-      | the job API   | /proofs/1  | 20      | PUT bodies in 1-byte chunks       |
-      | the job API   | /proofs/1  | 20      | DELETE bodies in 1-byte chunks    |
-      | the job API   | /proofs/1  | 20      | GET bodies in 1-byte chunks       |
-      | the job API   | /proofs/1  | 180     | unfinished headers of tiny fields |
-      | readiness     | /-/ready   | 20      | POST bodies in 1-byte chunks      |
-      | metrics       | /metrics   | 20      | POST bodies in 1-byte chunks      |
-      | guard control | /-/instances/x | 20  | PUT bodies in 1-byte chunks       |
-      | guard control | /-/instances/x | 180 | PUT bodies in 64 KiB chunks       |
-      | links         | /          | 20      | POST bodies in 1-byte chunks      |
-      | links         | /          | 60      | fragments of a WebSocket message  |
+      | listener    | path           | clients | payload                           |
+      | the job API | /proofs/1      | 20      | POST bodies in 1-byte chunks      |
+      | the job API | /proofs/1      | 180     | POST bodies in 64 KiB chunks      |
+      | the job API | /proofs/1      | 180     | POST bodies with a length         |
+      | the job API | /proofs/1      | 20      | PUT bodies in 1-byte chunks       |
+      | the job API | /proofs/1      | 20      | DELETE bodies in 1-byte chunks    |
+      | the job API | /proofs/1      | 20      | GET bodies in 1-byte chunks       |
+      | the job API | /proofs/1      | 180     | unfinished headers of tiny fields |
+      | readiness   | /-/ready       | 20      | POST bodies in 1-byte chunks      |
+      | metrics     | /metrics       | 20      | POST bodies in 1-byte chunks      |
+      | heartbeats  | /-/instances/x | 20      | PUT bodies in 1-byte chunks       |
+      | heartbeats  | /-/instances/x | 180     | PUT bodies in 64 KiB chunks       |
+      | links       | /              | 20      | POST bodies in 1-byte chunks      |
+      | links       | /              | 60      | fragments of a WebSocket message  |
 
     Examples: bodies that cost more than their length
-      | listener      | path                     | clients | payload                       |
-      | the job API   | /proofs/0000000000000009 | 1       | a job of invalid steps        |
-      | guard control | /-/instances/x           | 1       | a heartbeat of invalid labels |
+      | listener    | path                     | clients | payload                       |
+      | the job API | /proofs/0000000000000009 | 1       | a job of invalid steps        |
+      | heartbeats  | /-/instances/x           | 1       | a heartbeat of invalid labels |
 
     Examples: requests sent ahead
-      | listener      | path       | clients | payload                           |
-      | the job API   | /proofs/1  | 100     | GET requests ahead                |
-      | the job API   | /-/ready   | 100     | GET requests ahead                |
-      | the job API   | /proofs/1  | 100     | GET requests ahead without Host   |
-      | the job API   | /proofs/1  | 100     | HTTP/1.0 GET requests ahead       |
-      | the job API   | /proofs/1  | 100     | POST requests ahead               |
-      | readiness     | /-/ready   | 100     | GET requests ahead                |
-      | readiness     | /-/ready   | 100     | GET requests ahead without Host   |
-      | metrics       | /metrics   | 100     | GET requests ahead                |
-      | guard control | /-/instances/x | 100 | GET requests ahead                |
-      | links         | /          | 100     | GET requests ahead                |
+      | listener    | path           | clients | payload                         |
+      | the job API | /proofs/1      | 100     | GET requests ahead              |
+      | the job API | /-/ready       | 100     | GET requests ahead              |
+      | the job API | /proofs/1      | 100     | GET requests ahead without Host |
+      | the job API | /proofs/1      | 100     | HTTP/1.0 GET requests ahead     |
+      | the job API | /proofs/1      | 100     | POST requests ahead             |
+      | readiness   | /-/ready       | 100     | GET requests ahead              |
+      | readiness   | /-/ready       | 100     | GET requests ahead without Host |
+      | metrics     | /metrics       | 100     | GET requests ahead              |
+      | heartbeats  | /-/instances/x | 100     | GET requests ahead              |
+      | links       | /              | 100     | GET requests ahead              |
 
     Examples: connections without a request
-      | listener      | path       | clients | payload                           |
-      | the job API   | /          | 600     | nothing                           |
-      | readiness     | /          | 600     | nothing                           |
-      | metrics       | /          | 600     | nothing                           |
-      | guard control | /          | 600     | nothing                           |
-      | links         | /          | 600     | nothing                           |
+      | listener    | path | clients | payload |
+      | the job API | /    | 600     | nothing |
+      | readiness   | /    | 600     | nothing |
+      | metrics     | /    | 600     | nothing |
+      | heartbeats  | /    | 600     | nothing |
+      | links       | /    | 600     | nothing |
--- a/packages/e2e/src/misbehaving-clients/misbehaving-clients.steps.ts
+++ b/packages/e2e/src/misbehaving-clients/misbehaving-clients.steps.ts
@@ -3,7 +3,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import Wreck from '@hapi/wreck';
 import { encodeFleetConfig, encodeFleetJob } from '@zincspan/stand-ins';
-import { controlOf, linksOf, metricsOf, readinessOf } from '../fleet/fleet-settings.js';
+import { controlOf, frontOf, linksOf, metricsOf, readinessOf } from '../fleet/fleet-settings.js';
 import { Fleet, SERVICE, type FleetProcess } from '../fleet/fleet.js';
 import { FleetCaller, SOAK_HOST as HOST, type FleetAnswer } from '../soak/fleet-caller.js';
 import { until } from '../support/until.js';
@@ -16,11 +16,11 @@
 const PREFIX = '/proofs/';
 const KEY = 'ordinary-key';
 
-/** Half of the usual heap, so that few clients show what many would do. */
+/** Less than the usual heap, so that few clients show what many would do. */
 const NODE_ARGS = ['--max-old-space-size=64'];
 
-/** How long the clients press before anything is checked, in ms. */
-const PRESS_MS = 3000;
+/** How long the clients send before anything is checked, in ms. */
+const SENDING_MS = 3000;
 
 /** How often each client connects again. */
 const RECONNECTS = 3;
@@ -45,7 +45,7 @@
 const LISTENERS: Record<string, Listener> = {
   'the job API': {
     role: 'entry',
-    addressOf: ({ vm }) => `${vm.ip}:8521`,
+    addressOf: ({ vm }) => frontOf(vm),
     ordinary: { method: 'GET', path: `${PREFIX}${'0'.repeat(ID_DIGITS)}`, status: 410 },
   },
   readiness: {
@@ -63,7 +63,7 @@
     addressOf: ({ vm }) => linksOf(vm),
     ordinary: { method: 'GET', path: '/', status: 426 },
   },
-  'guard control': {
+  heartbeats: {
     role: 'guard',
     addressOf: ({ vm }) => controlOf(vm),
     ordinary: { method: 'PUT', path: '/-/instances/other', body: HEARTBEAT, status: 200 },
@@ -78,7 +78,10 @@
   limits: { memoryMb: number; maxDescriptors: number };
 }
 
-function find(world: ClientsWorld, name: string): { listener: Listener; process: FleetProcess } {
+function findListener(
+  world: ClientsWorld,
+  name: string,
+): { listener: Listener; process: FleetProcess } {
   const listener = LISTENERS[name];
   assert.ok(listener, `No listener "${name}".`);
   const [process] = listener.role === 'entry' ? world.fleet.entries : world.fleet.workers;
@@ -86,7 +89,7 @@
   return { listener, process };
 }
 
-async function call(
+async function callJobApi(
   { fleet, caller }: ClientsWorld,
   method: 'GET' | 'POST',
   id: string,
@@ -106,10 +109,10 @@
   const body = encodeFleetJob(spec, [{ ...step, after: [] }]);
   await until(
     'the job to be accepted',
-    async () => (await call(world, 'POST', id, body))?.status === 200,
+    async () => (await callJobApi(world, 'POST', id, body))?.status === 200,
   );
   await until('the job to complete', async () => {
-    const answer = await call(world, 'GET', id);
+    const answer = await callJobApi(world, 'GET', id);
     return (answer?.body as { state?: string } | undefined)?.state === 'completed';
   });
 }
@@ -153,7 +156,7 @@
     path: string,
     listenerName: string,
   ) {
-    const { listener, process } = find(this, listenerName);
+    const { listener, process } = findListener(this, listenerName);
     const make = PAYLOADS[payload];
     assert.ok(make, `No payload "${payload}".`);
     this.watch = new UsageWatch({ pid: process.process.pid, ip: process.vm.ip });
@@ -164,14 +167,14 @@
       reconnects: RECONNECTS,
     });
     this.clients.start();
-    await sleep(PRESS_MS);
+    await sleep(SENDING_MS);
   },
 );
 
 Then(
   /^the process that serves (.+) has stayed within its machine$/,
   function (this: ClientsWorld, name: string) {
-    const { process } = find(this, name);
+    const { process } = findListener(this, name);
     const { peak } = this.watch;
     assert.ok(
       process.process.running,
@@ -185,7 +188,7 @@
 );
 
 Then(/^(.+) answers an ordinary request$/, STEP, async function (this: ClientsWorld, name: string) {
-  const { listener, process } = find(this, name);
+  const { listener, process } = findListener(this, name);
   const { method, path, body, status } = listener.ordinary;
   await until(`${name} to answer with ${status}`, async () => {
     const res = await Wreck.request(method, `http://${listener.addressOf(process)}${path}`, {
