Let HTTP connections wait for their turn while a handler reads a body

Callers saw: while many clients send large bodies, a process answered nobody for up to a second and used more memory than its limits let expect.

Cause: HttpConnection pauses the socket after 4 KiB. Node's HTTP server resumes it whenever the handler has taken a part of the body, so the connection went on at once; libuv reads up to 32 blocks of a socket in a row. Connections that are closed meanwhile keep their memory until the turn of the event loop ends.

Change: a paused connection that is resumed by Node puts the bytes back and pauses again. New connections wait for their turn, too. What waits to be parsed counts by the block that was read instead of 128 KiB. It holds because only the turn queue now lets a connection go on.

--- a/packages/link/src/http/bounded-server.feature
+++ b/packages/link/src/http/bounded-server.feature
@@ -20,6 +20,12 @@
     When an HTTP client sends a body of 262144 bytes byte by byte
     Then the server has kept it in at most 65 blocks
 
+  Scenario: a body that its handler reads leaves turns to other clients
+    Given a bounded server for a process of 350 MB and 4096 descriptors
+    When an HTTP client sends a body of 1000000 bytes at once
+    Then it reads 1 answer with status 200
+    And its handler got at most 8192 bytes in a turn of the event loop
+
   Scenario: idle connections and many clients at once are served
     Given a bounded server for a process of 350 MB and 4096 descriptors
     And 1000 idle connections
--- a/packages/link/src/http/bounded-server.steps.ts
+++ b/packages/link/src/http/bounded-server.steps.ts
@@ -22,6 +22,9 @@
   handled: number;
   /** Blocks of the last request's body. */
   blocks: number;
+  /** Bytes of bodies that the handlers got in this turn of the event loop, and in the turn in which they got most. */
+  turnBytes: number;
+  mostTurnBytes: number;
   /** Responses that the handlers hold back; undefined: they answer at once. */
   held: ServerResponse[] | undefined;
 }
@@ -43,6 +46,7 @@
   'an HTTP/1.1 request without Host': 'GET / HTTP/1.1\r\n\r\n',
   'a request with an unknown Expect': 'GET / HTTP/1.1\r\nHost: a\r\nExpect: more\r\n\r\n',
   'a body of 262144 bytes byte by byte': `POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${ONE_BYTE_CHUNK.repeat(262_144)}0\r\n\r\n`,
+  'a body of 1000000 bytes at once': post(1_000_000, 1_000_000),
   'all but the end of a body that exceeds 4 MB': post(5_000_000, 4_161_600),
 };
 
@@ -57,6 +61,12 @@
   while (!holds()) await sleep(POLL_MS);
 }
 
+function countTurnBytes(world: ServerWorld, bytes: number): void {
+  if (world.turnBytes === 0) setImmediate(() => Object.assign(world, { turnBytes: 0 }));
+  const turnBytes = world.turnBytes + bytes;
+  Object.assign(world, { turnBytes, mostTurnBytes: Math.max(world.mostTurnBytes, turnBytes) });
+}
+
 async function open({ server, sockets }: ServerWorld): Promise<Socket> {
   const { port } = server.address() as AddressInfo;
   const socket = connect({ host: '127.0.0.1', port });
@@ -98,12 +108,14 @@
   'a bounded server for a process of {int} MB and {int} descriptors',
   async function (this: ServerWorld, memoryMb: number, maxDescriptors: number) {
     Object.assign(this, { sockets: [], text: '', handled: 0, blocks: 0, held: undefined });
+    Object.assign(this, { turnBytes: 0, mostTurnBytes: 0 });
     this.metrics = new CountingMetrics();
     const limits = callerLimits({ memoryBytes: memoryMb * BYTES_PER_MB, maxDescriptors });
     this.server = new BoundedServer({ limits, metrics: this.metrics }, (req, res) => {
       let blocks = 0;
-      req.on('data', () => {
+      req.on('data', ({ length }: Buffer) => {
         blocks += 1;
+        countTurnBytes(this, length);
       });
       req.on('end', () => {
         this.handled += 1;
@@ -165,6 +177,13 @@
   },
 );
 
+Then(
+  'its handler got at most {int} bytes in a turn of the event loop',
+  function (this: ServerWorld, bytes: number) {
+    assert.ok(this.mostTurnBytes > 0 && this.mostTurnBytes <= bytes, `${this.mostTurnBytes} bytes`);
+  },
+);
+
 Then('no connection was closed for a limit', function (this: ServerWorld) {
   const closed = [...this.metrics.counters.keys()].filter((name) => name.startsWith('http.closed'));
   assert.deepEqual(closed, []);
--- a/packages/link/src/http/bounded-server.ts
+++ b/packages/link/src/http/bounded-server.ts
@@ -11,9 +11,6 @@
 /** Estimated memory of an open connection, with a header that may have arrived in part. */
 const CONNECTION_BYTES = 16_384;
 
-/** Memory of a connection that isn't read: a block that Node has read, and as much again that waits in the kernel. */
-const PAUSED_BYTES = 131_072;
-
 /** Estimated memory of a request that isn't answered yet, beside its body. */
 const REQUEST_BYTES = 16_384;
 
@@ -53,9 +50,9 @@
 }
 
 /**
- * Counts connections, unanswered requests and body bytes. When they exceed a limit together, it closes the connection that uses most
- * of it. A connection with several unanswered requests is not read until some of them are answered, and one that has sent much at once
- * lets others have their turns.
+ * Counts connections, unanswered requests and body bytes, and closes connections when they exceed a limit together. A connection with
+ * several unanswered requests is not read until some of them are answered, and one that has sent much at once lets others have their
+ * turns.
  */
 export class BoundedServer extends Server {
   readonly #table: ConnectionTable<Socket>;
@@ -76,6 +73,8 @@
       // Checked here instead: Node's own check answers without the events by which requests are counted.
       requireHostHeader: false,
     });
+    // An option of net.Server that http.Server doesn't pass on.
+    Object.assign(this, { pauseOnConnect: true });
     this.#table = new ConnectionTable(limits);
     this.#metrics = metrics;
     this.maxHeadersCount = MAX_HEADER_FIELDS;
@@ -100,11 +99,13 @@
   }
 
   #addConnection(socket: Socket): void {
-    const onPaused = (isPaused: boolean): void => {
-      this.#table.change(socket, isPaused ? PAUSED_BYTES : -PAUSED_BYTES);
+    let waitingBytes = 0;
+    const onWaiting = (bytes: number): void => {
+      this.#table.change(socket, bytes - waitingBytes);
+      waitingBytes = bytes;
       this.#enforceLimits();
     };
-    this.#connections.set(socket, new HttpConnection({ socket, turns: this.#turns, onPaused }));
+    this.#connections.set(socket, new HttpConnection({ socket, turns: this.#turns, onWaiting }));
     this.#table.add(socket, CONNECTION_BYTES);
     socket.once('close', () => this.#removeConnection(socket));
     this.#enforceLimits();
--- a/packages/link/src/http/http-connection.ts
+++ b/packages/link/src/http/http-connection.ts
@@ -21,8 +21,8 @@
 export interface HttpConnectionOptions {
   socket: Socket;
   turns: TurnQueue;
-  /** Called when reading stops, and when it goes on. */
-  onPaused: (isPaused: boolean) => void;
+  /** Called with the estimated memory of what waits to be parsed when reading stops, and with 0 when it goes on. */
+  onWaiting: (bytes: number) => void;
 }
 
 export class HttpConnection {
@@ -30,7 +30,7 @@
 
   readonly #turns: TurnQueue;
 
-  readonly #onPaused: (isPaused: boolean) => void;
+  readonly #onWaiting: (bytes: number) => void;
 
   /** Requests that aren't answered yet, in the order of their arrival. */
   readonly #requests = new Set<BoundedRequest>();
@@ -52,16 +52,20 @@
 
   #isHttp = true;
 
-  /** Takes the connection over from Node's `connection` listener, which must have run. */
-  constructor({ socket, turns, onPaused }: HttpConnectionOptions) {
+  /** Takes a connection that hasn't been read over from Node's `connection` listener, which must have run. */
+  constructor({ socket, turns, onWaiting }: HttpConnectionOptions) {
     this.socket = socket;
     this.#turns = turns;
-    this.#onPaused = onPaused;
+    this.#onWaiting = onWaiting;
     const [parse] = socket.listeners('data');
     if (parse === undefined) throw new Error('Node has no parser on this connection.');
     this.#parse = parse as Parse;
     socket.off('data', this.#parse);
     socket.on('data', this.#onData);
+    // Clients that connect at the same time are read one after the other, too.
+    this.#isPaused = true;
+    socket.pause();
+    this.#queue();
   }
 
   get requests(): readonly BoundedRequest[] {
@@ -88,10 +92,16 @@
   }
 
   #read(bytes: Buffer): void {
+    // Node resumes the socket whenever a handler has taken part of a body, also before it is this connection's turn.
+    if (this.#isPaused) {
+      this.socket.pause();
+      this.socket.unshift(bytes);
+      return;
+    }
     this.#unparsed = bytes;
     this.#requestsThisTurn = 0;
     while (this.#isHttp && this.#unparsed.length > 0 && !this.#hasEnded) {
-      if (this.#isFull || this.#isTurnOver(bytes)) this.#pause();
+      if (this.#isFull || this.#isTurnOver(bytes)) this.#pause(bytes);
       if (this.socket.isPaused()) {
         this.socket.unshift(this.#unparsed);
         break;
@@ -117,11 +127,12 @@
     return this.socket.destroyed || this.socket.writableEnded;
   }
 
-  #pause(): void {
+  #pause(block: Buffer): void {
     this.socket.pause();
     if (!this.#isPaused) {
       this.#isPaused = true;
-      this.#onPaused(true);
+      // The rest of the block keeps all of it, and the kernel may have received as much again.
+      this.#onWaiting(2 * block.buffer.byteLength);
     }
     this.#queue();
   }
@@ -136,7 +147,7 @@
     this.#isQueued = false;
     if (this.#isFull || this.socket.destroyed) return;
     this.#isPaused = false;
-    this.#onPaused(false);
+    this.#onWaiting(0);
     this.socket.resume();
   }
 }
