Keep idle and small connections from displacing an ordinary request

Callers saw: with 1,900 idle connections to a machine of 200 MB and 4,100 descriptors, an entry answered no ordinary request; their connections were closed.

Cause: an open connection counted as 16 KiB of the memory limit, an eighth of the machine. Below 262 MB that limit was reached before the limit of connections, and beyond it the connection that uses most is closed: that of the only request. Many small requests that never end can do the same to a slightly larger one.

"a connection that uses slightly more than others" closes the least recently active one; before it closed the slightly larger.

Ruled out: a lack of descriptors (1,627 of 4,100 were open).

Change: sizes are compared in steps of 1/32 of the limit, and among connections of one step the least recently active one is closed. Open connections count for the limit of connections only. ConnectionTable.totalBytes, which nothing used, is gone. It works since a caller that has just sent a request is never the least recently active one, and one below 1/32 of the limit is never the largest.

--- a/packages/e2e/src/misbehaving-clients/misbehaving-clients.feature
+++ b/packages/e2e/src/misbehaving-clients/misbehaving-clients.feature
@@ -51,3 +51,16 @@
       | metrics     | /    | 600     | nothing |
       | heartbeats  | /    | 600     | nothing |
       | links       | /    | 600     | nothing |
+
+  Scenario Outline: <clients> clients send <payload> to <listener> <path> of a machine with many descriptors
+    Given an entry, and a guard with its runner, on machines of 200 MB and 4100 descriptors
+    When <clients> clients send <payload> to <path> of <listener>
+    Then the process that serves <listener> has stayed within its machine
+    And <listener> answers an ordinary request
+    And an ordinary job is accepted and completes
+
+    Examples: the descriptors last for more connections than the memory
+      | listener    | path           | clients | payload                 |
+      | the job API | /proofs/1      | 1900    | nothing                 |
+      | the job API | /proofs/1      | 1900    | POST bodies of one byte |
+      | heartbeats  | /-/instances/x | 240     | PUT bodies of one byte  |
--- a/packages/e2e/src/misbehaving-clients/payloads.ts
+++ b/packages/e2e/src/misbehaving-clients/payloads.ts
@@ -34,6 +34,11 @@
   return Buffer.from(`${head}Transfer-Encoding: chunked\r\n\r\n${chunk(chunkBytes).repeat(count)}`);
 }
 
+/** The first of two bytes of a body. */
+function unfinishedBody(method: string, path: string, host: string): Buffer {
+  return Buffer.from(`${method} ${path} HTTP/1.1\r\nHost: ${host}\r\nContent-Length: 2\r\n\r\nx`);
+}
+
 function ahead(request: string): Buffer {
   return Buffer.from(request.repeat(AHEAD));
 }
@@ -48,6 +53,8 @@
     Buffer.from(
       `POST ${path} HTTP/1.1\r\nHost: ${host}\r\nContent-Length: ${BODY_BYTES}\r\n\r\n${'x'.repeat(BODY_BYTES - 1)}`,
     ),
+  'POST bodies of one byte': (path, host) => unfinishedBody('POST', path, host),
+  'PUT bodies of one byte': (path, host) => unfinishedBody('PUT', path, host),
   'PUT bodies in 1-byte chunks': (path, host) =>
     unfinishedChunks(`PUT ${path} HTTP/1.1\r\nHost: ${host}\r\n`, 1),
   'PUT bodies in 64 KiB chunks': (path, host) =>
--- a/packages/link/src/http/bounded-server.ts
+++ b/packages/link/src/http/bounded-server.ts
@@ -8,9 +8,6 @@
 import type { HttpLimits } from './http-limits.js';
 import { TurnQueue } from './turn-queue.js';
 
-/** Estimated memory of an open connection, with a header that may have arrived in part. */
-const CONNECTION_BYTES = 16_384;
-
 /** Estimated memory of a request that isn't answered yet, beside its body. */
 const REQUEST_BYTES = 16_384;
 
@@ -106,7 +103,7 @@
       this.#enforceLimits();
     };
     this.#connections.set(socket, new HttpConnection({ socket, turns: this.#turns, onWaiting }));
-    this.#table.add(socket, CONNECTION_BYTES);
+    this.#table.add(socket);
     socket.once('close', () => this.#removeConnection(socket));
     this.#enforceLimits();
   }
--- a/packages/link/src/http/connection-table.feature
+++ b/packages/link/src/http/connection-table.feature
@@ -23,6 +23,12 @@
     And connection a is active
     Then connection b is to be closed for the limit of memory
 
+  Scenario: a connection that uses slightly more than others
+    Given a server that may have 3 connections and 96 bytes
+    When connections a, b and c take 33 bytes each
+    And connection b takes 1 byte more
+    Then connection a is to be closed for the limit of memory
+
   Scenario: a closed connection frees its share
     Given a server that may have 3 connections and 25 bytes
     When connections a, b and c take 10 bytes each
--- a/packages/link/src/http/connection-table.steps.ts
+++ b/packages/link/src/http/connection-table.steps.ts
@@ -6,6 +6,11 @@
   table: ConnectionTable<string>;
 }
 
+function addConnection(table: ConnectionTable<string>, connection: string, bytes: number): void {
+  table.add(connection);
+  table.change(connection, bytes);
+}
+
 Given(
   'a server that may have {int} connections and {int} bytes',
   function (this: TableWorld, maxConnections: number, maxMemoryBytes: number) {
@@ -16,13 +21,13 @@
 When(
   'connection {word} takes {int} bytes and connection {word} takes {int} bytes',
   function (this: TableWorld, a: string, bytesA: number, b: string, bytesB: number) {
-    this.table.add(a, bytesA);
-    this.table.add(b, bytesB);
+    addConnection(this.table, a, bytesA);
+    addConnection(this.table, b, bytesB);
   },
 );
 
 When('connections a, b and c take {int} bytes each', function (this: TableWorld, bytes: number) {
-  ['a', 'b', 'c'].forEach((connection) => this.table.add(connection, bytes));
+  ['a', 'b', 'c'].forEach((connection) => addConnection(this.table, connection, bytes));
 });
 
 When('connection {word} is active', function (this: TableWorld, connection: string) {
@@ -30,7 +35,7 @@
 });
 
 When(
-  'connection {word} takes {int} bytes more',
+  'connection {word} takes {int} byte(s) more',
   function (this: TableWorld, connection: string, bytes: number) {
     this.table.change(connection, bytes);
   },
--- a/packages/link/src/http/connection-table.ts
+++ b/packages/link/src/http/connection-table.ts
@@ -10,6 +10,9 @@
   connection: Connection;
 }
 
+/** Sizes of connections are compared in steps of this part of the memory limit. */
+const SIZE_STEP_SHARE = 1 / 32;
+
 /** Connections in the order of their last activity, each with its estimated memory. */
 export class ConnectionTable<Connection> {
   readonly #limits: HttpLimits;
@@ -27,13 +30,8 @@
     return this.#bytes.size;
   }
 
-  get totalBytes(): number {
-    return this.#totalBytes;
-  }
-
-  add(connection: Connection, bytes: number): void {
-    this.#bytes.set(connection, bytes);
-    this.#totalBytes += bytes;
+  add(connection: Connection): void {
+    this.#bytes.set(connection, 0);
   }
 
   remove(connection: Connection): void {
@@ -59,16 +57,20 @@
 
   /**
    * The connection to close so that the others fit the limits; undefined if they do. Too many connections: the least recently active
-   * one, as it is idle or its request has stalled. Too much memory: the one that uses most, which an ordinary caller's never does.
+   * one, as it is idle or its request has stalled. Too much memory: the one that uses most. Among connections of about the same size,
+   * as when many clients send small requests, it is the least recently active one too: a new caller's request may be slightly larger.
    */
   findExcess(): Excess<Connection> | undefined {
     const [idlest] = this.#bytes.keys();
     if (idlest === undefined) return undefined;
-    if (this.size > this.#limits.maxConnections) {
-      return { limit: 'connections', connection: idlest };
-    }
-    if (this.#totalBytes <= this.#limits.maxMemoryBytes) return undefined;
-    const [connection] = [...this.#bytes].reduce((most, next) => (next[1] > most[1] ? next : most));
+    const { maxConnections, maxMemoryBytes } = this.#limits;
+    if (this.size > maxConnections) return { limit: 'connections', connection: idlest };
+    if (this.#totalBytes <= maxMemoryBytes) return undefined;
+    const stepsOf = (bytes: number): number =>
+      Math.floor(bytes / (maxMemoryBytes * SIZE_STEP_SHARE));
+    const [connection] = [...this.#bytes].reduce((most, next) =>
+      stepsOf(next[1]) > stepsOf(most[1]) ? next : most,
+    );
     return { limit: 'memory', connection };
   }
 }
