--- a/packages/e2e/src/misbehaving-clients/misbehaving-clients.feature
+++ b/packages/e2e/src/misbehaving-clients/misbehaving-clients.feature
@@ -60,7 +60,8 @@
     And an ordinary job is accepted and completes
 
     Examples: the descriptors last for more connections than the memory
-      | listener    | path           | clients | payload                 |
-      | the job API | /proofs/1      | 1900    | nothing                 |
-      | the job API | /proofs/1      | 1900    | POST bodies of one byte |
-      | heartbeats  | /-/instances/x | 240     | PUT bodies of one byte  |
+      | listener    | path           | clients | payload                   |
+      | the job API | /proofs/1      | 1900    | nothing                   |
+      | the job API | /proofs/1      | 1900    | POST bodies of one byte   |
+      | the job API | /proofs/1      | 1900    | POST bodies with a length |
+      | heartbeats  | /-/instances/x | 240     | PUT bodies of one byte    |
--- a/packages/e2e/src/misbehaving-clients/misbehaving-clients.steps.ts
+++ b/packages/e2e/src/misbehaving-clients/misbehaving-clients.steps.ts
@@ -16,8 +16,8 @@
 const PREFIX = '/proofs/';
 const KEY = 'ordinary-key';
 
-/** Less than the usual heap, so that few clients show what many would do. */
-const NODE_ARGS = ['--max-old-space-size=64'];
+/** As in deploy/system.toml, with less than the usual heap, so that few clients show what many would do. */
+const NODE_ARGS = ['--max-old-space-size=64', '--max-semi-space-size=4'];
 
 /** How long the clients send before anything is checked, in ms. */
 const SENDING_MS = 3000;
