Review case 10: a gang that can never run keeps all workers idle

Tried: a gang of 14 tasks, at most one to a runner, within its account's guarantee, on seven workers, and 20 small jobs of another account. Rule: LOST (for 3 s a job has nothing running although there is capacity). None of the small jobs starts, with all accelerators idle: each pass reserves all workers for the gang, as the reservation leaves the limit of tasks per runner out.

--- /dev/null
+++ b/review/10/trial.mjs
@@ -0,0 +1,92 @@
+/** A gang within its account's guarantee that can never run, as it may not share runners, and small jobs of another account. */
+import { wait } from '../lib-3/cell.mjs';
+import { Client } from '../lib-3/client.mjs';
+import { HAS_TROUBLE, runTrial } from '../lib-3/trial.mjs';
+
+const URGENT = '/proofs/';
+const BULK = '/scans/';
+const GANG = 'a1a1a1a1a1a1a1a1';
+
+const WORKERS = 7;
+
+/** Members of the gang, one accelerator each; with at most one to a runner, one more than a worker apiece can't be placed. */
+const MEMBERS = 2 * WORKERS;
+
+/** Two members fill a worker of 256 GB. */
+const MEMBER_MEMORY_MB = 131_072;
+
+/** Accelerators that the gang's account is guaranteed, of 56. */
+const GUARANTEED = MEMBERS;
+
+/** Work of each task, in ms. */
+const WORK_MS = 1000;
+
+const SMALL_JOBS = 20;
+
+/** Between the small jobs, in ms. */
+const GAP_MS = 1000;
+
+/** From the end of the traffic until every job has something running, in ms: `finish_s`. */
+const FINISH_MS = 14_000;
+
+/** Longest time with nothing running, in ms. */
+const IDLE_MS = 3000;
+
+await runTrial(import.meta.url, async ({ cell, record }) => {
+  const started = new Set();
+  await cell.start({
+    entries: 3,
+    workers: WORKERS,
+    queues: [
+      { name: 'proofs', prefix: URGENT, priority: 0 },
+      { name: 'scans', prefix: BULK, priority: 1 },
+    ],
+    accounts: [{ name: 'studio', guaranteed: GUARANTEED }, { name: 'counter' }],
+    watch: (what, { task }) => {
+      if (what === 'run starts') started.add(task.split('.')[0]);
+    },
+  });
+  const { entries } = cell;
+  const studio = new Client({ entries, record, account: 'studio' });
+  const counter = new Client({ entries, record, account: 'counter' });
+  if (HAS_TROUBLE && !(await studio.submit(URGENT, GANG, impossibleGang()))) {
+    throw new Error('the gang was not accepted');
+  }
+  const accepted = [];
+  for (let each = 0; each < SMALL_JOBS; each++) {
+    await wait(GAP_MS);
+    const id = `c1c1c1c1c1c1c1${String(each).padStart(2, '0')}`;
+    if (await counter.submit(BULK, id, smallJob())) accepted.push(id);
+  }
+  if (accepted.length === 0) throw new Error('no small job was accepted');
+  await wait(FINISH_MS + IDLE_MS);
+  const states = await Promise.all(accepted.map((id) => counter.state(BULK, id)));
+  record.note('at the end', { accepted: accepted.length, states });
+  return accepted
+    .filter((id) => !started.has(id))
+    .map((id) => ({ rule: 'LOST', id, seen: 'accepted; no task was ever started' }));
+});
+
+function impossibleGang() {
+  return {
+    spec: JSON.stringify({ workMs: WORK_MS, gangs: { 0: MEMBERS } }),
+    steps: [
+      {
+        count: MEMBERS,
+        cpu: 4000,
+        mem_mb: MEMBER_MEMORY_MB,
+        gpu: 1,
+        estimate_ms: WORK_MS,
+        gang: true,
+        anti_affinity: 1,
+      },
+    ],
+  };
+}
+
+function smallJob() {
+  return {
+    spec: JSON.stringify({ workMs: WORK_MS }),
+    steps: [{ count: 1, cpu: 4000, mem_mb: 16_384, gpu: 1, estimate_ms: WORK_MS }],
+  };
+}
