Review case 10: the sizes of the site

Tried: the gang has 21 tasks of 26 cores, 110 GB and one accelerator now, on four entries and eleven workers, as the site's jobs and machines are; the rest is as before. Rule: LOST (for 3 s a job has nothing running although there is capacity).

--- a/review/10/trial.mjs
+++ b/review/10/trial.mjs
@@ -7,15 +7,17 @@
 const BULK = '/scans/';
 const GANG = 'a1a1a1a1a1a1a1a1';
 
-const WORKERS = 7;
+const ENTRIES = 4;
+const WORKERS = 11;
 
-/** Members of the gang, one accelerator each; with at most one to a runner, one more than a worker apiece can't be placed. */
-const MEMBERS = 2 * WORKERS;
+/** Members of the gang: with at most one to a runner, it needs more runners than there are. */
+const MEMBERS = 21;
 
-/** Two members fill a worker of 256 GB. */
-const MEMBER_MEMORY_MB = 131_072;
+/** Two members fill a worker of 64 cores and 256 GB; each takes one of its eight accelerators. */
+const MEMBER_CPU = 26_000;
+const MEMBER_MEMORY_MB = 110_000;
 
-/** Accelerators that the gang's account is guaranteed, of 56. */
+/** Accelerators that the gang's account is guaranteed, of 88. */
 const GUARANTEED = MEMBERS;
 
 /** Work of each task, in ms. */
@@ -35,7 +37,7 @@
 await runTrial(import.meta.url, async ({ cell, record }) => {
   const started = new Set();
   await cell.start({
-    entries: 3,
+    entries: ENTRIES,
     workers: WORKERS,
     queues: [
       { name: 'proofs', prefix: URGENT, priority: 0 },
@@ -73,7 +75,7 @@
     steps: [
       {
         count: MEMBERS,
-        cpu: 4000,
+        cpu: MEMBER_CPU,
         mem_mb: MEMBER_MEMORY_MB,
         gpu: 1,
         estimate_ms: WORK_MS,
