--- a/review/lib-3/program.mjs
+++ b/review/lib-3/program.mjs
@@ -32,6 +32,10 @@
   'worker quarantined',
 ];
 
+/** Nothing that was started here outlives the trial, however it ends. */
+const LIVE = new Set();
+process.once('exit', () => LIVE.forEach((child) => child.kill('SIGKILL')));
+
 /** A process that can be killed and started again. */
 export class Program {
   #options;
@@ -66,7 +70,11 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.#child = child;
-    child.once('exit', (code, signal) => record.note('process ended', { name, code, signal }));
+    LIVE.add(child);
+    child.once('exit', (code, signal) => {
+      LIVE.delete(child);
+      record.note('process ended', { name, code, signal });
+    });
     [child.stdout, child.stderr].forEach((stream) =>
       createInterface({ input: stream }).on('line', (line) => this.#onLine(line)),
     );
