--- a/review/lib-3/cell.mjs
+++ b/review/lib-3/cell.mjs
@@ -38,8 +38,8 @@
     this.#store = new BoundedStore({ record });
   }
 
-  /** Starts everything; `watch` is told of the starts and ends of runs. */
-  async start({ entries, workers, queues, accounts, watch }) {
+  /** Starts everything; `watch` is told of the starts and ends of runs, `Life` is a runner's model where not the project's. */
+  async start({ entries, workers, queues, accounts, watch, Life }) {
     const addresses = new Addresses();
     await addresses.open();
     const storeHost = addresses.next();
@@ -56,7 +56,7 @@
     for (let each = 1; each <= workers; each++) {
       const place = { name: `side-${each}`, role: 'guard', ip: addresses.next(), ...common };
       const program = await this.#program({ ...place, zone: zoneOf(each) });
-      const runner = this.#runner({ each, ip: place.ip, board, watch });
+      const runner = this.#runner({ each, ip: place.ip, board, watch, Life });
       this.workers.push({ vm: place.name, program, runner });
     }
     this.#programs.forEach((program) => program.start());
@@ -82,7 +82,7 @@
     return new Program({ ...place, settingsFile, record: this.#record });
   }
 
-  #runner({ each, ip, board, watch }) {
+  #runner({ each, ip, board, watch, Life }) {
     return new Runner({
       machine: `m${each}`,
       host: ip,
@@ -95,6 +95,7 @@
       board,
       record: this.#record,
       watch,
+      Life,
     });
   }
 }
--- a/review/lib-3/program.mjs
+++ b/review/lib-3/program.mjs
@@ -30,6 +30,7 @@
   'cannot decode job row; ignoring it',
   'stopping run',
   'worker quarantined',
+  'pace changed',
 ];
 
 /** Nothing that was started here outlives the trial, however it ends. */
@@ -133,9 +134,10 @@
   }
 }
 
-function pick(name, { msg, term, task, run, vm, runner, reason, err, key, outcome, all }) {
+function pick(name, { msg, err, term, task, run, vm, runner, reason, key, outcome, all, percent }) {
   const detail = err?.message ?? err;
-  return { name, msg, term, task, run, vm, runner, reason, err: detail, key, outcome, all };
+  const line = { name, msg, term, task, run, vm, runner, reason, err: detail, key, outcome, all };
+  return { ...line, percent };
 }
 
 function parse(text) {
--- a/review/lib-3/runner.mjs
+++ b/review/lib-3/runner.mjs
@@ -82,7 +82,7 @@
   }
 
   #beginLife() {
-    const { machine, board, record, watch } = this.#options;
+    const { machine, board, record, watch, Life = RunnerModel } = this.#options;
     this.#lives += 1;
     this.#sequence = 0;
     const log =
@@ -91,7 +91,7 @@
         record.note(what, { runner: life, task, run, ...(how === undefined ? {} : { how }) });
         watch?.(what, { runner: life, task, run, how });
       };
-    this.#life = new RunnerModel({
+    this.#life = new Life({
       id: `i-${machine}-${this.#lives}`,
       slots: SLOTS,
       holdMaxMs: HOLD_MAX_MS,
