Review trials: name the sharing contract and its bounds in the settings

The settings of the trials left out `sharing`, `pace_ms` and `harm_ms`, which the site has in force; the programs read none of them.

--- a/review/lib-3/settings.mjs
+++ b/review/lib-3/settings.mjs
@@ -19,6 +19,8 @@
   status_s: 120,
   checkpoint_interval_s: 0.5,
   lease_ms: 3000,
+  pace_ms: 100,
+  harm_ms: 4000,
   reclaim_ms: 2700,
 };
 
@@ -49,7 +51,7 @@
     limits: LIMITS[role],
     data_dir: null,
     heartbeat_ms: 1500,
-    contracts: ['base', 'drain', 'config', 'recover', 'sched', 'tenants', 'platform'],
+    contracts: ['base', 'drain', 'config', 'recover', 'sched', 'tenants', 'platform', 'sharing'],
     bounds: BOUNDS,
     command_mode: 'call',
     platform: { address: store, form: 'table', row_bytes: 65_536, across: true, history_s: 20 },
